--- a/src/bin/topazbridge-drill.rs
+++ b/src/bin/sprucelink-simhost.rs
@@ -7,9 +7,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use topazbridge::brain::Brain;
-use topazbridge::interface::{Action, EngineId, Event, ListKind, Micros};
-use topazbridge::wire::{parse_line, print_action, Line, PoolEntry, WireError};
+use sprucelink::brain::Brain;
+use sprucelink::interface::{Action, EngineId, Event, ListKind, Micros};
+use sprucelink::wire::{parse_line, print_action, Line, PoolEntry, WireError};
 
 /// One instance, with the engine names it has seen, in order of first sight.
 struct Instance {
@@ -153,9 +153,9 @@
 }
 
 fn main() {
-    std::panic::set_hook(Box::new(|info| eprintln!("topazbridge-drill: {info}")));
+    std::panic::set_hook(Box::new(|info| eprintln!("sprucelink-simhost: {info}")));
     if let Err(why) = run() {
-        eprintln!("topazbridge-drill: {why}");
+        eprintln!("sprucelink-simhost: {why}");
         std::process::exit(2);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! topazbridge decides, for a gateway in front of query engines with limited memory, which
+//! sprucelink decides, for a gateway in front of query engines with limited memory, which
 //! queries are admitted, at which priority level and to which engine they go, and what is done
 //! when an attempt ends badly.
 //!
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,4 @@
+//! The workload manager.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+fn main() {}
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,8 +1,8 @@
 //! The wire: what is read, what is written, what is malformed, and the adapter on a transcript.
 use std::io::Write;
 use std::process::{Command, Stdio};
-use topazbridge::interface::*;
-use topazbridge::wire::{parse_line, print_action, Line};
+use sprucelink::interface::*;
+use sprucelink::wire::{parse_line, print_action, Line};
 
 fn event(line: &str) -> Event {
     match parse_line(line) {
@@ -120,7 +120,7 @@
 }
 
 fn drill(input: &str) -> (bool, String, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_topazbridge-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sprucelink-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A gateway under test: feeds events, keeps what was asked for.
 #![allow(dead_code)]
 
-use topazbridge::brain::Brain;
-use topazbridge::interface::*;
+use sprucelink::brain::Brain;
+use sprucelink::interface::*;
 
 pub struct Bench {
     pub brain: Brain,
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use std::collections::BTreeMap;
-use topazbridge::interface::*;
+use sprucelink::interface::*;
 
 struct Dice(u64);
 
