--- a/src/bin/sprucelink-simhost.rs
+++ b/src/bin/sprucelink-simhost.rs
@@ -4,12 +4,12 @@
 //! output; it decides nothing.
 #![forbid(unsafe_code)]
 
-use std::collections::BTreeMap;
-use std::io::{self, BufRead, Write};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use sprucelink::brain::Brain;
 use sprucelink::interface::{Action, EngineId, Event, ListKind, Micros};
 use sprucelink::wire::{parse_line, print_action, Line, PoolEntry, WireError};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// One instance, with the engine names it has seen, in order of first sight.
 struct Instance {
--- /dev/null
+++ b/src/core/facade.rs
@@ -0,0 +1,231 @@
+//! The decision module in blocking style: `pick` for a request, `report` for news, `tick` for the
+//! time. Network code sees orders, never the module's events or actions.
+
+use crate::brain::Brain;
+use crate::interface::*;
+use crate::proto::events::{ListEvent, Phase};
+use crate::proto::resp::{How, Stats};
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// A request as the core hands it to the module.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Its id.
+    pub id: u64,
+    /// Its class, by number.
+    pub class: usize,
+    /// Its tenant, by number.
+    pub tenant: usize,
+    /// The group of tables it reads or writes.
+    pub tables: u64,
+    /// How long its client still waits.
+    pub left: Micros,
+    /// Estimated work in milliseconds on one core.
+    pub cost_ms: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory_mb: Option<f64>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served, with all its pages here.
+    Served,
+    /// The engine answered with an error, or lost a page.
+    Crashed,
+    /// The engine was full; it never ran.
+    Overload,
+    /// The client's time ran out.
+    Expired,
+    /// No connection, or never written to one; it never ran.
+    Unreachable,
+    /// The connection broke with it out.
+    Broken,
+    /// Called off.
+    Undone,
+    /// The request was over before it ran, or there was no room to send it.
+    NotRun,
+}
+
+/// News for the module.
+#[derive(Debug)]
+pub enum News<'a> {
+    /// A change of the list of engines; the first list of a life may be old.
+    List(&'a ListEvent, bool),
+    /// A note on an attempt that is out.
+    Note(u64, u32, How, f64),
+    /// An attempt ended.
+    Ended {
+        /// The request and the attempt's number.
+        id: (u64, u32),
+        /// How.
+        end: End,
+        /// Time since it was sent.
+        latency: Micros,
+        /// The request is over, by this or before.
+        complete: bool,
+        /// Work in milliseconds and memory in MB that it needed.
+        bill: Option<(f64, f64)>,
+        /// The engine's load report.
+        stats: Stats,
+    },
+    /// The client gave up.
+    GivenUp(u64),
+}
+
+/// What the module wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Memory and priority of a request's next send, and the priority of what is out.
+    Terms(u64, Option<f64>, u8),
+    /// Send a request to an engine.
+    Send(u64, usize),
+    /// Call an attempt off.
+    Undo(u64, u32),
+    /// Final: refused; when to come back.
+    Refuse(u64, Micros),
+    /// Final: failed; when to come back.
+    Fail(u64, Micros),
+    /// A line for the people on call.
+    Log(String),
+}
+
+/// The decision module and what it needs to be spoken to.
+pub struct Facade {
+    brain: Brain,
+    engines: BTreeMap<String, u32>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    timers: BinaryHeap<std::cmp::Reverse<(Micros, u64)>>,
+    out: Vec<Action>,
+}
+
+fn place(names: &[String], name: &str) -> u32 {
+    names.iter().position(|n| n == name).unwrap_or(0) as u32
+}
+
+impl Facade {
+    /// A module that starts now.
+    pub fn new(set: Settings, seed: u64, zones: Vec<String>, kinds: Vec<String>, now: Micros) -> Facade {
+        let brain = Brain::new(set, seed, now);
+        Facade { brain, engines: BTreeMap::new(), zones, kinds, timers: BinaryHeap::new(), out: Vec::new() }
+    }
+
+    /// The number of an engine, given at first sight.
+    pub fn engine(&mut self, id: &str) -> usize {
+        let next = self.engines.len() as u32;
+        *self.engines.entry(id.to_owned()).or_insert(next) as usize
+    }
+
+    /// A request came in.
+    pub fn pick(&mut self, now: Micros, a: &Asked) -> Vec<Order> {
+        let event = Event::Arrived(Arrival {
+            id: RequestId(a.id),
+            class: ClassId(a.class),
+            tenant: a.tenant,
+            tables: a.tables,
+            time_left: a.left,
+            cost: a.cost_ms.map(|ms| ms / 1e3).filter(|c| *c > 0.0),
+            memory_mb: a.memory_mb.filter(|m| *m > 0.0),
+            key: None,
+        });
+        self.give(now, event)
+    }
+
+    /// Something happened.
+    pub fn report(&mut self, now: Micros, news: News) -> Vec<Order> {
+        let event = match news {
+            News::List(list, remembered) => {
+                let kind = match (remembered, list.complete) {
+                    (true, true) => ListKind::Remembered,
+                    (false, true) => ListKind::Whole,
+                    (_, false) => ListKind::Changes,
+                };
+                let entries = list.members.iter().map(|m| EngineEntry {
+                    engine: EngineId(self.engine(&m.id) as u32),
+                    zone: place(&self.zones, &m.zone),
+                    kind: place(&self.kinds, &m.kind),
+                    cell: m.cell,
+                    state: match m.phase {
+                        Phase::Ready => EngineState::Ready,
+                        Phase::Draining => EngineState::Draining,
+                        Phase::Gone => EngineState::Gone,
+                    },
+                    since: (m.up_since_ms > 0).then_some(Micros(m.up_since_ms.saturating_mul(1000))),
+                });
+                Event::List { kind, entries: entries.collect() }
+            }
+            News::Note(id, attempt, how, num) => {
+                let note = match how {
+                    How::SoFar => Note::Progress(num),
+                    How::Lacking => Note::Spills(num),
+                    How::Waiting if num >= 2.0 => Note::WaitsForLoad,
+                    How::Waiting => Note::WaitsForMemory,
+                };
+                Event::Noted { id: RequestId(id), attempt, note }
+            }
+            News::Ended { id: (id, attempt), end, latency, complete, bill, stats } => Event::Ended {
+                id: RequestId(id),
+                attempt,
+                outcome: match end {
+                    End::Served => Outcome::Delivered,
+                    End::Crashed => Outcome::Error,
+                    End::Overload => Outcome::Shed,
+                    End::Expired => Outcome::Expired,
+                    End::Unreachable => Outcome::DialFailed,
+                    End::Broken => Outcome::Dropped,
+                    End::Undone => Outcome::Revoked,
+                    End::NotRun => Outcome::Unused,
+                },
+                latency,
+                complete,
+                bill: bill.map(|(ms, mb)| Bill { work: ms / 1e3, memory_mb: mb }),
+                report: Report {
+                    in_hand: stats.inflight,
+                    waiting: stats.queue,
+                    busy: stats.util,
+                    memory: stats.x0,
+                    disks: stats.x1,
+                },
+            },
+            News::GivenUp(id) => Event::GivenUp { id: RequestId(id) },
+        };
+        self.give(now, event)
+    }
+
+    /// Gives the module every timer that is due.
+    pub fn tick(&mut self, now: Micros) -> Vec<Order> {
+        let mut orders = Vec::new();
+        while self.due().is_some_and(|t| t <= now) {
+            let Some(std::cmp::Reverse((_, token))) = self.timers.pop() else { break };
+            orders.extend(self.give(now, Event::Timer { token }));
+        }
+        orders
+    }
+
+    /// When `tick` wants to be called next.
+    pub fn due(&self) -> Option<Micros> {
+        self.timers.peek().map(|t| t.0 .0)
+    }
+
+    fn give(&mut self, now: Micros, event: Event) -> Vec<Order> {
+        self.brain.handle(now, event, &mut self.out);
+        let mut orders = Vec::new();
+        for action in self.out.drain(..) {
+            match action {
+                Action::Send { id, engine, .. } => orders.push(Order::Send(id.0, engine.0 as usize)),
+                Action::Terms { id, grant_mb, level } => orders.push(Order::Terms(id.0, grant_mb, level.0)),
+                Action::Cancel { id, attempt } => orders.push(Order::Undo(id.0, attempt)),
+                Action::Refuse { id, retry_after } => {
+                    orders.push(Order::Refuse(id.0, retry_after.unwrap_or_default()));
+                }
+                Action::Fail { id } => orders.push(Order::Fail(id.0, Micros(0))),
+                Action::Timer { delay, token } => self.timers.push(std::cmp::Reverse((now + delay, token))),
+                Action::Log(text) => orders.push(Order::Log(text)),
+                // The list comes by itself, and neither probes nor peers are spoken to here.
+                Action::Watch | Action::Probe { .. } | Action::Tell { .. } => {}
+            }
+        }
+        orders
+    }
+}
--- /dev/null
+++ b/src/core/links.rs
@@ -0,0 +1,268 @@
+//! Connections to engines. A link carries many attempts; it belongs to an engine's id, not to its
+//! address, for addresses are used again. What breaks a link ends each attempt on it once.
+
+use super::pool::{Buf, Pool, SIZE};
+use super::table::Core;
+use super::{now, span};
+use crate::interface::Micros;
+use crate::proto::resp;
+use bytes::BufMut;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// How often a link looks whether it has been idle for too long.
+const LOOK: Duration = Duration::from_secs(1);
+/// Share of the idle time after which this side closes: engines close at the whole of it, and a
+/// request that crosses their close would count as one that may have run.
+const IDLE_SHARE: f64 = 0.8;
+/// Notes missed in a row after which a link that has old attempts out takes nothing new.
+const NOTES_MISSED: i64 = 3;
+/// Attempts called off on one link before it is retired.
+const MOST_UNDONE: usize = 512;
+
+/// What the settings say of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Attempts that one connection carries at a time.
+    pub streams: usize,
+    /// A connection that is not up by then has failed.
+    pub dial: Micros,
+    /// An idle connection is closed after this.
+    pub idle: Micros,
+    /// Time between notes on an attempt; zero where there are none.
+    pub notes: Micros,
+    /// Connections to one engine at a time.
+    pub most: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Dialing,
+    Up,
+    Dead,
+}
+
+/// An attempt on a link: its number, where its command begins in the stream, and when it was sent.
+#[derive(Clone, Copy, Debug)]
+struct Rider {
+    attempt: u32,
+    start: u64,
+    sent: Micros,
+}
+
+/// One connection to an engine.
+#[derive(Debug)]
+pub struct Link {
+    /// The engine, by number.
+    pub engine: usize,
+    address: SocketAddr,
+    state: Cell<State>,
+    stale: Cell<bool>,
+    queue: RefCell<VecDeque<Buf>>,
+    queued: Cell<u64>,
+    written: Cell<u64>,
+    riders: RefCell<BTreeMap<u64, Rider>>,
+    undone: RefCell<BTreeSet<u64>>,
+    heard: Cell<Micros>,
+    wake: Notify,
+}
+
+impl Link {
+    /// A link that is about to be dialled.
+    pub fn new(engine: usize, address: SocketAddr) -> Rc<Link> {
+        Rc::new(Link {
+            engine,
+            address,
+            state: Cell::new(State::Dialing),
+            stale: Cell::new(false),
+            queue: RefCell::default(),
+            queued: Cell::new(0),
+            written: Cell::new(0),
+            riders: RefCell::default(),
+            undone: RefCell::default(),
+            heard: Cell::new(now()),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Whether request `id` may go out on it. Not where it was called off before: a late answer to
+    /// the old attempt could not be told from one to the new.
+    pub fn takes(&self, id: u64, terms: &Terms) -> bool {
+        let riders = self.riders.borrow();
+        let quiet = |r: &Rider| now() - r.sent.max(self.heard.get()) > Micros(terms.notes.0 * NOTES_MISSED);
+        // Guards against machines that vanished: their connections stay open and silent.
+        let silent = terms.notes > Micros(0) && riders.values().any(quiet);
+        self.state.get() != State::Dead
+            && !self.stale.get()
+            && !silent
+            && riders.len() < terms.streams
+            && !self.undone.borrow().contains(&id)
+    }
+
+    /// Nothing new goes out on it: its engine has started anew, or moved.
+    pub fn retire(&self) {
+        self.stale.set(true);
+    }
+
+    /// Whether it is still being dialled.
+    pub fn dialing(&self) -> bool {
+        self.state.get() == State::Dialing
+    }
+
+    /// Attempts on it.
+    pub fn riders(&self) -> usize {
+        self.riders.borrow().len()
+    }
+
+    /// Queues a command; false if no buffer is free for it.
+    pub fn command(&self, pool: &Pool, parts: &[&[u8]]) -> bool {
+        let size = 16 + parts.iter().map(|p| p.len() + 16).sum::<usize>();
+        let mut queue = self.queue.borrow_mut();
+        if !queue.back().is_some_and(|b| b.has_room(size)) {
+            let Some(buf) = pool.get().filter(|b| b.has_room(size)) else { return false };
+            queue.push_back(buf);
+        }
+        if let Some(buf) = queue.back_mut() {
+            let before = buf.len();
+            resp::write_command(buf, parts);
+            self.queued.set(self.queued.get() + (buf.len() - before) as u64);
+        }
+        self.wake.notify_one();
+        true
+    }
+
+    /// Queues the command that sends an attempt.
+    pub fn send(&self, pool: &Pool, id: u64, attempt: u32, parts: &[&[u8]]) -> bool {
+        let start = self.queued.get();
+        let queued = self.command(pool, parts);
+        if queued {
+            self.riders.borrow_mut().insert(id, Rider { attempt, start, sent: now() });
+        }
+        queued
+    }
+
+    /// The attempt of a request that is out on this link.
+    pub fn attempt(&self, id: u64) -> Option<u32> {
+        self.riders.borrow().get(&id).map(|r| r.attempt)
+    }
+
+    /// An attempt has ended; `undone` if the engine may still answer it.
+    pub fn release(&self, id: u64, undone: bool) {
+        let was = self.riders.borrow_mut().remove(&id).is_some();
+        if was && undone {
+            let mut undone = self.undone.borrow_mut();
+            undone.insert(id);
+            // Bounds what a link remembers: a new one takes its place.
+            self.stale.set(self.stale.get() || undone.len() >= MOST_UNDONE);
+        }
+        if self.riders.borrow().is_empty() {
+            self.heard.set(now());
+        }
+    }
+
+    /// Closes it: what was on it, and whether each command never left.
+    pub fn close(&self) -> Vec<(u64, u32, bool)> {
+        self.state.set(State::Dead);
+        self.wake.notify_one();
+        let written = self.written.get();
+        let riders = std::mem::take(&mut *self.riders.borrow_mut());
+        riders.into_iter().map(|(id, r)| (id, r.attempt, r.start >= written)).collect()
+    }
+
+    fn idle(&self, terms: &Terms) -> bool {
+        let rest = Micros((terms.idle.0 as f64 * IDLE_SHARE) as i64);
+        self.riders.borrow().is_empty() && (self.stale.get() || now() - self.heard.get() > rest)
+    }
+}
+
+/// Dials a link and serves it until it ends.
+pub async fn run(core: Rc<Core>, link: Rc<Link>) {
+    let why = match timeout(span(core.terms().dial), TcpStream::connect(link.address)).await {
+        Ok(Ok(stream)) if link.state.get() == State::Dialing => serve(&core, &link, stream).await,
+        Ok(Ok(_)) => "not wanted any more".to_owned(),
+        Ok(Err(e)) => format!("no connection: {e}"),
+        Err(_) => "no connection in time".to_owned(),
+    };
+    core.on_link_down(&link, &why);
+}
+
+async fn serve(core: &Rc<Core>, link: &Link, stream: TcpStream) -> String {
+    if let Err(e) = stream.set_nodelay(true) {
+        return e.to_string();
+    }
+    link.state.set(State::Up);
+    let (reader, writer) = stream.into_split();
+    tokio::select! {
+        why = read(core, link, reader) => why,
+        why = write(link, writer) => why,
+    }
+}
+
+async fn write(link: &Link, mut writer: OwnedWriteHalf) -> String {
+    loop {
+        if link.state.get() == State::Dead {
+            return "closed here".into();
+        }
+        let next = link.queue.borrow_mut().pop_front();
+        let Some(buf) = next else {
+            link.wake.notified().await;
+            continue;
+        };
+        let mut rest = &buf[..];
+        while !rest.is_empty() {
+            match writer.write(rest).await {
+                Ok(0) => return "closed by the engine".into(),
+                Ok(n) => {
+                    rest = &rest[n..];
+                    link.written.set(link.written.get() + n as u64);
+                }
+                Err(e) => return e.to_string(),
+            }
+        }
+    }
+}
+
+async fn read(core: &Rc<Core>, link: &Link, mut reader: OwnedReadHalf) -> String {
+    let Some(mut buf) = core.pool().get() else { return "no buffer is free".into() };
+    loop {
+        let room = SIZE.saturating_sub(buf.len());
+        match timeout(LOOK, reader.read_buf(&mut (&mut *buf).limit(room))).await {
+            Ok(Ok(0)) => return "closed by the engine".into(),
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => return e.to_string(),
+            Err(_) if link.idle(core.terms()) => return String::new(),
+            Err(_) => continue,
+        }
+        link.heard.set(now());
+        let mut at = 0;
+        loop {
+            let answer = match resp::read_array(&buf[at..], SIZE) {
+                Ok(Some((parts, len))) => resp::read_answer(&parts).map(|a| Some((a, len))),
+                Ok(None) => Ok(None),
+                Err(e) => Err(e),
+            };
+            match answer {
+                Ok(Some((answer, len))) => {
+                    if let Err(e) = core.on_answer(link, &answer) {
+                        return format!("unreadable: {e}");
+                    }
+                    at += len;
+                }
+                Ok(None) => break,
+                Err(e) => return format!("unreadable: {e}"),
+            }
+        }
+        buf.drain(..at);
+        if !buf.has_room(1) {
+            return "unreadable: an answer longer than any may be".into();
+        }
+    }
+}
--- /dev/null
+++ b/src/core/pool.rs
@@ -0,0 +1,78 @@
+//! Buffers of one size, used again. The pool has a bound: what finds it empty is refused, so that
+//! a flood costs answers and not the process.
+
+use std::cell::{Cell, RefCell};
+use std::ops::{Deref, DerefMut};
+use std::rc::Rc;
+
+/// Size of every buffer: the largest result (48,000 bytes) and its framing fit one.
+pub const SIZE: usize = 64 * 1024;
+
+#[derive(Debug)]
+struct Inner {
+    free: RefCell<Vec<Vec<u8>>>,
+    out: Cell<usize>,
+    most: usize,
+}
+
+/// A pool of buffers.
+#[derive(Clone, Debug)]
+pub struct Pool(Rc<Inner>);
+
+/// A buffer that goes back to its pool when dropped. Writers keep within [`SIZE`].
+#[derive(Debug)]
+pub struct Buf {
+    bytes: Vec<u8>,
+    pool: Rc<Inner>,
+}
+
+impl Pool {
+    /// A pool that hands out at most so many buffers at a time.
+    pub fn new(most: usize) -> Pool {
+        Pool(Rc::new(Inner { free: RefCell::new(Vec::new()), out: Cell::new(0), most }))
+    }
+    /// An empty buffer, or `None` when all are out.
+    pub fn get(&self) -> Option<Buf> {
+        if self.0.out.get() >= self.0.most {
+            return None;
+        }
+        self.0.out.set(self.0.out.get() + 1);
+        let bytes = self.0.free.borrow_mut().pop().unwrap_or_else(|| Vec::with_capacity(SIZE));
+        Some(Buf { bytes, pool: Rc::clone(&self.0) })
+    }
+    /// Buffers that are out.
+    pub fn out(&self) -> usize {
+        self.0.out.get()
+    }
+}
+
+impl Buf {
+    /// Whether so many bytes more fit.
+    pub fn has_room(&self, n: usize) -> bool {
+        self.bytes.len() + n <= SIZE
+    }
+}
+
+impl Drop for Buf {
+    fn drop(&mut self) {
+        self.pool.out.set(self.pool.out.get() - 1);
+        let mut bytes = std::mem::take(&mut self.bytes);
+        // Guards the bound on memory: a buffer that outgrew its size is not kept.
+        if bytes.capacity() <= SIZE {
+            bytes.clear();
+            self.pool.free.borrow_mut().push(bytes);
+        }
+    }
+}
+
+impl Deref for Buf {
+    type Target = Vec<u8>;
+    fn deref(&self) -> &Vec<u8> {
+        &self.bytes
+    }
+}
+impl DerefMut for Buf {
+    fn deref_mut(&mut self) -> &mut Vec<u8> {
+        &mut self.bytes
+    }
+}
--- /dev/null
+++ b/src/front/mod.rs
@@ -0,0 +1,251 @@
+//! The fronts: what clients connect to. Both take their requests from the one core, by the same
+//! few functions; they differ in what they speak beyond a simple query.
+
+pub mod answer;
+pub mod session;
+pub mod wire;
+
+use crate::core::facade::Asked;
+use crate::core::pool::Buf;
+use crate::core::table::{Core, Request, Ticket, MOST_STATEMENT};
+use crate::core::{now, span};
+use crate::interface::Micros;
+use crate::proto::fields::Fields;
+use crate::proto::pg::{self, Fault, Opening};
+use crate::proto::tables;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use wire::Wire;
+
+/// A client that has not begun its session by then is let go.
+const OPENING: Duration = Duration::from_secs(10);
+/// After an accept that failed for want of descriptors.
+const BREATH: Duration = Duration::from_millis(20);
+
+/// What a front knows of a class.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its requests carry an idempotency key.
+    pub keyed: bool,
+    /// How long its clients wait when they do not say.
+    pub deadline: Micros,
+}
+
+/// What a front is set up with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Classes, by number.
+    pub classes: Vec<Class>,
+    /// Tenants' names, by number.
+    pub tenants: Vec<String>,
+    /// Sessions at a time.
+    pub most_sessions: usize,
+    /// The second front: extended queries, settings of a session, its own request ids.
+    pub extended: bool,
+    /// Class of a statement that names none.
+    pub default_class: Option<String>,
+    /// Tenant of a statement that names none.
+    pub default_tenant: Option<String>,
+}
+
+/// One front.
+pub struct Front {
+    /// The core it takes its requests from.
+    pub core: Rc<Core>,
+    /// What it is set up with.
+    pub setup: Setup,
+    sessions: RefCell<BTreeMap<u32, (u32, Rc<Notify>)>>,
+    open: Cell<usize>,
+    busy: Cell<usize>,
+    closing: Cell<bool>,
+    close: Notify,
+}
+
+/// Counts something for as long as it lives.
+struct Counted<'a>(&'a Cell<usize>);
+impl<'a> Counted<'a> {
+    fn one(cell: &'a Cell<usize>) -> Counted<'a> {
+        cell.set(cell.get() + 1);
+        Counted(cell)
+    }
+}
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Front {
+    /// A front on a core.
+    pub fn new(core: Rc<Core>, setup: Setup) -> Rc<Front> {
+        Rc::new(Front {
+            core,
+            setup,
+            sessions: RefCell::default(),
+            open: Cell::new(0),
+            busy: Cell::new(0),
+            closing: Cell::new(false),
+            close: Notify::new(),
+        })
+    }
+
+    /// Takes connections, for good.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => drop(tokio::task::spawn_local(Rc::clone(&self).connection(stream))),
+                Err(e) => {
+                    self.core.log(&format!("accept failed: {e}"));
+                    tokio::time::sleep(BREATH).await;
+                }
+            }
+        }
+    }
+
+    /// Lets go of sessions that have nothing open, now and from now on.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.close.notify_waiters();
+    }
+
+    /// Requests whose answer is not written yet.
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
+        let _open = Counted::one(&self.open);
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let full = self.open.get() > self.setup.most_sessions;
+        let (Some(input), Some(output)) = (self.core.pool().get(), self.core.pool().get()) else {
+            return turn_away(&mut stream).await;
+        };
+        let mut wire = Wire::new(stream, input, output);
+        if let Ok(Ok(Some(parameters))) = timeout(OPENING, self.opening(&mut wire)).await {
+            if full {
+                return turn_away(&mut wire.stream).await;
+            }
+            // An error here is the end of the connection: nobody is left to tell.
+            drop(session::serve(Rc::clone(&self), &mut wire, parameters).await);
+        }
+    }
+
+    /// The packets before a session; `None` where none follows.
+    async fn opening(&self, wire: &mut Wire<TcpStream>) -> std::io::Result<Option<session::Start>> {
+        loop {
+            let opening = match pg::read_opening(wire.input()) {
+                Ok(Some((opening, len))) => {
+                    wire.consume(len);
+                    opening
+                }
+                Ok(None) => {
+                    if wire.fill().await? == 0 {
+                        return Ok(None);
+                    }
+                    continue;
+                }
+                Err(e) => {
+                    pg::error(wire.output(), &Fault::from(e).fatal());
+                    wire.flush().await?;
+                    return Ok(None);
+                }
+            };
+            match opening {
+                Opening::Ssl | Opening::Gssenc => {
+                    wire.output().push(b'N');
+                    wire.flush().await?;
+                }
+                Opening::Cancel { session, secret } => {
+                    let sessions = self.sessions.borrow();
+                    if let Some((_, cancel)) = sessions.get(&session).filter(|s| s.0 == secret) {
+                        cancel.notify_waiters();
+                    }
+                    return Ok(None);
+                }
+                Opening::Startup { minor, parameters } => {
+                    return Ok(Some(session::Start { minor, parameters }))
+                }
+            }
+        }
+    }
+
+    /// Makes a request of a statement and its fields and takes it into the core.
+    pub fn take(
+        &self,
+        f: &Fields,
+        statement: &str,
+        arrived: Micros,
+        own_timeout: Option<u64>,
+    ) -> Result<Ticket, Fault> {
+        let setup = &self.setup;
+        let kind = f.kind.as_deref().or(setup.default_class.as_deref());
+        let kind = kind.ok_or_else(|| missing("kind", "the statement's comment must name a class"))?;
+        let class = setup.classes.iter().position(|c| c.name == kind);
+        let class = class.ok_or_else(|| missing("kind", "names no class that is configured"))?;
+        let owner = f.owner.as_deref().or(setup.default_tenant.as_deref());
+        let tenant = match owner {
+            None => 0,
+            Some(name) => setup
+                .tenants
+                .iter()
+                .position(|t| t == name)
+                .ok_or_else(|| missing("owner", "names no tenant that is configured"))?,
+        };
+        let id = match f.req {
+            Some(id) if !setup.extended => id,
+            None if !setup.extended => return Err(missing("req", "is missing")),
+            _ => self.core.draw(),
+        };
+        let of_class = &setup.classes[class];
+        let once = match &f.opkey {
+            Some(key) if of_class.keyed => Some(key.clone()),
+            None if of_class.keyed => Some(format!("{:016x}{:016x}", self.core.draw(), self.core.draw())),
+            _ => None,
+        };
+        let timeout = f.timeout_ms.or(own_timeout).map_or(of_class.deadline, |ms| Micros(ms as i64 * 1000));
+        let asked = Asked {
+            id,
+            class,
+            tenant,
+            tables: tables::group(statement),
+            left: arrived + timeout - now(),
+            cost_ms: f.ms,
+            memory_mb: f.heap_mb,
+        };
+        let statement = self.keep(statement)?;
+        let request = Request { asked, class: of_class.name.clone(), once, statement };
+        let ticket = self.core.take(request);
+        ticket.ok_or_else(|| Fault::new("42710", format!("field req: a request {id:016x} is open already")))
+    }
+
+    fn keep(&self, statement: &str) -> Result<Buf, Fault> {
+        if statement.len() > MOST_STATEMENT {
+            return Err(Fault::new("54000", format!("a statement holds at most {MOST_STATEMENT} bytes")));
+        }
+        let mut buf = self.core.pool().get().ok_or_else(answer::no_buffer)?;
+        buf.extend_from_slice(statement.as_bytes());
+        Ok(buf)
+    }
+}
+
+fn missing(field: &str, why: &str) -> Fault {
+    let example = "/* kind=CLASS,timeout=MILLISECONDS */ SELECT ...";
+    Fault::new("08P01", format!("field {field} {why}")).hint(format!("Write {example}"))
+}
+
+async fn turn_away(stream: &mut TcpStream) {
+    let mut out = Vec::new();
+    let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.").fatal();
+    pg::error(&mut out, &Fault { detail: Some("retry_after_ms=1000".into()), ..fault });
+    let _ = timeout(span(Micros(1_000_000)), stream.write_all(&out)).await;
+}
--- /dev/null
+++ b/src/run/mod.rs
@@ -0,0 +1,5 @@
+//! Start and stop: the command line, the configuration, signals.
+
+pub mod args;
+pub mod config;
+pub mod serve;
--- /dev/null
+++ b/src/run/serve.rs
@@ -0,0 +1,61 @@
+//! Serving: from the configuration to the last answer after SIGTERM.
+
+use super::config::Config;
+use crate::core::pool::Pool;
+use crate::core::table::Core;
+use crate::core::{feed, span};
+use crate::front::Front;
+use crate::interface::Micros;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
+
+/// After SIGTERM new connections and requests still come for this long.
+const STILL_COMING: Duration = Duration::from_millis(700);
+/// Between two looks at whether all is answered.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Serves until SIGTERM or SIGINT; an error is one of the start.
+pub fn serve(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+async fn run(config: Config) -> Result<(), String> {
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(0));
+    let core = Core::new(config.settings, config.seed, config.names, config.terms, Pool::new(config.buffers));
+    for (i, event) in config.known.1.iter().enumerate() {
+        core.on_list(event, i == 0);
+    }
+    core.passed_event(config.known.0);
+    spawn_local(Rc::clone(&core).run());
+    if let Some(address) = config.feed {
+        spawn_local(feed::follow(Rc::clone(&core), address));
+    }
+    let listener = TcpListener::bind(&config.listen).await;
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    let front = Front::new(Rc::clone(&core), config.setup);
+    let accepting = spawn_local(Rc::clone(&front).listen(listener));
+    core.log(&format!("serving on {at}"));
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    core.log(&format!("stopping: {} open", core.open()));
+    let stop = Instant::now() + STILL_COMING + span(longest);
+    sleep(STILL_COMING).await;
+    accepting.abort();
+    front.close();
+    while front.busy() > 0 && Instant::now() < stop {
+        sleep(LOOK).await;
+    }
+    core.log(&format!("stopped: {} open", core.open()));
+    Ok(())
+}
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,8 +1,8 @@
 //! The wire: what is read, what is written, what is malformed, and the adapter on a transcript.
-use std::io::Write;
-use std::process::{Command, Stdio};
 use sprucelink::interface::*;
 use sprucelink::wire::{parse_line, print_action, Line};
+use std::io::Write;
+use std::process::{Command, Stdio};
 
 fn event(line: &str) -> Event {
     match parse_line(line) {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,8 +2,8 @@
 //! modelled: outcomes, lists, notes and clients' leaving come at random.
 mod common;
 use common::*;
-use std::collections::BTreeMap;
 use sprucelink::interface::*;
+use std::collections::BTreeMap;
 
 struct Dice(u64);
 
