Answer at once what may not go out again, and say with every refusal when to come back

Seen by reading src/brain.rs for what holds a request it has given up on: review() looked only at the deadline and at the worth left, so a keyed request whose repeat window had closed (or whose attempts were spent) stayed in the line until its worth was gone, though send() could never let it out. And answer() gave advice only where the site's settings pass it on, and none with a failure.

Checked: the new test holds 1.9 s within the window and wants the answer by 2.1 s; without the line in review() it fails. Ruled out as holding: admission (refuses at once), the free-core pass (only while an answer still earns something), attempts that run on past the wanted time (their client still gets rows).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -344,7 +344,7 @@
         let class = a.class.0;
         self.taken.add(self.now, self.set.attempt_budget.map_or(Micros(0), |b| b.span));
         if class >= self.classes.len() {
-            return out.push(Action::Fail { id: a.id });
+            return out.push(Action::Fail { id: a.id, retry_after: None });
         }
         let (worth, in_turn) = (self.set.classes[class].worth, self.set.classes[class].in_turn);
         let quota = self.set.tenants.get(a.tenant).map(|t| t.quota_per_s / f64::from(self.set.gateways));
@@ -735,7 +735,8 @@
         let (free, sees) = (self.own < self.core_share(), self.sees());
         for id in ids {
             let Some(r) = self.requests.get(&id).filter(|r| !r.answered) else { continue };
-            if self.now + ANSWER_MARGIN >= r.deadline {
+            // Guards against holding what may not go out any more: nothing is left to wait for.
+            if self.now + ANSWER_MARGIN >= r.deadline || r.out.is_none() && !self.may_repeat(r) {
                 self.answer(id, out);
             } else if let Some(a) = &r.out {
                 let age = (self.now - a.sent).secs();
@@ -929,12 +930,19 @@
             Effect::Keyed => !touched || c.group == DedupGroup::All,
             Effect::Unsafe => !touched,
         };
-        let wait = Micros::from_secs(self.classes[r.class].levels[r.level].wait);
-        let retry_after = self.set.retry_after.then(|| wait.min(self.set.max_retry_after));
-        out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+        let wait = Micros::from_secs(self.classes[r.class].levels[r.level].wait.max(self.jam()));
+        let most = self.set.max_retry_after;
+        let retry_after = Some(if most > Micros(0) { wait.min(most) } else { wait });
+        let (refuse, fail) = (Action::Refuse { id, retry_after }, Action::Fail { id, retry_after });
+        out.push(if harmless { refuse } else { fail });
         self.finish(id, out);
     }
 
+    /// Seconds that what is held in the line takes this gateway's share of the cores.
+    fn jam(&self) -> f64 {
+        self.held.iter().sum::<f64>() / (self.core_share() + GUESS)
+    }
+
     /// Forgets a finished request, but for an attempt that is still out.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -219,7 +219,9 @@
                 Action::Refuse { id, retry_after } => {
                     orders.push(Order::Refuse(id.0, retry_after.unwrap_or_default()));
                 }
-                Action::Fail { id } => orders.push(Order::Fail(id.0, Micros(0))),
+                Action::Fail { id, retry_after } => {
+                    orders.push(Order::Fail(id.0, retry_after.unwrap_or_default()));
+                }
                 Action::Timer { delay, token } => self.timers.push(std::cmp::Reverse((now + delay, token))),
                 Action::Log(text) => orders.push(Order::Log(text)),
                 // The list comes by itself, and neither probes nor peers are spoken to here.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -474,6 +474,8 @@
     Fail {
         /// The request.
         id: RequestId,
+        /// When to come back, if that is said.
+        retry_after: Option<Micros>,
     },
     /// Set a timer.
     Timer {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -388,7 +388,7 @@
             }
             Ok(())
         }
-        Action::Fail { id } => write!(out, "END_FAILED\t{who}\t{:016x}", id.0),
+        Action::Fail { id, .. } => write!(out, "END_FAILED\t{who}\t{:016x}", id.0),
         Action::Timer { delay, token } => {
             let _ = write!(out, "REMIND\t{who}\t");
             secs(out, *delay);
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -110,7 +110,7 @@
     assert_eq!(write(&terms), "TUNE\trouter_0\t00000000000000ff\t0\t3\n");
     assert_eq!(write(&Action::Cancel { id, attempt: 1 }), "CALL_OFF\trouter_0\t00000000000000ff\t1\n");
     assert_eq!(write(&Action::Refuse { id, retry_after: None }), "DECLINE\trouter_0\t00000000000000ff\t0\n");
-    assert_eq!(write(&Action::Fail { id }), "END_FAILED\trouter_0\t00000000000000ff\n");
+    assert_eq!(write(&Action::Fail { id, retry_after: None }), "END_FAILED\trouter_0\t00000000000000ff\n");
     let timer = Action::Timer { delay: Micros(20_000), token: 3 };
     assert_eq!(write(&timer), "REMIND\trouter_0\t0.020000\t3\n");
     assert_eq!(write(&Action::Probe { engine: EngineId(0) }), "TOUCH\trouter_0\te:1\n");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -138,5 +138,5 @@
 }
 
 pub fn failed(actions: &[Action], id: RequestId) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Fail { id: i } if *i == id))
+    actions.iter().any(|a| matches!(a, Action::Fail { id: i, .. } if *i == id))
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -50,7 +50,7 @@
         for action in actions {
             match action {
                 Action::Send { id, engine, .. } => self.check_send(now, *id, *engine),
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     let r = self.seen.get_mut(id).expect("a known request");
                     r.finals += 1;
                     assert_eq!(r.finals, 1, "one final answer");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -242,3 +242,23 @@
     let most = 2.0 * 0.3 * 8.0 * 0.85 / 0.2;
     assert!(sends >= 1 && f64::from(sends as u32) < most, "{sends} sends, {most} at most");
 }
+
+/// A keyed request whose window has closed may not go out again: holding it towards its deadline
+/// would only keep its client from coming back.
+#[test]
+fn what_may_not_go_out_again_is_answered_at_once_with_advice() {
+    let calm = ClassSettings { aim: Micros::from_secs(20.0), ..class(Effect::Keyed) };
+    let set = Settings { max_retry_after: Micros::from_secs(2.0), ..settings(vec![calm]) };
+    let mut b = Bench::new(set, 1);
+    let (id, out) = b.arrive(0, 0.1, None);
+    assert_eq!(sent(&out).len(), 1);
+    // Its one engine drains: the further attempt that its error calls for has nowhere to go.
+    b.list(ListKind::Changes, vec![EngineEntry { state: EngineState::Draining, ..entry(0) }]);
+    b.end(id, 0, Outcome::Error);
+    let early = b.pass(1.9);
+    assert!(!failed(&early, id), "its window of 2 s is open still");
+    let out = b.pass(0.2);
+    assert!(failed(&out, id), "held past its window");
+    let told = |a: &Action| matches!(a, Action::Fail { retry_after: Some(t), .. } if t.secs() <= 2.0);
+    assert!(out.iter().any(told), "no word of when to come back: {out:?}");
+}
