Add the second front: PostgreSQL with extended queries, set up by an operator's file

Statements and portals are text and values; only Execute takes a request from the core, each with its own id and, for keyed classes, its own key. Row-limited Execute, skip to Sync, cancel, deadlines from the field, the session and the class, SQLSTATEs by cause.

Tests on loopback with stand-in engines: a statement bound 1,000 times with tokio-postgres (1,000 ids, 1,000 attempts), a portal made before a drain, a batch cut at every message boundary, an engine lost mid-answer, a cancel, keys, deadlines, and the ration of further attempts counted at the engines.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -2,6 +2,7 @@
 //! few functions; they differ in what they speak beyond a simple query.
 
 pub mod answer;
+pub mod extended;
 pub mod session;
 pub mod wire;
 
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -1,7 +1,9 @@
 //! One client's session: start-up, simple queries, and what both fronts share in answering them.
 
+use super::extended::{self, Names};
 use super::wire::Wire;
 use super::{answer, Counted, Front};
+use crate::core::pool::SIZE;
 use crate::core::table::{Final, Ticket};
 use crate::proto::pg::{self, Fault, Message};
 use crate::proto::{fields, tables};
@@ -10,6 +12,9 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::Notify;
 
+/// Room for a message that is not a row: an error, a description.
+const ERROR_ROOM: usize = 4096;
+
 /// How a session begins.
 pub struct Start {
     /// The protocol's minor version that was asked for.
@@ -24,6 +29,19 @@
     pub(super) cancel: Rc<Notify>,
     /// Messages are passed over up to the next Sync.
     pub(super) skipping: bool,
+    /// Statements and portals, on the second front.
+    pub(super) names: Names,
+    /// What a message of a batch is answered with, before there is room for it.
+    scratch: Vec<u8>,
+}
+
+/// What a message leaves to do.
+enum Todo {
+    Nothing,
+    Query(String),
+    Sync,
+    Flush,
+    Extended(extended::Todo),
 }
 
 /// Takes a session's entry out when it ends.
@@ -44,6 +62,14 @@
     let cancel = Rc::new(Notify::new());
     front.sessions.borrow_mut().insert(number, (secret, Rc::clone(&cancel)));
     let _listed = Listed(&front, number);
+    let parameters = if front.setup.extended { &start.parameters[..] } else { &[] };
+    let statement_timeout = match extended::start_timeout(parameters) {
+        Ok(timeout) => timeout,
+        Err(fault) => {
+            pg::error(wire.output(), &fault.fatal());
+            return wire.flush().await;
+        }
+    };
     let out = wire.output();
     let unknown: Vec<&str> =
         start.parameters.iter().map(|p| p.0.as_str()).filter(|n| n.starts_with("_pq_.")).collect();
@@ -64,7 +90,9 @@
     pg::backend_key(out, number, secret);
     pg::ready(out);
     wire.flush().await?;
-    let mut session = Session { front: Rc::clone(&front), cancel, skipping: false };
+    let names = Names::new(statement_timeout);
+    let mut session =
+        Session { front: Rc::clone(&front), cancel, skipping: false, names, scratch: Vec::new() };
     while session.step(wire).await? {}
     Ok(())
 }
@@ -72,22 +100,23 @@
 impl Session {
     /// Handles one message; false at the end of the session.
     async fn step<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<bool> {
-        let limit = crate::core::pool::SIZE;
-        let (outcome, len) = match pg::read_message(wire.input(), limit) {
+        let mut out = std::mem::take(&mut self.scratch);
+        let (todo, len) = match pg::read_message(wire.input(), SIZE) {
             Ok(Some((Message::Terminate, _))) => return Ok(false),
-            Ok(Some((Message::Query(text), len))) => (Ok(text.to_owned()), len),
-            Ok(Some((Message::Sync, len))) => {
-                wire.consume(len);
-                self.skipping = false;
-                pg::ready(wire.output());
-                wire.flush().await?;
-                return Ok(true);
+            Ok(Some((Message::Query(_), len))) if self.skipping => (Ok(Todo::Nothing), len),
+            Ok(Some((Message::Query(text), len))) => (Ok(Todo::Query(text.to_owned())), len),
+            Ok(Some((Message::Sync, len))) => (Ok(Todo::Sync), len),
+            Ok(Some((Message::Flush, len))) => (Ok(Todo::Flush), len),
+            Ok(Some((_, len))) if self.skipping => (Ok(Todo::Nothing), len),
+            Ok(Some((message, len))) if self.front.setup.extended => {
+                (self.extended(&mut out, message).map(Todo::Extended), len)
             }
             Ok(Some((_, len))) => (Err(Fault::new("0A000", "only simple queries are spoken here")), len),
             Ok(None) => {
-                wire.flush().await?;
+                self.scratch = out;
                 return self.more(wire).await;
             }
+            Err((_, Some(len))) if self.skipping => (Ok(Todo::Nothing), len),
             Err((e, Some(len))) => (Err(e.into()), len),
             Err((e, None)) => {
                 pg::error(wire.output(), &Fault::from(e).fatal());
@@ -97,24 +126,41 @@
         };
         let simple = wire.input()[0] == b'Q';
         wire.consume(len);
-        if self.skipping {
-            return Ok(true);
-        }
+        wire.room(out.len()).await?;
+        wire.output().append(&mut out);
+        self.scratch = out;
         // Until the answer is written: a stop waits for it.
         let front = Rc::clone(&self.front);
         let _busy = Counted::one(&front.busy);
-        match outcome {
-            Ok(todo) => {
-                if !self.answer_simple(wire, todo).await? {
-                    return Ok(false);
-                }
+        let done = match todo {
+            Ok(Todo::Nothing | Todo::Extended(extended::Todo::Done)) => Ok(true),
+            Ok(Todo::Sync) => {
+                self.skipping = false;
+                pg::ready(wire.output());
+                wire.flush().await?;
+                Ok(true)
             }
+            Ok(Todo::Flush) => {
+                wire.flush().await?;
+                Ok(true)
+            }
+            Ok(Todo::Query(text)) => self.answer_simple(wire, &text).await?,
+            Ok(Todo::Extended(extended::Todo::Execute(name, rows))) => {
+                self.execute(wire, &name, rows).await?
+            }
+            Err(fault) => Err(fault),
+        };
+        match done {
+            Ok(false) => return Ok(false),
+            Ok(true) => {}
             Err(fault) => {
+                wire.room(ERROR_ROOM).await?;
                 pg::error(wire.output(), &fault);
-                self.skipping = !simple;
+                // An error in a batch: what follows is passed over up to the next Sync.
+                self.skipping |= !simple;
             }
         }
-        if simple {
+        if simple && !self.skipping {
             pg::ready(wire.output());
             wire.flush().await?;
         }
@@ -123,8 +169,14 @@
 
     /// Waits for more input; false where the session ends.
     async fn more<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<bool> {
+        wire.flush().await?;
         let closed = self.front.close.notified();
         if self.front.closing.get() && wire.input().is_empty() {
+            if self.front.setup.extended {
+                let fault = Fault::new("57P01", "the server is stopping").hint("Connect again.").fatal();
+                pg::error(wire.output(), &fault);
+                wire.flush().await?;
+            }
             return Ok(false);
         }
         tokio::select! {
@@ -137,33 +189,42 @@
     async fn answer_simple<S: AsyncRead + AsyncWrite + Unpin>(
         &mut self,
         wire: &mut Wire<S>,
-        text: String,
-    ) -> io::Result<bool> {
-        let front = Rc::clone(&self.front);
-        let ticket = match fields::split(&text).map_err(Fault::from) {
-            Ok((f, statement)) if !tables::is_empty(statement) => {
-                front.take(&f, statement, wire.arrived(), None)
-            }
-            Ok(_) => {
-                pg::bare(wire.output(), pg::EMPTY_QUERY);
-                return Ok(true);
-            }
-            Err(fault) => Err(fault),
+        text: &str,
+    ) -> io::Result<Result<bool, Fault>> {
+        let ticket = match self.ask_simple(wire, text) {
+            Ok(Some(ticket)) => ticket,
+            Ok(None) => return Ok(Ok(true)),
+            Err(fault) => return Ok(Err(fault)),
         };
-        match ticket {
-            Ok(ticket) => match self.wait(wire, ticket).await? {
-                Some(Ok(result)) => {
-                    pg::row_description(wire.output(), answer::COLUMNS, &[]);
-                    let (n, _) = answer::rows(wire, &result, (0, 0), 0).await?;
-                    wire.room(64).await?;
-                    pg::command_complete(wire.output(), &format!("SELECT {n}"));
-                }
-                Some(Err(fault)) => pg::error(wire.output(), &fault),
-                None => return Ok(false),
-            },
-            Err(fault) => pg::error(wire.output(), &fault),
+        Ok(match self.wait(wire, ticket).await? {
+            None => Ok(false),
+            Some(Err(fault)) => Err(fault),
+            Some(Ok(result)) => {
+                wire.room(ERROR_ROOM).await?;
+                pg::row_description(wire.output(), answer::COLUMNS, &[]);
+                let (n, _) = answer::rows(wire, &result, (0, 0), 0).await?;
+                wire.room(ERROR_ROOM).await?;
+                pg::command_complete(wire.output(), &format!("SELECT {n}"));
+                Ok(true)
+            }
+        })
+    }
+
+    /// Takes the request of a simple query; `None` where it needed no engine and is answered.
+    fn ask_simple<S: AsyncRead + AsyncWrite + Unpin>(
+        &mut self,
+        wire: &mut Wire<S>,
+        text: &str,
+    ) -> Result<Option<Ticket>, Fault> {
+        let (f, statement) = fields::split(text).map_err(Fault::from)?;
+        if self.front.setup.extended && self.simple_here(wire.output(), statement)?.is_some() {
+            return Ok(None);
         }
-        Ok(true)
+        if tables::is_empty(statement) {
+            pg::bare(wire.output(), pg::EMPTY_QUERY);
+            return Ok(None);
+        }
+        self.front.take(&f, statement, wire.arrived(), self.names.statement_timeout).map(Some)
     }
 
     /// Waits for a request's final answer, its client's cancel or its client's end (`None`).
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,17 +3,24 @@
 #![deny(missing_docs)]
 
 use sprucelink::run::args::{self, Command, Files};
-use sprucelink::run::{config, serve};
+use sprucelink::run::{config, operator, serve};
 
-fn read(files: &Files) -> Result<config::Config, String> {
+fn text(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
+}
+
+fn read(files: &Files) -> Result<(config::Config, Option<operator::Operator>), String> {
     let path = files.config.clone().or_else(|| std::env::var("EDGE_CONFIG").ok());
     let path = path.ok_or("no configuration: give --config FILE or set EDGE_CONFIG")?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let mut config = config::parse(&text).map_err(|e| format!("{path}: {e}"))?;
+    let mut config = config::parse(&text(&path)?).map_err(|e| format!("{path}: {e}"))?;
     if let Some(listen) = &files.listen {
         config.listen.clone_from(listen);
     }
-    Ok(config)
+    let operator = files
+        .operator
+        .as_ref()
+        .map(|path| operator::parse(&text(path)?, &config.setup).map_err(|e| format!("{path}: {e}")));
+    Ok((config, operator.transpose()?))
 }
 
 /// Runs a command: its error and the exit status.
@@ -22,13 +29,17 @@
         Command::Version => println!("sprucelink {}", env!("CARGO_PKG_VERSION")),
         Command::Help => print!("{}", args::USAGE),
         Command::Check(files) => {
-            let c = read(&files).map_err(|e| (e, 2))?;
+            let (c, operator) = read(&files).map_err(|e| (e, 2))?;
             let (classes, events) = (c.setup.classes.len(), c.known.1.len());
             println!("the configuration will do: listen {}, {classes} classes, {events} events", c.listen);
+            match operator {
+                Some(o) => println!("the operator's file will do: second front on {}", o.listen),
+                None => println!("no operator's file: the second front is off"),
+            }
         }
         Command::Serve(files) => {
-            let config = read(&files).map_err(|e| (e, 2))?;
-            serve::serve(config).map_err(|e| (e, 1))?;
+            let (config, operator) = read(&files).map_err(|e| (e, 2))?;
+            serve::serve(config, operator).map_err(|e| (e, 1))?;
         }
     }
     Ok(())
--- a/src/proto/fields.rs
+++ b/src/proto/fields.rs
@@ -23,19 +23,29 @@
     pub heap_mb: Option<f64>,
 }
 
-/// Parts a text into the fields of its first comment, if that comment holds fields, and the
-/// statement without that comment. Only white space may stand before it.
-pub fn split(text: &str) -> Result<(Fields, &str), Malformed> {
+/// Parts a text into its first comment, if that holds fields, and the statement without it. Only
+/// white space may stand before it.
+pub fn part(text: &str) -> Result<(&str, &str), Malformed> {
     let start = text.trim_start();
-    let Some(rest) = start.strip_prefix("/*") else { return Ok((Fields::default(), text)) };
+    let Some(rest) = start.strip_prefix("/*") else { return Ok(("", text)) };
     let Some((comment, statement)) = rest.split_once("*/") else {
         return Err(Malformed::field("comment", "is not closed"));
     };
-    let comment = comment.trim();
     if !comment.split(',').all(is_pair) {
-        return Ok((Fields::default(), text));
+        return Ok(("", text));
     }
-    Ok((read(comment)?, statement.trim_start()))
+    Ok((comment, statement.trim_start()))
+}
+
+/// A text's fields, and its statement without the comment that held them.
+pub fn split(text: &str) -> Result<(Fields, &str), Malformed> {
+    let (comment, statement) = part(text)?;
+    Ok((read(pairs(comment))?, statement))
+}
+
+/// The names and values of a comment.
+pub fn pairs(comment: &str) -> impl Iterator<Item = (&str, &str)> {
+    comment.split(',').filter_map(|p| p.trim().split_once('='))
 }
 
 /// `name=value` without white space: other comments are the client's own.
@@ -45,10 +55,10 @@
     !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'_')
 }
 
-/// Reads `name=value,name=value`; names that are not known are skipped.
-pub fn read(list: &str) -> Result<Fields, Malformed> {
+/// Understands names and values; names that are not known are skipped.
+pub fn read<'a>(list: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Fields, Malformed> {
     let mut f = Fields::default();
-    for (name, value) in list.split(',').filter_map(|p| p.trim().split_once('=')) {
+    for (name, value) in list {
         match name {
             "kind" => f.kind = Some(value.to_owned()),
             "req" => {
--- a/src/proto/mod.rs
+++ b/src/proto/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod events;
 pub mod fields;
+pub mod literal;
 pub mod pg;
 pub mod resp;
 pub mod sse;
--- a/src/run/args.rs
+++ b/src/run/args.rs
@@ -23,19 +23,22 @@
     pub config: Option<String>,
     /// Where to listen instead of where the configuration says.
     pub listen: Option<String>,
+    /// The operator's file, which sets the second front up; without it that front is off.
+    pub operator: Option<String>,
 }
 
 /// How to call the program.
 pub const USAGE: &str = "\
 sprucelink: a workload manager in front of query engines
 
-usage: sprucelink serve [--config FILE] [--listen ADDRESS]
-       sprucelink check [--config FILE] [--listen ADDRESS]
+usage: sprucelink serve [--config FILE] [--listen ADDRESS] [--operator FILE]
+       sprucelink check [--config FILE] [--listen ADDRESS] [--operator FILE]
        sprucelink version
        sprucelink help
 
   --config FILE       the configuration; without it, the file that EDGE_CONFIG names
   --listen ADDRESS    where clients connect, instead of the configuration's own
+  --operator FILE     sets up the second front (PostgreSQL with extended queries); without it that is off
 
 exit status: 0 done or stopped, 1 the start failed, 2 a bad command line or configuration
 ";
@@ -49,6 +52,7 @@
         match arg {
             Arg::Long("config") => files.config = Some(value(&mut parser)?),
             Arg::Long("listen") => files.listen = Some(value(&mut parser)?),
+            Arg::Long("operator") => files.operator = Some(value(&mut parser)?),
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("version") | Arg::Short('V') => return Ok(Command::Version),
             Arg::Value(v) if word.is_none() => word = Some(v.string().map_err(|e| e.to_string())?),
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod args;
 pub mod config;
+pub mod operator;
 pub mod serve;
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -1,16 +1,17 @@
 //! Serving: from the configuration to the last answer after SIGTERM.
 
 use super::config::Config;
+use super::operator::Operator;
 use crate::core::pool::Pool;
 use crate::core::table::Core;
 use crate::core::{feed, span};
-use crate::front::Front;
+use crate::front::{Front, Setup};
 use crate::interface::Micros;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 
 /// After SIGTERM new connections and requests still come for this long.
@@ -18,14 +19,16 @@
 /// Between two looks at whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
 
+type Opened = (Rc<Front>, JoinHandle<()>);
+
 /// Serves until SIGTERM or SIGINT; an error is one of the start.
-pub fn serve(config: Config) -> Result<(), String> {
+pub fn serve(config: Config, operator: Option<Operator>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, operator))
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, operator: Option<Operator>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(0));
@@ -38,12 +41,10 @@
     if let Some(address) = config.feed {
         spawn_local(feed::follow(Rc::clone(&core), address));
     }
-    let listener = TcpListener::bind(&config.listen).await;
-    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let at = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    let front = Front::new(Rc::clone(&core), config.setup);
-    let accepting = spawn_local(Rc::clone(&front).listen(listener));
-    core.log(&format!("serving on {at}"));
+    let mut fronts = vec![open("serving", &core, &config.listen, config.setup).await?];
+    if let Some(operator) = operator {
+        fronts.push(open("second front", &core, &operator.listen, operator.setup).await?);
+    }
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
@@ -51,11 +52,24 @@
     core.log(&format!("stopping: {} open", core.open()));
     let stop = Instant::now() + STILL_COMING + span(longest);
     sleep(STILL_COMING).await;
-    accepting.abort();
-    front.close();
-    while front.busy() > 0 && Instant::now() < stop {
+    for (front, accepting) in &fronts {
+        accepting.abort();
+        front.close();
+    }
+    while fronts.iter().any(|f| f.0.busy() > 0) && Instant::now() < stop {
         sleep(LOOK).await;
     }
     core.log(&format!("stopped: {} open", core.open()));
     Ok(())
 }
+
+/// Opens a front: it and the task that takes its connections.
+async fn open(what: &str, core: &Rc<Core>, address: &str, setup: Setup) -> Result<Opened, String> {
+    let failed = |e: std::io::Error| format!("listen on {address}: {e}");
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let at = listener.local_addr().map_err(failed)?;
+    let front = Front::new(Rc::clone(core), setup);
+    let accepting = spawn_local(Rc::clone(&front).listen(listener));
+    core.log(&format!("{what} on {at}"));
+    Ok((front, accepting))
+}
--- /dev/null
+++ b/tests/extended.rs
@@ -0,0 +1,287 @@
+//! The second front: PostgreSQL with extended queries, against stand-in engines on loopback.
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+use support::*;
+
+const OPERATOR: &str = r#"{"listen":"127.0.0.1:0","default_tenant":"sud"}"#;
+const LANE: &str = "/* kind=lane-rate */ SELECT price FROM rates_3.lanes WHERE lane = $1";
+
+fn start(engines: &[&Engine]) -> Program {
+    let ids = ["s-1", "s-2", "s-3"];
+    let named: Vec<_> = engines.iter().enumerate().map(|(i, e)| (ids[i], e.address)).collect();
+    Program::start(&named, None, Some(OPERATOR))
+}
+
+fn second(program: &Program) -> std::net::SocketAddr {
+    program.second.expect("the second front is on")
+}
+
+async fn client(program: &Program) -> tokio_postgres::Client {
+    let at = second(program);
+    let to = format!("host={} port={} user=desk dbname=core sslmode=disable", at.ip(), at.port());
+    let (client, connection) = tokio_postgres::connect(&to, tokio_postgres::NoTls).await.expect("connected");
+    tokio::spawn(connection);
+    client
+}
+
+fn block<T>(test: impl std::future::Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(test)
+}
+
+/// The dispatch desk's tool: a statement prepared once and bound a thousand times. Every Execute is
+/// a request of its own, with an id of its own, answered once and rightly.
+#[test]
+fn prepared_once_and_bound_a_thousand_times() {
+    let (a, b) = (Engine::echo(), Engine::echo());
+    let program = start(&[&a, &b]);
+    block(async {
+        let client = client(&program).await;
+        let statement = client.prepare(LANE).await.expect("prepared");
+        assert_eq!(statement.columns().len(), 3);
+        for i in 0..1000 {
+            let lane = format!("o'lane {i}");
+            let rows = client.query(&statement, &[&lane]).await.expect("served");
+            assert_eq!(rows.len(), 1);
+            let text: &str = rows[0].get(0);
+            assert_eq!(text, format!("SELECT price FROM rates_3.lanes WHERE lane = 'o''lane {i}'"));
+        }
+    });
+    let sent: Vec<Seen> = [a.seen("do"), b.seen("do")].concat();
+    let ids: BTreeSet<&str> = sent.iter().map(|s| s.parts[1].as_str()).collect();
+    assert_eq!((sent.len(), ids.len()), (1000, 1000), "one attempt and one id for each");
+}
+
+#[test]
+fn binary_parameters_reach_the_engine_as_literals() {
+    let engine = Engine::echo();
+    let program = start(&[&engine]);
+    block(async {
+        let client = client(&program).await;
+        use tokio_postgres::types::Type;
+        let sql = "/* kind=lane-rate,timeout=$4 */ SELECT $1, $2, $3";
+        let types = [Type::INT4, Type::BOOL, Type::FLOAT8, Type::TEXT];
+        let statement = client.prepare_typed(sql, &types).await.expect("prepared");
+        let rows = client.query(&statement, &[&-7i32, &true, &2.5f64, &"9000"]).await.expect("served");
+        assert_eq!(rows[0].get::<_, &str>(0), "SELECT (-7), TRUE, 2.5");
+        let numeric = client.prepare_typed("/* kind=lane-rate */ SELECT $1", &[Type::JSONB]).await;
+        let numeric = numeric.expect("prepared");
+        assert_eq!(numeric.params(), [Type::JSONB]);
+    });
+    let wait: u64 = engine.seen("do")[0].field("wait").expect("a wait").parse().expect("a number");
+    assert!(wait <= 9000, "the bound time-out is the deadline: {wait}");
+    // JSONB's binary form begins with a version byte: not understood, and said so.
+    let mut raw = Raw::connect(second(&program));
+    let mut types = b"\0SELECT $1\0\0\x01".to_vec();
+    types.extend_from_slice(&3802u32.to_be_bytes());
+    let mut values = b"\0\0\0\x01\0\x01\0\x01".to_vec();
+    values.extend_from_slice(&[0, 0, 0, 3, 1, b'{', b'}', 0, 0]);
+    raw.send(&[framed(b'P', &types), framed(b'B', &values), execute("", 0), sync()].concat());
+    let got = raw.until_ready();
+    assert_eq!(kinds(&got), "1EZ", "skips to Sync after the error");
+    assert_eq!(error(&got)[0], "0A000");
+}
+
+/// A portal never executed is no request: it costs nothing, holds no engine and outlives a drain.
+#[test]
+fn a_portal_made_before_a_drain_runs_elsewhere_after_it() {
+    let (old, new, feed) = (Engine::echo(), Engine::echo(), Feed::start());
+    feed.send("{\"n\":1}");
+    let program = Program::start(&[("s-1", old.address)], Some(&feed), Some(OPERATOR));
+    let mut raw = Raw::connect(second(&program));
+    raw.send(&[parse("st", LANE), bind("po", "st", &["a"]), sync()].concat());
+    assert_eq!(kinds(&raw.until_ready()), "12Z");
+    feed.send(list(2, false, &[("s-1", old.address, "draining"), ("s-2", new.address, "ready")]));
+    program.wait_line("engine s-2 is Ready");
+    raw.send(&[execute("po", 0), sync()].concat());
+    let got = raw.until_ready();
+    assert_eq!(kinds(&got), "DCZ");
+    assert_eq!((old.seen("do").len(), new.seen("do").len()), (0, 1));
+}
+
+/// A batch cut at any message boundary: what was taken ends once, what was not is never sent.
+#[test]
+fn a_batch_cut_at_every_message_boundary() {
+    let engine = Engine::echo();
+    let program = start(&[&engine]);
+    let batch: Vec<Vec<u8>> = (0..3)
+        .flat_map(|i| [parse("", LANE), bind("", "", &[&format!("lane{i}")]), execute("", 0)])
+        .chain([sync()])
+        .collect();
+    for cut in 0..=batch.len() {
+        let mut raw = Raw::connect(second(&program));
+        let before = engine.seen("do").len();
+        raw.send(&batch[..cut].concat());
+        raw.send(&framed(b'H', b""));
+        let executes = cut / 3;
+        // Flush brings what was answered: so many requests were taken, and each ended once.
+        let mut answers = 0;
+        while answers < executes {
+            answers += usize::from(raw.message().expect("an answer").0 == b'C');
+        }
+        drop(raw);
+        let mut after = Raw::connect(second(&program));
+        assert_eq!(kinds(&after.ask("")), "IZ");
+        assert_eq!(engine.seen("do").len() - before, executes, "cut behind message {cut}");
+    }
+    assert!(engine.seen("undo").is_empty());
+}
+
+/// The client goes while its request is out: it is given up at its engine, and the rest of the
+/// batch is never sent.
+#[test]
+fn a_batch_whose_client_goes_is_given_up() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let program = start(&[&engine]);
+    let mut raw = Raw::connect(second(&program));
+    let one = [parse("", LANE), bind("", "", &["x"]), execute("", 0)].concat();
+    raw.send(&[&one[..], &one[..], &sync()].concat());
+    let sent = engine.wait_for("do", 1);
+    drop(raw);
+    let undone = engine.wait_for("undo", 1);
+    assert_eq!(undone[0].parts[1], sent[0].parts[1]);
+    assert_eq!(engine.seen("do").len(), 1, "the second Execute was never taken");
+}
+
+#[test]
+fn rows_are_handed_out_as_the_client_asks() {
+    let pages = || vec!["1\ta\tb\n2\ta\tb\n".into(), "3\ta\tb\n".into(), "4\ta\tb\n5\ta\tb\n".into()];
+    let engine = Engine::start(move |_| Reply::Pages(pages()));
+    let program = start(&[&engine]);
+    let mut raw = Raw::connect(second(&program));
+    raw.send(&[parse("", LANE), bind("p", "", &["x"]), execute("p", 2), execute("p", 2), sync()].concat());
+    let got = raw.until_ready();
+    assert_eq!(kinds(&got), "12DDsDDsZ");
+    assert_eq!(rows(&got), ["1|a|b", "2|a|b", "3|a|b", "4|a|b"]);
+    raw.send(&[execute("p", 0), execute("p", 0), sync()].concat());
+    let got = raw.until_ready();
+    assert_eq!((kinds(&got).as_str(), rows(&got)), ("DCCZ", vec!["5|a|b".to_owned()]));
+    assert_eq!(engine.seen("do").len(), 1, "further rows are no further request");
+}
+
+/// A lost page is a lawful retry, for no row has gone out yet: the client sees one whole answer.
+#[test]
+fn an_engine_lost_mid_answer_costs_a_retry_and_not_the_answer() {
+    let broken = Engine::start(|_| Reply::CutMidAnswer("half\ta\tb\n".into()));
+    let program = start(&[&broken]);
+    let mut raw = Raw::connect(second(&program));
+    raw.send(&[parse("", LANE), bind("", "", &["x"]), execute("", 0), sync()].concat());
+    let got = raw.until_ready();
+    // One engine, which never gives the second page: tried again within the ration, then given up.
+    assert_eq!(kinds(&got), "12EZ");
+    assert!(rows(&got).is_empty(), "a row of half a result went out");
+    let tries = broken.seen("do");
+    assert!((2..=6).contains(&tries.len()), "{} attempts", tries.len());
+    let ids: BTreeSet<&str> = tries.iter().map(|s| s.parts[1].as_str()).collect();
+    assert_eq!(ids.len(), 1, "the attempts of one request have one id");
+    let [code, _, detail, hint] = error(&got);
+    assert!(["53400", "08006", "58000"].contains(&code.as_str()), "{code}");
+    assert!(detail.starts_with("retry_after_ms=") && hint.starts_with("Come back in "), "{detail} {hint}");
+}
+
+#[test]
+fn a_cancel_gives_the_request_up() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let program = start(&[&engine]);
+    let mut raw = Raw::connect(second(&program));
+    raw.send(&[parse("", LANE), bind("", "", &["x"]), execute("", 0), sync()].concat());
+    let sent = engine.wait_for("do", 1);
+    raw.cancel(second(&program));
+    let got = raw.until_ready();
+    assert_eq!((kinds(&got).as_str(), error(&got)[0].as_str()), ("12EZ", "57014"));
+    assert_eq!(engine.wait_for("undo", 1)[0].parts[1], sent[0].parts[1]);
+    assert_eq!(kinds(&raw.ask("")), "IZ", "the session goes on");
+}
+
+/// The 5 s ration, counted at the engines: 3 further attempts and a tenth of the requests taken.
+#[test]
+fn further_attempts_keep_to_their_ration() {
+    let (a, b) = (Engine::start(|_| Reply::Word("crashed")), Engine::start(|_| Reply::Word("crashed")));
+    let program = start(&[&a, &b]);
+    let (began, asked) = (Instant::now(), 60);
+    let mut raw = Raw::connect(second(&program));
+    raw.send(&parse("st", &LANE.replace("kind=lane-rate", "kind=lane-rate,ms=5,timeout=200")));
+    for _ in 0..asked {
+        raw.send(&[bind("", "st", &["x"]), execute("", 0), sync()].concat());
+        let got = raw.until_ready();
+        assert_eq!(kinds(&got).matches('E').count(), 1, "one final answer each: {}", kinds(&got));
+    }
+    let windows = 1 + began.elapsed().as_secs() as usize / 5;
+    let sent: Vec<Seen> = [a.seen("do"), b.seen("do")].concat();
+    let firsts = sent.iter().map(|s| s.parts[1].as_str()).collect::<BTreeSet<_>>().len();
+    let further = sent.len() - firsts;
+    assert!(firsts <= asked && further > 0, "{firsts} first, {further} further");
+    assert!(further <= 3 * windows + asked / 10, "{further} further attempts for {asked} requests");
+}
+
+/// Every load has a key of its own, and a client's own key passes unchanged.
+#[test]
+fn keyed_requests_carry_a_key_each() {
+    let engine = Engine::echo();
+    let program = start(&[&engine]);
+    let mut raw = Raw::connect(second(&program));
+    let run = |raw: &mut Raw, sql: &str, values: &[&str], times: usize| {
+        raw.send(&parse("", sql));
+        (0..times).for_each(|_| raw.send(&[bind("", "", values), execute("", 0)].concat()));
+        raw.send(&sync());
+        assert!(!kinds(&raw.until_ready()).contains('E'));
+    };
+    run(&mut raw, "/* kind=tariff-load */ INSERT INTO t_1.x VALUES ($1)", &["v"], 2);
+    run(&mut raw, "/* kind=tariff-load,opkey=$2 */ INSERT INTO t_1.x VALUES ($1)", &["v", "k-1"], 2);
+    run(&mut raw, "/* kind=tariff-load,opkey=k-2 */ INSERT INTO t_1.x VALUES ($1)", &["v"], 2);
+    let keys: Vec<String> =
+        engine.seen("do").iter().map(|s| s.field("once").expect("a key").to_owned()).collect();
+    assert_eq!(keys[2..5], ["k-1", "k-1", "k-2"]);
+    assert_ne!(keys[0], keys[1], "each Execute has its own");
+    assert_ne!(keys[5], "k-2", "a key written into the text serves one request");
+    run(&mut raw, "/* kind=lane-rate */ SELECT 1 FROM t_1.x", &[], 1);
+    assert_eq!(engine.seen("do")[6].field("once"), None);
+}
+
+#[test]
+fn deadlines_come_from_the_field_then_the_session_then_the_class() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let program = start(&[&engine]);
+    let mut raw = Raw::connect(second(&program));
+    assert_eq!(kinds(&raw.ask("SET statement_timeout = '400ms'")), "CZ");
+    let got = raw.ask("/* kind=lane-rate,ms=5 */ SELECT 1 FROM a_1.b");
+    assert_eq!(error(&got)[0], "57014");
+    let got = raw.ask("/* kind=lane-rate,ms=5,timeout=250 */ SELECT 1 FROM a_1.b");
+    assert_eq!(error(&got)[0], "57014");
+    assert_eq!(kinds(&raw.ask("SET statement_timeout TO DEFAULT")), "CZ");
+    raw.send(&query("/* kind=lane-rate,ms=5 */ SELECT 1 FROM a_1.b"));
+    // The first attempt of each: an engine that says nothing may be tried again.
+    let firsts = || {
+        let mut ids = BTreeSet::new();
+        let sent = engine.seen("do").into_iter().filter(|s| ids.insert(s.parts[1].clone()));
+        sent.map(|s| s.field("wait").expect("a wait").parse().expect("a number")).collect::<Vec<u64>>()
+    };
+    let waits = until(|| Some(firsts()).filter(|w| w.len() == 3));
+    assert!(waits[0] <= 400 && waits[1] <= 250, "{waits:?}");
+    assert!(waits[2] > 400 && waits[2] <= 30_000, "the class's own: {waits:?}");
+}
+
+#[test]
+fn what_is_not_supported_is_said_and_costs_nothing() {
+    let engine = Engine::echo();
+    let program = start(&[&engine]);
+    let mut raw = Raw::connect(second(&program));
+    for sql in
+        ["BEGIN", "COPY t FROM STDIN", "SET search_path = x", "SELECT 1; SELECT 2", "DECLARE c CURSOR FOR x"]
+    {
+        assert_eq!(error(&raw.ask(sql))[0], "0A000", "{sql}");
+    }
+    assert_eq!(error(&raw.ask("SELECT 1"))[0], "08P01", "no class is named, and the file gives none");
+    raw.send(&[bind("", "nil", &[]), parse("", "SELECT"), execute("", 0), sync()].concat());
+    let got = raw.until_ready();
+    assert_eq!((kinds(&got).as_str(), error(&got)[0].as_str()), ("EZ", "26000"), "skips to Sync");
+    raw.send(&[execute("nil", 0), sync()].concat());
+    assert_eq!(error(&raw.until_ready())[0], "34000");
+    raw.send(&[parse("a", LANE), bind("p", "a", &[]), sync()].concat());
+    let got = raw.until_ready();
+    assert!(error(&got)[1].contains("parameter count"), "{:?}", error(&got));
+    raw.send(&[parse("a", LANE), sync()].concat());
+    assert_eq!(error(&raw.until_ready())[0], "42P05");
+    assert!(engine.seen("do").is_empty());
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,445 @@
+//! What the socket tests share: stand-in engines, a stand-in feed, the program itself and a client
+//! that speaks raw bytes. Everything is on loopback, on ports that the kernel chooses.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long a test waits for what must come; never for what must not.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One command as an engine saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub at: Instant,
+    pub parts: Vec<String>,
+}
+
+impl Seen {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.parts[2].split(',').filter_map(|p| p.split_once('=')).find(|p| p.0 == name).map(|p| p.1)
+    }
+}
+
+/// What a stand-in engine does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Serves these pages.
+    Pages(Vec<String>),
+    /// Says nothing, ever.
+    Hold,
+    /// One word without a body.
+    Word(&'static str),
+    /// Closes the connection.
+    Cut,
+    /// Says that there are two pages and closes the connection when asked for the second.
+    CutMidAnswer(String),
+}
+
+/// A stand-in engine.
+pub struct Engine {
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Engine {
+    pub fn start(reply: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
+        let (log, reply) = (Arc::clone(&seen), Arc::new(reply));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (log, reply) = (Arc::clone(&log), Arc::clone(&reply));
+                thread::spawn(move || serve_engine(stream, &log, &*reply));
+            }
+        });
+        Engine { address, seen }
+    }
+
+    /// One that serves one row to every request: its statement.
+    pub fn echo() -> Engine {
+        Engine::start(|seen| Reply::Pages(vec![format!("{}\tb\tc\n", seen.parts[3])]))
+    }
+
+    /// The commands of a word that it saw.
+    pub fn seen(&self, word: &str) -> Vec<Seen> {
+        let seen = self.seen.lock().expect("unpoisoned");
+        seen.iter().filter(|s| s.parts[0] == word).cloned().collect()
+    }
+
+    /// Waits until it has seen so many of a word.
+    pub fn wait_for(&self, word: &str, n: usize) -> Vec<Seen> {
+        until(|| Some(self.seen(word)).filter(|s| s.len() >= n))
+    }
+}
+
+/// Waits for something to hold.
+pub fn until<T>(mut found: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(t) = found() {
+            return t;
+        }
+        assert!(Instant::now() < end, "it never came");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn read_command(from: &mut impl BufRead) -> Option<Vec<String>> {
+    let number = |mark: char, from: &mut dyn BufRead| -> Option<usize> {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        line.trim_end().strip_prefix(mark)?.parse().ok()
+    };
+    let count = number('*', from)?;
+    (0..count)
+        .map(|_| {
+            let len = number('$', from)?;
+            let mut bytes = vec![0; len + 2];
+            from.read_exact(&mut bytes).ok()?;
+            bytes.truncate(len);
+            String::from_utf8(bytes).ok()
+        })
+        .collect()
+}
+
+fn answer(to: &mut TcpStream, parts: &[&str]) {
+    let mut out = format!("*{}\r\n", parts.len());
+    parts.iter().for_each(|p| out.push_str(&format!("${}\r\n{p}\r\n", p.len())));
+    // The other side may have gone: the test sees that by itself.
+    let _ = to.write_all(out.as_bytes());
+}
+
+fn serve_engine(stream: TcpStream, log: &Mutex<Vec<Seen>>, reply: &dyn Fn(&Seen) -> Reply) {
+    let mut out = stream.try_clone().expect("a second handle");
+    let mut input = BufReader::new(stream);
+    let mut pages: std::collections::BTreeMap<String, Vec<String>> = Default::default();
+    while let Some(parts) = read_command(&mut input) {
+        let seen = Seen { at: Instant::now(), parts };
+        log.lock().expect("unpoisoned").push(seen.clone());
+        let id = seen.parts.get(1).cloned().unwrap_or_default();
+        match seen.parts[0].as_str() {
+            "do" => match reply(&seen) {
+                Reply::Pages(all) => {
+                    let fields = format!("batches={},cpu=5,used=8,stats=inflight:1;queue:0", all.len());
+                    answer(&mut out, &[&id, "served", &fields, &all[0]]);
+                    pages.insert(id, all);
+                }
+                Reply::Hold => {}
+                Reply::Word(word) => answer(&mut out, &[&id, word, "-", ""]),
+                Reply::Cut => break,
+                Reply::CutMidAnswer(first) => answer(&mut out, &[&id, "served", "batches=2", &first]),
+            },
+            "page" => {
+                let n: usize = seen.parts[2].parse().expect("a page's number");
+                let Some(body) = pages.get(&id).and_then(|p| p.get(n)) else { break };
+                answer(&mut out, &[&id, "rows", &format!("batch={n}"), body]);
+            }
+            _ => {}
+        }
+    }
+    let _ = out.shutdown(std::net::Shutdown::Both);
+}
+
+/// A stand-in control feed: sends what it is told to, and notes the event each call goes on from.
+pub struct Feed {
+    pub address: SocketAddr,
+    events: Arc<Mutex<Vec<String>>>,
+    pub calls: Arc<Mutex<Vec<u64>>>,
+}
+
+impl Feed {
+    pub fn start() -> Feed {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let events: Arc<Mutex<Vec<String>>> = Arc::default();
+        let calls: Arc<Mutex<Vec<u64>>> = Arc::default();
+        let (log, all) = (Arc::clone(&calls), Arc::clone(&events));
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
+                let mut last = 0;
+                for line in input.by_ref().lines().map_while(Result::ok).take_while(|l| !l.is_empty()) {
+                    let value = line.to_ascii_lowercase();
+                    if let Some(n) = value.strip_prefix("last-event-id:") {
+                        last = n.trim().parse().expect("a number");
+                    }
+                }
+                log.lock().expect("unpoisoned").push(last);
+                let all = Arc::clone(&all);
+                thread::spawn(move || {
+                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+                    let mut alive = stream.write_all(head.as_bytes()).is_ok();
+                    // One event more than was asked for: a repeat must be passed over.
+                    let mut next = last.saturating_sub(1) as usize;
+                    while alive {
+                        let fresh = all.lock().expect("unpoisoned")[next..].to_vec();
+                        for data in fresh {
+                            next += 1;
+                            let cut = data == "cut";
+                            alive &= !cut && write!(stream, "id: {next}\ndata: {data}\n\n").is_ok();
+                        }
+                        alive &= write!(stream, ": still here\n\n").is_ok();
+                        thread::sleep(Duration::from_millis(20));
+                    }
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                });
+            }
+        });
+        Feed { address, events, calls }
+    }
+
+    pub fn send(&self, event: impl Into<String>) {
+        self.events.lock().expect("unpoisoned").push(event.into());
+    }
+}
+
+/// An event of the list of engines: numbers, ids, addresses and states.
+pub fn list(n: usize, complete: bool, engines: &[(&str, SocketAddr, &str)]) -> String {
+    let row = |(id, address, phase): &(&str, SocketAddr, &str)| {
+        format!(
+            r#"{{"id":"{id}","host_port":"{address}","locality":"hall-a","flavor":"std","cell":0,"phase":"{phase}","size":1,"up_since_ms":0}}"#
+        )
+    };
+    let rows: Vec<String> = engines.iter().map(row).collect();
+    format!(
+        r#"{{"n":{n},"members":{{"revision":{n},"complete":{complete},"members":[{}]}}}}"#,
+        rows.join(",")
+    )
+}
+
+/// The configuration's settings, with two classes: lane-rate is safe, tariff-load keyed.
+pub const SETTINGS: &str = r#"{"kindOfService":"queries","zones":["hall-a","hall-b"],"shapes":["std"],"siblings":1,
+ "profiles":[
+  {"name":"lane-rate","value":1.0,"aim":20.0,"deadline":30.0,"effect":"read_like","dedupScope":"all"},
+  {"name":"tariff-load","value":5.0,"aim":20.0,"deadline":30.0,"effect":"idempotency_key","dedupScope":"all","repeatWindow":15.0}],
+ "customers":[{"name":"sud","portion":0.8,"quotaPerS":1000.0},{"name":"nord","portion":0.2,"quotaPerS":1000.0}],
+ "specifics":{"classThreads":[1,2],"loads":[false,true],"sizeCores":[64],"ramOfKindMb":[65536.0],"takesGrants":true,
+  "priorities":true,"tellsCost":true,"memoryShort":"swap","progressPace":0.0},
+ "limits":{"cancel":true,"maxAttempts":6,"maxRetryAfter":2.0,"maxStreams":32,"connIdle":15.0,"connectTimeout":5.0},
+ "loadReport":{"via":"piggyback","fields":["rif","q"]},
+ "invariants":{"budgetShare":0.1,"freeResends":3.0,"ratioSpan":5.0,"drainGrace":0.5,"fallMultiple":2.5,
+  "overloadFor":2.0,"startCapacity":0.3,"cold":15.0}}"#;
+
+/// The program, running.
+pub struct Program {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    pub platform: SocketAddr,
+    pub second: Option<SocketAddr>,
+    dir: std::path::PathBuf,
+}
+
+static DIRS: AtomicU64 = AtomicU64::new(0);
+
+/// A folder of this test's own.
+pub fn scratch() -> std::path::PathBuf {
+    let n = DIRS.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("sprucelink-test-{}-{n}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    dir
+}
+
+impl Program {
+    /// Starts it with these engines, by id, and the second front if there is an operator's file.
+    pub fn start(engines: &[(&str, SocketAddr)], feed: Option<&Feed>, operator: Option<&str>) -> Program {
+        let dir = scratch();
+        let ready: Vec<_> = engines.iter().map(|(id, at)| (*id, *at, "ready")).collect();
+        let feed = feed.map_or(String::new(), |f| format!(r#""feed":"{}","#, f.address));
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",{feed}
+             "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+             "known":{{"n":1,"events":[{}]}},"settings":{SETTINGS}}}"#,
+            list(1, true, &ready)
+        );
+        std::fs::write(dir.join("config.json"), config).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sprucelink"));
+        command.arg("serve").arg("--config").arg(dir.join("config.json"));
+        if let Some(text) = operator {
+            std::fs::write(dir.join("operator.json"), text).expect("written");
+            command.arg("--operator").arg(dir.join("operator.json"));
+        }
+        let mut child = command.stdout(Stdio::piped()).spawn().expect("started");
+        let out = BufReader::new(child.stdout.take().expect("its output"));
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let log = Arc::clone(&lines);
+        thread::spawn(move || {
+            for line in out.lines().map_while(Result::ok) {
+                log.lock().expect("unpoisoned").push(line);
+            }
+        });
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let mut program = Program { child, lines, platform: any, second: None, dir };
+        let at = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        program.platform = at(program.wait_line(" serving on "));
+        program.second = operator.map(|_| at(program.wait_line(" second front on ")));
+        program
+    }
+
+    /// Waits for a log line that holds a text.
+    pub fn wait_line(&self, text: &str) -> String {
+        until(|| self.lines.lock().expect("unpoisoned").iter().find(|l| l.contains(text)).cloned())
+    }
+
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("unpoisoned").clone()
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    }
+
+    /// Waits for its end: the exit status.
+    pub fn ended(&mut self) -> Option<i32> {
+        until(|| self.child.try_wait().expect("waited")).code()
+    }
+
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().expect("waited").is_none()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// One message of the program: its type and its body.
+pub type Message = (u8, Vec<u8>);
+
+/// A client that speaks raw bytes.
+pub struct Raw {
+    pub stream: TcpStream,
+    pub key: Vec<u8>,
+}
+
+pub fn framed(tag: u8, body: &[u8]) -> Vec<u8> {
+    let mut out = vec![tag];
+    out.extend_from_slice(&(body.len() as u32 + 4).to_be_bytes());
+    out.extend_from_slice(body);
+    out
+}
+
+pub fn query(sql: &str) -> Vec<u8> {
+    framed(b'Q', format!("{sql}\0").as_bytes())
+}
+
+pub fn parse(name: &str, sql: &str) -> Vec<u8> {
+    framed(b'P', format!("{name}\0{sql}\0\0\0").as_bytes())
+}
+
+pub fn bind(portal: &str, statement: &str, values: &[&str]) -> Vec<u8> {
+    let mut body = format!("{portal}\0{statement}\0\0\0").into_bytes();
+    body.extend_from_slice(&(values.len() as u16).to_be_bytes());
+    for v in values {
+        body.extend_from_slice(&(v.len() as u32).to_be_bytes());
+        body.extend_from_slice(v.as_bytes());
+    }
+    body.extend_from_slice(&[0, 0]);
+    framed(b'B', &body)
+}
+
+pub fn execute(portal: &str, rows: u32) -> Vec<u8> {
+    let mut body = format!("{portal}\0").into_bytes();
+    body.extend_from_slice(&rows.to_be_bytes());
+    framed(b'E', &body)
+}
+
+pub fn sync() -> Vec<u8> {
+    framed(b'S', b"")
+}
+
+pub fn startup() -> Vec<u8> {
+    let body = b"\0\x03\0\0user\0app\0database\0core\0\0";
+    [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
+}
+
+impl Raw {
+    /// Connects without a word.
+    pub fn open(to: SocketAddr) -> Raw {
+        let stream = TcpStream::connect(to).expect("connected");
+        stream.set_read_timeout(Some(PATIENCE)).expect("set");
+        Raw { stream, key: Vec::new() }
+    }
+    /// Connects and starts a session.
+    pub fn connect(to: SocketAddr) -> Raw {
+        let mut raw = Raw::open(to);
+        raw.send(&startup());
+        let start = raw.until_ready();
+        raw.key = start.into_iter().find(|m| m.0 == b'K').expect("a key").1;
+        raw
+    }
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("written");
+    }
+    /// The next message; `None` at the end.
+    pub fn message(&mut self) -> Option<Message> {
+        let mut head = [0; 5];
+        self.stream.read_exact(&mut head).ok()?;
+        let len = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let mut body = vec![0; len - 4];
+        self.stream.read_exact(&mut body).ok()?;
+        Some((head[0], body))
+    }
+    /// All messages up to ReadyForQuery.
+    pub fn until_ready(&mut self) -> Vec<Message> {
+        let mut all = Vec::new();
+        loop {
+            all.push(self.message().expect("a message"));
+            if all.last().is_some_and(|m| m.0 == b'Z') {
+                return all;
+            }
+        }
+    }
+    pub fn ask(&mut self, sql: &str) -> Vec<Message> {
+        self.send(&query(sql));
+        self.until_ready()
+    }
+    /// Asks for this session's request to be given up.
+    pub fn cancel(&self, to: SocketAddr) {
+        let mut other = Raw::open(to);
+        other.send(&[&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &self.key].concat());
+    }
+}
+
+/// The types of messages, as text.
+pub fn kinds(messages: &[Message]) -> String {
+    messages.iter().map(|m| char::from(m.0)).collect()
+}
+
+/// The fields of the first error among messages: code, message, detail and hint.
+pub fn error(messages: &[Message]) -> [String; 4] {
+    let body = &messages.iter().find(|m| m.0 == b'E').expect("an error").1;
+    let fields: Vec<(u8, String)> = body
+        .split(|b| *b == 0)
+        .filter(|f| !f.is_empty())
+        .map(|f| (f[0], String::from_utf8_lossy(&f[1..]).into_owned()))
+        .collect();
+    [b'C', b'M', b'D', b'H']
+        .map(|tag| fields.iter().find(|f| f.0 == tag).map_or(String::new(), |f| f.1.clone()))
+}
+
+/// The rows among messages, columns joined by `|`.
+pub fn rows(messages: &[Message]) -> Vec<String> {
+    let row = |body: &[u8]| {
+        let (mut at, mut columns) = (2, Vec::new());
+        while at < body.len() {
+            let len = u32::from_be_bytes([body[at], body[at + 1], body[at + 2], body[at + 3]]) as usize;
+            columns.push(String::from_utf8_lossy(&body[at + 4..at + 4 + len]).into_owned());
+            at += 4 + len;
+        }
+        columns.join("|")
+    };
+    messages.iter().filter(|m| m.0 == b'D').map(|m| row(&m.1)).collect()
+}
