Certificates for the second front by ACME, renewed while sessions live on

src/run/acme.rs orders at the start (http-01), renews before a third of the life is left, rests longer after each failure while the old certificate serves, and keeps account, key and certificate in the operator's folder. Directory and trust root come from the operator's file. SSLRequest with data behind it is refused.

The stand-in authority (tests/support/authority.rs) verifies ES256 signatures, nonces, addresses and the challenge, signs lives of seconds, and can refuse. Tests: two renewals under one open session; refusal at the start, with rests of 0.1, 0.2, 0.4 s; refusal of a renewal while the old certificate serves; a stored certificate that needs no order.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -18,10 +18,11 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::timeout;
+use tokio_rustls::TlsAcceptor;
 use wire::Wire;
 
 /// A client that has not begun its session by then is let go.
@@ -51,6 +52,8 @@
     pub most_sessions: usize,
     /// The second front: extended queries, settings of a session, its own request ids.
     pub extended: bool,
+    /// Sessions must use TLS.
+    pub require_tls: bool,
     /// Class of a statement that names none.
     pub default_class: Option<String>,
     /// Tenant of a statement that names none.
@@ -68,6 +71,7 @@
     busy: Cell<usize>,
     closing: Cell<bool>,
     close: Notify,
+    tls: RefCell<Option<TlsAcceptor>>,
 }
 
 /// Counts something for as long as it lives.
@@ -95,6 +99,7 @@
             busy: Cell::new(0),
             closing: Cell::new(false),
             close: Notify::new(),
+            tls: RefCell::new(None),
         })
     }
 
@@ -117,6 +122,11 @@
         self.close.notify_waiters();
     }
 
+    /// New sessions use this certificate from now on.
+    pub fn certify(&self, acceptor: TlsAcceptor) {
+        self.tls.replace(Some(acceptor));
+    }
+
     /// Requests whose answer is not written yet.
     pub fn busy(&self) -> usize {
         self.busy.get()
@@ -132,17 +142,42 @@
             return turn_away(&mut stream).await;
         };
         let mut wire = Wire::new(stream, input, output);
-        if let Ok(Ok(Some(parameters))) = timeout(OPENING, self.opening(&mut wire)).await {
-            if full {
-                return turn_away(&mut wire.stream).await;
+        let next = timeout(OPENING, self.opening(&mut wire, false)).await;
+        // An error anywhere below is the end of the connection: nobody is left to tell.
+        match next {
+            Ok(Ok(Next::Session(start))) => self.session(wire, start, full).await,
+            Ok(Ok(Next::Secure(acceptor))) => {
+                let (stream, input, output) = wire.into_parts();
+                let Ok(Ok(stream)) = timeout(OPENING, acceptor.accept(stream)).await else { return };
+                let mut wire = Wire::new(stream, input, output);
+                if let Ok(Ok(Next::Session(start))) = timeout(OPENING, self.opening(&mut wire, true)).await {
+                    self.session(wire, start, full).await;
+                }
             }
-            // An error here is the end of the connection: nobody is left to tell.
-            drop(session::serve(Rc::clone(&self), &mut wire, parameters).await);
+            _ => {}
         }
     }
 
-    /// The packets before a session; `None` where none follows.
-    async fn opening(&self, wire: &mut Wire<TcpStream>) -> std::io::Result<Option<session::Start>> {
+    async fn session<S: AsyncRead + AsyncWrite + Unpin>(
+        self: &Rc<Self>,
+        mut wire: Wire<S>,
+        start: session::Start,
+        full: bool,
+    ) {
+        if full {
+            return turn_away(&mut wire.stream).await;
+        }
+        drop(session::serve(Rc::clone(self), &mut wire, start).await);
+        // Under TLS this says that nothing was cut off.
+        drop(timeout(OPENING, wire.stream.shutdown()).await);
+    }
+
+    /// The packets before a session.
+    async fn opening<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        wire: &mut Wire<S>,
+        secure: bool,
+    ) -> std::io::Result<Next> {
         loop {
             let opening = match pg::read_opening(wire.input()) {
                 Ok(Some((opening, len))) => {
@@ -151,17 +186,24 @@
                 }
                 Ok(None) => {
                     if wire.fill().await? == 0 {
-                        return Ok(None);
+                        return Ok(Next::Nothing);
                     }
                     continue;
                 }
-                Err(e) => {
-                    pg::error(wire.output(), &Fault::from(e).fatal());
-                    wire.flush().await?;
-                    return Ok(None);
-                }
+                Err(e) => return part(wire, Fault::from(e)).await,
             };
+            let acceptor = self.tls.borrow().clone();
             match opening {
+                Opening::Ssl if !secure && acceptor.is_some() => {
+                    // Guards against bytes smuggled in before encryption and read as if after it.
+                    if !wire.input().is_empty() {
+                        return part(wire, Fault::new("08P01", "field SSLRequest: data came behind it"))
+                            .await;
+                    }
+                    wire.output().push(b'S');
+                    wire.flush().await?;
+                    return Ok(acceptor.map_or(Next::Nothing, Next::Secure));
+                }
                 Opening::Ssl | Opening::Gssenc => {
                     wire.output().push(b'N');
                     wire.flush().await?;
@@ -171,10 +213,19 @@
                     if let Some((_, cancel)) = sessions.get(&session).filter(|s| s.0 == secret) {
                         cancel.notify_waiters();
                     }
-                    return Ok(None);
+                    return Ok(Next::Nothing);
+                }
+                Opening::Startup { .. } if self.setup.require_tls && !secure => {
+                    let fault = match acceptor {
+                        Some(_) => Fault::new("28000", "sessions must use TLS").hint("Set sslmode=require."),
+                        None => {
+                            Fault::new("57P03", "there is no certificate yet").hint("Come back in 5000 ms.")
+                        }
+                    };
+                    return part(wire, fault).await;
                 }
                 Opening::Startup { minor, parameters } => {
-                    return Ok(Some(session::Start { minor, parameters }))
+                    return Ok(Next::Session(session::Start { minor, parameters }))
                 }
             }
         }
@@ -239,12 +290,26 @@
     }
 }
 
+/// What follows the opening packets.
+enum Next {
+    Session(session::Start),
+    Secure(TlsAcceptor),
+    Nothing,
+}
+
+/// Ends a connection with a last word.
+async fn part<S: AsyncRead + AsyncWrite + Unpin>(wire: &mut Wire<S>, fault: Fault) -> std::io::Result<Next> {
+    pg::error(wire.output(), &fault.fatal());
+    wire.flush().await?;
+    Ok(Next::Nothing)
+}
+
 fn missing(field: &str, why: &str) -> Fault {
     let example = "/* kind=CLASS,timeout=MILLISECONDS */ SELECT ...";
     Fault::new("08P01", format!("field {field} {why}")).hint(format!("Write {example}"))
 }
 
-async fn turn_away(stream: &mut TcpStream) {
+async fn turn_away<S: AsyncWrite + Unpin>(stream: &mut S) {
     let mut out = Vec::new();
     let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.").fatal();
     pg::error(&mut out, &Fault { detail: Some("retry_after_ms=1000".into()), ..fault });
--- a/src/front/wire.rs
+++ b/src/front/wire.rs
@@ -21,6 +21,10 @@
     pub fn new(stream: S, input: Buf, output: Buf) -> Wire<S> {
         Wire { stream, input, output, arrived: now() }
     }
+    /// The connection and its two buffers.
+    pub fn into_parts(self) -> (S, Buf, Buf) {
+        (self.stream, self.input, self.output)
+    }
     /// What was read and not consumed.
     pub fn input(&self) -> &[u8] {
         &self.input
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -83,6 +83,7 @@
             // Clients hold a third of the descriptors at most; engines are left another.
             most_sessions: (sockets - SPARE_SOCKETS) / 2,
             extended: false,
+            require_tls: false,
             default_class: None,
             default_tenant: None,
         },
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -1,5 +1,6 @@
 //! Start and stop: the command line, the configuration, signals.
 
+pub mod acme;
 pub mod args;
 pub mod config;
 pub mod operator;
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -1,5 +1,6 @@
 //! Serving: from the configuration to the last answer after SIGTERM.
 
+use super::acme;
 use super::config::Config;
 use super::operator::Operator;
 use crate::core::pool::Pool;
@@ -43,7 +44,11 @@
     }
     let mut fronts = vec![open("serving", &core, &config.listen, config.setup).await?];
     if let Some(operator) = operator {
-        fronts.push(open("second front", &core, &operator.listen, operator.setup).await?);
+        let second = open("second front", &core, &operator.listen, operator.setup).await?;
+        if let Some(acme) = operator.acme {
+            acme::keep(acme, Rc::clone(&second.0)).await?;
+        }
+        fronts.push(second);
     }
     tokio::select! {
         _ = term.recv() => {}
--- /dev/null
+++ b/tests/certificates.rs
@@ -0,0 +1,154 @@
+//! Certificates by ACME, from a stand-in authority, for the second front.
+#[path = "support/authority.rs"]
+mod authority;
+mod support;
+
+use authority::Authority;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+use support::*;
+use tokio_rustls::rustls::pki_types::ServerName;
+use tokio_rustls::rustls::{self, ClientConnection, RootCertStore, StreamOwned};
+
+const NAME: &str = "pg.fret-atlas.test";
+type Tls = StreamOwned<ClientConnection, TcpStream>;
+
+/// A port that was free a moment ago: the program must be told one before it starts.
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
+}
+
+fn program(authority: &Authority, challenges: SocketAddr, store: Option<&std::path::Path>) -> Program {
+    let dir = scratch();
+    let root = dir.join("root.pem");
+    std::fs::write(&root, &authority.root).expect("written");
+    let store = store.map_or(String::new(), |s| format!(r#""store":"{}","#, s.display()));
+    let operator = format!(
+        r#"{{"listen":"127.0.0.1:0","default_class":"lane-rate","tls":"required","acme":{{
+            "directory":"{}","trust_root":"{}","names":["{NAME}"],{store}
+            "challenge_listen":"{challenges}","renew_before_s":100000,"retry_s":[0.1,0.4]}}}}"#,
+        authority.directory,
+        root.display()
+    );
+    Program::start(&[], None, Some(&operator))
+}
+
+/// Opens TLS as a PostgreSQL client does, and trusts the authority's root only.
+fn secure(program: &Program, authority: &Authority) -> Tls {
+    let mut raw = Raw::open(program.second.expect("on"));
+    raw.send(&[&8u32.to_be_bytes()[..], &80_877_103u32.to_be_bytes()].concat());
+    let mut word = [0];
+    raw.stream.read_exact(&mut word).expect("an answer");
+    assert_eq!(word, *b"S", "TLS is offered");
+    let mut roots = RootCertStore::empty();
+    roots.add(authority.root_der.clone()).expect("a root");
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .expect("versions")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let name = ServerName::try_from(NAME).expect("a name");
+    let session = ClientConnection::new(Arc::new(config), name).expect("a session");
+    let mut tls = StreamOwned::new(session, raw.stream);
+    tls.write_all(&startup()).expect("the certificate holds");
+    until_ready(&mut tls);
+    tls
+}
+
+/// Reads up to ReadyForQuery: the types of the messages.
+fn until_ready(tls: &mut Tls) -> String {
+    let mut kinds = String::new();
+    while !kinds.ends_with('Z') {
+        let mut head = [0; 5];
+        tls.read_exact(&mut head).expect("a message");
+        let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+        tls.read_exact(&mut body).expect("its body");
+        kinds.push(char::from(head[0]));
+    }
+    kinds
+}
+
+fn ask(tls: &mut Tls) -> String {
+    tls.write_all(&query("")).expect("written");
+    until_ready(tls)
+}
+
+/// A certificate of 15 seconds is renewed before it expires, again and again, and a session that
+/// began under the first one lives on.
+#[test]
+fn a_certificate_is_renewed_before_it_expires_and_sessions_live_on() {
+    let challenges = free_port();
+    let authority = Authority::start(Duration::from_secs(15), challenges);
+    let program = program(&authority, challenges, None);
+    program.wait_line("certificate renewed");
+    let mut first = secure(&program, &authority);
+    until(|| (authority.signed() >= 3).then_some(()));
+    assert_eq!(ask(&mut first), "IZ", "the session outlived two renewals");
+    until(|| {
+        (program.lines().iter().filter(|l| l.contains("certificate renewed")).count() >= 3).then_some(())
+    });
+    let second = secure(&program, &authority);
+    let leaf = |tls: &Tls| tls.conn.peer_certificates().expect("certificates")[0].clone();
+    assert_ne!(leaf(&first), leaf(&second), "new sessions see the new certificate");
+    assert_eq!(authority.faults(), Vec::<String>::new(), "signatures, nonces and challenges held");
+}
+
+/// The authority refuses: the old certificate serves on, tries come with growing rests, and the
+/// renewal goes through once it relents.
+#[test]
+fn a_refused_renewal_backs_off_while_the_old_certificate_serves() {
+    let challenges = free_port();
+    let authority = Authority::start(Duration::from_secs(60), challenges);
+    let store = scratch();
+    let mut first = program(&authority, challenges, Some(&store));
+    first.wait_line("certificate renewed");
+    first.terminate();
+    assert_eq!(first.ended(), Some(0));
+    // What was stored is loaded: the next start needs no order.
+    let kept = program(&authority, challenges, Some(&store));
+    kept.wait_line("certificate loaded");
+    assert_eq!(ask(&mut secure(&kept, &authority)), "IZ");
+    assert_eq!((authority.signed(), authority.accounts()), (1, 1));
+    drop(kept);
+    // Nothing stored, and refused: no certificate, no session, but no crash either.
+    authority.refuse(true);
+    let mut bare = program(&authority, challenges, None);
+    until(|| (authority.refused() >= 4).then_some(()));
+    assert!(bare.running());
+    let mut raw = Raw::open(bare.second.expect("on"));
+    raw.send(&startup());
+    let message = raw.message().expect("an answer");
+    assert_eq!(error(&[message])[0], "57P03", "there is no certificate yet");
+    let rests: Vec<String> = bare
+        .lines()
+        .iter()
+        .filter_map(|l| l.split("next try in ").nth(1))
+        .map(|r| r[..5].to_owned())
+        .collect();
+    assert_eq!(rests[..3], ["0.1 s", "0.2 s", "0.4 s"], "the rests grow up to their most");
+    authority.refuse(false);
+    bare.wait_line("certificate renewed");
+    assert_eq!(ask(&mut secure(&bare, &authority)), "IZ");
+    let mut plain = Raw::open(bare.second.expect("on"));
+    plain.send(&startup());
+    assert_eq!(error(&[plain.message().expect("an answer")])[0], "28000", "sessions must use TLS");
+    let _ = std::fs::remove_dir_all(store);
+}
+
+/// The old certificate serves while its renewal is refused.
+#[test]
+fn sessions_begin_under_the_old_certificate_while_its_renewal_is_refused() {
+    let challenges = free_port();
+    let authority = Authority::start(Duration::from_secs(45), challenges);
+    let program = program(&authority, challenges, None);
+    program.wait_line("certificate renewed");
+    authority.refuse(true);
+    // Due after two thirds of its life: by then 30 s have gone, and 15 are left.
+    until(|| (authority.refused() >= 2).then_some(()));
+    assert_eq!(ask(&mut secure(&program, &authority)), "IZ");
+    authority.refuse(false);
+    until(|| (authority.signed() >= 2).then_some(()));
+}
