--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,209 @@
+//! The codecs against random cuts of valid input and random garbage, from fixed seeds.
+
+use quickcheck::{Arbitrary, Gen};
+use sprucelink::proto::{events, fields, literal, pg, resp, sse, tables};
+
+/// Runs a property over so many values from a fixed seed: the same in every run.
+fn check<A: Arbitrary + std::fmt::Debug>(seed: u64, property: fn(A) -> bool) {
+    let mut gen = Gen::from_size_and_seed(64, seed);
+    for _ in 0..2_000 {
+        let value = A::arbitrary(&mut gen);
+        let shown = format!("{value:?}");
+        assert!(property(value), "does not hold for {shown}");
+    }
+}
+
+/// Bytes that look like what the parsers take, more often than chance would have it.
+#[derive(Clone, Debug)]
+struct Noise(Vec<u8>);
+impl Arbitrary for Noise {
+    fn arbitrary(g: &mut Gen) -> Noise {
+        let words: [&[u8]; 22] = [
+            b"*2\r\n",
+            b"$3\r\n",
+            b"abc\r\n",
+            b"served",
+            b"batches=2",
+            b"$999999999\r\n",
+            b"Q\0\0\0\x08",
+            b"P",
+            b"\0",
+            b"id: 7\n",
+            b"data: {\n",
+            b"\n",
+            b"HTTP/1.1 200 OK\r\n\r\n",
+            b"/* kind=a,req=1 */",
+            b"from t_1.x ",
+            b"$1",
+            b"'",
+            b"\"",
+            b"$$",
+            b"--",
+            b"\xff",
+            b"{\"n\":1}",
+        ];
+        let mut out = Vec::new();
+        for _ in 0..usize::arbitrary(g) % 12 {
+            match g.choose(&words) {
+                Some(word) if bool::arbitrary(g) => out.extend_from_slice(word),
+                _ => out.push(u8::arbitrary(g)),
+            }
+        }
+        Noise(out)
+    }
+}
+
+#[test]
+fn garbage_panics_no_parser() {
+    check(1, |Noise(bytes): Noise| {
+        if let Ok(Some((parts, n))) = resp::read_array(&bytes, 64) {
+            assert!(n <= bytes.len() && n <= 64);
+            drop(resp::read_answer(&parts));
+        }
+        drop(pg::read_opening(&bytes));
+        if let Ok(Some((_, n))) | Err((_, Some(n))) = pg::read_message(&bytes, 4096) {
+            assert!(n <= bytes.len() || n <= 4096);
+        }
+        drop(sse::Reader::default().take(&bytes, &mut Vec::new()));
+        let text = String::from_utf8_lossy(&bytes);
+        drop(events::parse(&text));
+        drop(fields::split(&text));
+        tables::group(&text);
+        tables::is_empty(&text);
+        literal::count(&text);
+        drop(literal::expand(&text, &[], 4096));
+        drop(literal::param(1, u32::from(bytes.first().copied().unwrap_or(0)), 1, Some(&bytes)));
+        true
+    });
+}
+
+/// Tokens of a statement are the statement: nothing is lost, whatever it holds.
+#[test]
+fn expanding_nothing_changes_nothing() {
+    check(2, |Noise(bytes): Noise| {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        literal::count(&text) > 0 || literal::expand(&text, &[], 1 << 20).is_ok_and(|t| t == text)
+    });
+}
+
+fn command(parts: &[String]) -> Vec<u8> {
+    let mut out = Vec::new();
+    let parts: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
+    resp::write_command(&mut out, &parts);
+    out
+}
+
+/// An array cut anywhere wants more bytes; whole, it is what was written, whatever follows.
+#[test]
+fn arrays_survive_any_cut() {
+    check(3, |parts: Vec<String>| {
+        let parts = &parts[..parts.len().min(8)];
+        let bytes = command(parts);
+        if parts.is_empty() {
+            return resp::read_array(&bytes, 1 << 20).is_err();
+        }
+        let cut = |n: usize| matches!(resp::read_array(&bytes[..n], 1 << 20), Ok(None));
+        let more = [&bytes[..], b"*9"].concat();
+        let read = resp::read_array(&more, 1 << 20).expect("legal").expect("whole");
+        (0..bytes.len()).all(cut)
+            && read.1 == bytes.len()
+            && read.0.iter().zip(parts).all(|(a, b)| *a == b.as_bytes())
+    });
+}
+
+/// Client messages cut anywhere want more bytes, and are never taken for something else.
+#[test]
+fn client_messages_survive_any_cut() {
+    check(4, |(name, sql, values): (String, String, Vec<Option<Vec<u8>>>)| {
+        let (name, sql) = (name.replace('\0', ""), sql.replace('\0', ""));
+        let mut body = format!("{name}\0{sql}\0").into_bytes();
+        body.extend_from_slice(&[0, 0]);
+        body.extend_from_slice(&(values.len() as u16).to_be_bytes());
+        for v in &values {
+            body.extend_from_slice(&v.as_ref().map_or(u32::MAX, |v| v.len() as u32).to_be_bytes());
+            body.extend_from_slice(v.as_deref().unwrap_or(b""));
+        }
+        body.extend_from_slice(&[0, 0]);
+        let bytes = [&b"B"[..], &(body.len() as u32 + 4).to_be_bytes(), &body].concat();
+        let cut = |n: usize| matches!(pg::read_message(&bytes[..n], 1 << 20), Ok(None));
+        let whole = pg::read_message(&bytes, 1 << 20).expect("legal").expect("whole");
+        let values: Vec<Option<&[u8]>> = values.iter().map(|v| v.as_deref()).collect();
+        let (formats, results) = (Vec::new(), Vec::new());
+        let wanted = pg::Message::Bind { portal: &name, statement: &sql, formats, values, results };
+        (0..bytes.len()).all(cut) && whole == (wanted, bytes.len())
+    });
+}
+
+/// A feed read in any pieces, chunked or not, gives the same events.
+#[test]
+fn feeds_survive_any_cut() {
+    check(5, |(sizes, chunked): (Vec<u8>, bool)| {
+        let stream = ": hello\n\nid: 41\ndata: {\"a\":\ndata: 1}\n\n: still here\n\nid:42\ndata:x\n\n";
+        let (mut text, mut rest) = (String::from("HTTP/1.1 200 OK\r\nX: y\r\n"), stream);
+        if chunked {
+            text.push_str("Transfer-Encoding: chunked\r\n\r\n");
+            for n in sizes.iter().map(|n| usize::from(*n) % 9 + 1).chain([usize::MAX]) {
+                let (piece, more) = rest.split_at(n.min(rest.len()));
+                if !piece.is_empty() {
+                    text.push_str(&format!("{:x}\r\n{piece}\r\n", piece.len()));
+                }
+                rest = more;
+            }
+            text.push_str("0\r\n\r\n");
+        } else {
+            text.push_str("\r\n");
+            text.push_str(stream);
+        }
+        let (mut reader, mut out, mut rest) = (sse::Reader::default(), Vec::new(), text.as_bytes());
+        for n in sizes.iter().map(|n| usize::from(*n) % 13 + 1).chain([usize::MAX]) {
+            let (piece, more) = rest.split_at(n.min(rest.len()));
+            reader.take(piece, &mut out).expect("legal");
+            rest = more;
+        }
+        let sent = |id, data: &str| sse::Sent { id: Some(id), data: data.into() };
+        out == [sent(41, "{\"a\":\n1}"), sent(42, "x")] && reader.over() == chunked
+    });
+}
+
+#[test]
+fn tables_are_found_where_they_are_named() {
+    let cases = [
+        ("SELECT day FROM sales_17.orders WHERE tag = '3f9c'", 17),
+        ("INSERT INTO tariff_4.sheets SELECT * FROM staging.load_9", 4),
+        ("INSERT INTO tariff_4.sheets SELECT * FROM staging_8.x", 4),
+        ("SELECT o_1.day FROM sales_17.orders o_1", 17),
+        ("SELECT 'from sales_3.x' /* from sales_4.y */ FROM sales_5.z -- sales_6.a", 5),
+        ("SELECT E'\\'from a_1.b' FROM \"sales_7\".\"x\"", 7),
+        ("SELECT $q$ from a_1.b $q$ FROM s_8.x", 8),
+        ("UPDATE only sales_9.x SET y = 1", 9),
+        ("SELECT 1", 0),
+        ("COPY staging.a FROM 'x_1.y'", 0),
+        ("SELECT * FROM a.b_3.c", 0),
+    ];
+    for (statement, group) in cases {
+        assert_eq!(tables::group(statement), group, "{statement}");
+    }
+}
+
+#[test]
+fn the_comment_holds_the_fields_and_nothing_else_does() {
+    let text = "/* kind=report,req=9b1f03aa5c7e2d41,timeout=1500,ms=820.0,heap_mb=96 */ SELECT day";
+    let (f, statement) = fields::split(text).expect("legal");
+    assert_eq!(
+        (f.kind.as_deref(), f.req, f.timeout_ms),
+        (Some("report"), Some(0x9b1f_03aa_5c7e_2d41), Some(1500))
+    );
+    assert_eq!((f.ms, f.heap_mb, statement), (Some(820.0), Some(96.0), "SELECT day"));
+    let own = "/* a note, of mine */ SELECT 1";
+    assert_eq!(fields::split(own).expect("legal"), (fields::Fields::default(), own));
+    for (text, name) in [
+        ("/* req=12 */ x", "req"),
+        ("/* timeout=-1 */ x", "timeout"),
+        ("/* ms=NaN */ x", "ms"),
+        ("/* kind=a", "comment"),
+        ("/* opkey=a;b,opkey= */ x", "opkey"),
+    ] {
+        let e = fields::split(text).expect_err("malformed");
+        assert!(e.to_string().contains(name), "{text}: {e}");
+    }
+}
