--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -24,6 +24,8 @@
 pub const MOST_STATEMENT: usize = SIZE - 2_048;
 /// Before its deadline by less than this a refusal is one for lack of time.
 const NO_TIME: Micros = Micros(60_000);
+/// Between two lines of figures.
+const FIGURES: Micros = Micros(10_000_000);
 /// Advice to come back is never shorter: a client that returns at once meets the same jam.
 const COME_BACK_LEAST: Micros = Micros(100_000);
 /// An attempt called off counts as out for so much longer: its undo must reach its engine before the
@@ -136,8 +138,21 @@
     links: Vec<Rc<Link>>,
 }
 
+/// What became of requests since the last line of figures.
+#[derive(Default)]
+struct Tally {
+    taken: u32,
+    served: u32,
+    refused: u32,
+    failed: u32,
+    given_up: u32,
+    attempts: u32,
+}
+
 struct Inner {
     facade: Facade,
+    tally: Tally,
+    next_figures: Micros,
     open: BTreeMap<u64, Entry>,
     deadlines: BTreeSet<(Micros, u64)>,
     /// Attempts called off whose undo is on its way, by when it has landed.
@@ -182,7 +197,18 @@
         let [zones, kinds] = names;
         let facade = Facade::new(set, seed, zones, kinds, now());
         let (open, deadlines, landing) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
-        let inner = Inner { facade, open, deadlines, landing, engines: Vec::new(), last_event: 0, seed };
+        let (tally, next_figures) = (Tally::default(), now() + FIGURES);
+        let inner = Inner {
+            facade,
+            tally,
+            next_figures,
+            open,
+            deadlines,
+            landing,
+            engines: Vec::new(),
+            last_event: 0,
+            seed,
+        };
         Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new() })
     }
 
@@ -244,6 +270,7 @@
             answer: Some(sender),
         };
         inner.open.insert(id, entry);
+        inner.tally.taken += 1;
         let orders = inner.facade.pick(at, &request.asked);
         inner.work(self, orders);
         self.wake.notify_one();
@@ -254,6 +281,7 @@
         let mut inner = self.inner.borrow_mut();
         let Some(entry) = inner.open.get_mut(&id) else { return };
         if entry.answer.take().is_some() {
+            inner.tally.given_up += 1;
             let orders = inner.facade.report(now(), News::GivenUp(id));
             inner.work(self, orders);
             inner.tidy(id);
@@ -285,7 +313,7 @@
                     orders.extend(inner.close_link(&link));
                 }
             }
-            log(&format!("engine {} is {:?} at {}", member.id, member.phase, member.address));
+            log(&format!("engine {} is {:?} at {}, number {i}", member.id, member.phase, member.address));
         }
         inner.work(self, orders);
         self.wake.notify_one();
@@ -327,6 +355,18 @@
 
     fn tick(self: &Rc<Self>) {
         let mut inner = self.inner.borrow_mut();
+        if now() >= inner.next_figures {
+            inner.next_figures = now() + FIGURES;
+            let t = std::mem::take(&mut inner.tally);
+            let (open, out) = (inner.open.len(), self.pool.out());
+            if t.taken > 0 || open > 0 {
+                log(&format!(
+                    "figures: taken {}, served {}, refused {}, failed {}, given up {}, attempts {}, open {open}, \
+                     buffers {out}",
+                    t.taken, t.served, t.refused, t.failed, t.given_up, t.attempts
+                ));
+            }
+        }
         let orders = inner.facade.tick(now());
         inner.work(self, orders);
         while let Some(&(at, id, attempt)) = inner.landing.first().filter(|l| l.0 <= now()) {
@@ -404,7 +444,14 @@
     fn settle(&mut self, id: u64, answer: Final) {
         let Some(entry) = self.open.get_mut(&id) else { return };
         match entry.answer.take() {
-            Some(sender) => drop(sender.send(answer)),
+            Some(sender) => {
+                match answer {
+                    Final::Served(_) => self.tally.served += 1,
+                    Final::Refused(..) => self.tally.refused += 1,
+                    Final::Failed(..) => self.tally.failed += 1,
+                }
+                drop(sender.send(answer));
+            }
             None => log(&format!("a second answer to {id:016x} was dropped")),
         }
         self.tidy(id);
@@ -422,6 +469,7 @@
         let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
         let attempt = entry.sends;
         entry.sends += 1;
+        self.tally.attempts += 1;
         let left = entry.deadline - now();
         let link = match self.engines.get_mut(engine) {
             Some(e) => link_for(e, core, id, engine),
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,245 @@
+//! The program on sockets: the platform's front, the engines' wire, the feed, start and stop.
+mod support;
+
+use std::io::Write;
+use std::process::Command;
+use std::time::{Duration, Instant};
+use support::*;
+
+fn sql(class: &str, req: u64, more: &str) -> String {
+    format!("/* kind={class},req={req:016x},timeout=20000,owner=sud{more} */ SELECT a FROM sales_17.orders")
+}
+
+#[test]
+fn a_query_is_passed_on_unchanged_and_its_pages_come_back_in_order() {
+    let page = |n: usize| (0..40).map(|i| format!("{n}\t{i}\t'quoted' \u{e9}\n")).collect::<String>();
+    let engine = Engine::start(move |_| Reply::Pages((0..8).map(page).collect()));
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    let got = raw.ask(&sql("tariff-load", 0x9b1f_03aa_5c7e_2d41, ",opkey=5c0f6e,ms=820.0,heap_mb=96"));
+    let wanted: Vec<String> =
+        (0..8).flat_map(|n| (0..40).map(move |i| format!("{n}|{i}|'quoted' \u{e9}"))).collect();
+    assert_eq!(rows(&got), wanted);
+    assert_eq!(kinds(&got).replace('D', ""), "TCZ");
+    let sent = &engine.seen("do")[0];
+    assert_eq!(
+        (sent.parts[1].as_str(), sent.parts[3].as_str()),
+        ("9b1f03aa5c7e2d41", "SELECT a FROM sales_17.orders")
+    );
+    assert_eq!((sent.field("class"), sent.field("once")), (Some("tariff-load"), Some("5c0f6e")));
+    let number = |name: &str| sent.field(name).expect(name).parse::<u64>().expect("a number");
+    assert!(number("wait") <= 20_000 && number("mb") >= 96 && number("nice") <= 3);
+    let pages: Vec<String> = engine.seen("page").iter().map(|s| s.parts[2].clone()).collect();
+    assert_eq!(pages, ["1", "2", "3", "4", "5", "6", "7"]);
+}
+
+#[test]
+fn a_query_may_stand_right_behind_the_start_up() {
+    let engine = Engine::echo();
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::open(program.platform);
+    let encryption =
+        [80_877_104u32, 80_877_103].map(|code| [8u32.to_be_bytes(), code.to_be_bytes()].concat());
+    for packet in encryption {
+        raw.send(&packet);
+        let mut word = [0];
+        std::io::Read::read_exact(&mut raw.stream, &mut word).expect("an answer");
+        assert_eq!(word, *b"N");
+    }
+    raw.send(&[startup(), query(""), query(" ;-- none\n"), query(&sql("lane-rate", 1, ""))].concat());
+    assert!(kinds(&raw.until_ready()).starts_with("RS"));
+    assert_eq!(kinds(&raw.until_ready()), "IZ", "the front's sign of life");
+    assert_eq!(kinds(&raw.until_ready()), "IZ");
+    assert_eq!(rows(&raw.until_ready()), ["SELECT a FROM sales_17.orders|b|c"]);
+}
+
+/// Bad input harms its own session only, and the error names the field at fault.
+#[test]
+fn malformed_messages_get_an_error_that_names_the_field() {
+    let engine = Engine::echo();
+    let mut program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut good = Raw::connect(program.platform);
+    for (text, name) in [
+        ("/* kind=lane-rate,req=12,timeout=5 */ SELECT 1".to_owned(), "req"),
+        (sql("lane-rate", 1, ",ms=x"), "ms"),
+        (sql("no-such", 1, ""), "kind"),
+        (sql("lane-rate", 1, ",owner=nobody"), "owner"),
+        ("SELECT 1".to_owned(), "kind"),
+    ] {
+        let got = good.ask(&text);
+        let [code, message, _, _] = error(&got);
+        assert_eq!((kinds(&got).as_str(), code.as_str()), ("EZ", "08P01"), "{message}");
+        assert!(message.contains(&format!("field {name} ")), "{text}: {message}");
+    }
+    // A query without its zero byte: the stream goes on behind it.
+    good.send(&framed(b'Q', b"no end"));
+    assert!(error(&good.until_ready())[1].contains("field query"));
+    // Extended queries are not spoken here: one error, then silence up to Sync.
+    good.send(&[parse("", "x"), bind("", "", &[]), execute("", 0), sync()].concat());
+    let got = good.until_ready();
+    assert_eq!((kinds(&got).as_str(), error(&got)[0].as_str()), ("EZ", "0A000"));
+    // A length that no message has: the session ends, with a word.
+    let mut bad = Raw::connect(program.platform);
+    bad.send(&[b'Q', 0xff, 0xff, 0xff, 0xff]);
+    let last = bad.message().expect("a last word");
+    assert_eq!(error(&[last])[0], "08P01");
+    assert!(bad.message().is_none());
+    let mut wrong = Raw::open(program.platform);
+    wrong.send(&[0, 0, 0, 8, 0, 2, 0, 0]);
+    assert!(error(&[wrong.message().expect("a last word")])[1].contains("field version"));
+    assert_eq!(rows(&good.ask(&sql("lane-rate", 2, ""))).len(), 1);
+    assert!(program.running());
+}
+
+/// A request that was refused is answered at once, with when to come back.
+#[test]
+fn a_refusal_comes_at_once_and_says_when_to_come_back() {
+    let program = Program::start(&[], None, None);
+    let mut raw = Raw::connect(program.platform);
+    // Ten minutes of work that its client wants within twenty seconds: worth nothing in time.
+    let got = raw.ask(&sql("lane-rate", 1, ",ms=600000"));
+    let [code, _, detail, hint] = error(&got);
+    assert!(code.starts_with("53"), "{code}");
+    let ms: u64 = detail.strip_prefix("retry_after_ms=").expect("for programs").parse().expect("a number");
+    assert!((1..=2_000).contains(&ms), "within limits.maxRetryAfter: {ms}");
+    assert_eq!(hint, format!("Come back in {ms} ms."));
+}
+
+#[test]
+fn a_cancel_or_a_disconnect_gives_the_request_up() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    raw.send(&query(&sql("lane-rate", 1, "")));
+    engine.wait_for("do", 1);
+    raw.cancel(program.platform);
+    assert_eq!(error(&raw.until_ready())[0], "57014");
+    assert_eq!(engine.wait_for("undo", 1)[0].parts[1], format!("{:016x}", 1));
+    raw.send(&query(&sql("lane-rate", 2, "")));
+    engine.wait_for("do", 2);
+    drop(raw);
+    assert_eq!(engine.wait_for("undo", 2)[1].parts[1], format!("{:016x}", 2));
+}
+
+/// An engine that answers nonsense loses its connection, and with it no more than one attempt each.
+#[test]
+fn what_an_engine_garbles_is_tried_elsewhere() {
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    static TRIES: AtomicUsize = AtomicUsize::new(0);
+    let engine = Engine::start(|seen| match TRIES.fetch_add(1, Ordering::SeqCst) {
+        0 => Reply::Cut,
+        1 => Reply::Word("overload"),
+        2 => Reply::Pages(vec!["x".repeat(7_000)]),
+        _ => Reply::Pages(vec![format!("{}\tb\tc\n", seen.parts[1])]),
+    });
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    assert_eq!(rows(&raw.ask(&sql("lane-rate", 7, ""))), [format!("{:016x}|b|c", 7)]);
+    assert_eq!(engine.seen("do").len(), 4);
+    program.wait_line("unreadable: field body");
+}
+
+/// The feed is followed over a cut, repeats are passed over, and a draining engine gets nothing new.
+#[test]
+fn the_feed_is_followed_over_a_cut() {
+    let (a, b, feed) = (Engine::echo(), Engine::echo(), Feed::start());
+    feed.send(list(1, true, &[("s-1", a.address, "ready")]));
+    let program = Program::start(&[("s-1", a.address)], Some(&feed), None);
+    let mut raw = Raw::connect(program.platform);
+    assert_eq!(rows(&raw.ask(&sql("lane-rate", 1, ""))).len(), 1);
+    feed.send(list(2, false, &[("s-2", b.address, "ready")]));
+    program.wait_line("engine s-2 is Ready");
+    feed.cut();
+    until(|| (feed.calls.lock().expect("unpoisoned").len() >= 2).then_some(()));
+    feed.send(list(3, false, &[("s-1", a.address, "draining")]));
+    program.wait_line("engine s-1 is Draining");
+    for i in 2..30 {
+        assert_eq!(rows(&raw.ask(&sql("lane-rate", i, ""))).len(), 1);
+    }
+    assert_eq!((a.seen("do").len(), b.seen("do").len()), (1, 28));
+    let calls = feed.calls.lock().expect("unpoisoned").clone();
+    assert_eq!(calls[..2], [1, 2], "each call goes on from the last event read");
+    let news = program.lines().iter().filter(|l| l.contains("engine s-1 is Ready")).count();
+    assert_eq!(news, 1, "the repeat was passed over");
+}
+
+/// An address used again: the old engine's connections carry nothing for the new one.
+#[test]
+fn a_new_engine_at_an_old_address_is_dialled_anew() {
+    let (engine, feed) = (Engine::echo(), Feed::start());
+    feed.send("{\"n\":1}");
+    let program = Program::start(&[("s-1", engine.address)], Some(&feed), None);
+    let mut raw = Raw::connect(program.platform);
+    assert_eq!(rows(&raw.ask(&sql("lane-rate", 1, ""))).len(), 1);
+    feed.send(list(2, false, &[("s-1", engine.address, "gone"), ("s-9", engine.address, "ready")]));
+    program.wait_line("engine s-9 is Ready");
+    assert_eq!(rows(&raw.ask(&sql("lane-rate", 2, ""))).len(), 1);
+}
+
+/// SIGTERM: what was taken is answered, what still comes is served, and the exit is clean.
+#[test]
+fn a_stop_answers_what_was_taken_and_ends_with_0() {
+    let engine = Engine::start(|seen| {
+        std::thread::sleep(Duration::from_millis(if seen.parts[1].ends_with('1') { 1_500 } else { 0 }));
+        Reply::Pages(vec!["a\tb\tc\n".into()])
+    });
+    let mut program = Program::start(&[("s-1", engine.address)], None, None);
+    let (mut slow, mut idle) = (Raw::connect(program.platform), Raw::connect(program.platform));
+    slow.send(&query(&sql("lane-rate", 1, "")));
+    engine.wait_for("do", 1);
+    program.terminate();
+    let at = Instant::now();
+    program.wait_line("stopping");
+    if idle.stream.write_all(&query("")).is_ok() {
+        let got = idle.message().map(|m| m.0);
+        // Requests still come for 0.6 s; a machine that took longer to get here shows nothing.
+        assert!(got == Some(b'I') || at.elapsed() > Duration::from_millis(500), "{got:?}");
+        assert!(got.is_none() || idle.message().map(|m| m.0) == Some(b'Z'));
+    }
+    assert_eq!(rows(&slow.until_ready()).len(), 1);
+    assert!(slow.message().is_none() && idle.message().is_none());
+    assert_eq!(program.ended(), Some(0));
+}
+
+fn run(args: &[&str]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sprucelink"));
+    let out = command.args(args).env_remove("EDGE_CONFIG").output().expect("run");
+    (out.status.code(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+}
+
+#[test]
+fn a_bad_command_line_or_configuration_ends_with_2_and_a_plain_message() {
+    let dir = scratch();
+    let file = |name: &str, text: &str| {
+        let path = dir.join(name);
+        std::fs::write(&path, text).expect("written");
+        path.to_str().expect("text").to_owned()
+    };
+    let good = format!(r#"{{"listen":"127.0.0.1:0","seed":"0a","settings":{SETTINGS}}}"#);
+    let good = file("good.json", &good);
+    let deep = file("deep.json", &"[".repeat(100_000));
+    let number =
+        file("number.json", r#"{"listen":"127.0.0.1:0","seed":"0a","settings":{"overShareWorth":"x"}}"#);
+    let bare = file("bare.json", r#"{"listen":"x","seed":"0a","settings":{}}"#);
+    let operator = file("operator.json", r#"{"listen":"127.0.0.1:0","lisen":1}"#);
+    for (args, says) in [
+        (vec![], "a command is missing"),
+        (vec!["sevre"], "no such command: sevre"),
+        (vec!["serve", "--confg", "x"], "--confg"),
+        (vec!["serve"], "EDGE_CONFIG"),
+        (vec!["check", "--config", "/nonexistent"], "/nonexistent"),
+        (vec!["check", "--config", &deep], "configuration"),
+        (vec!["check", "--config", &number], "overShareWorth"),
+        (vec!["serve", "--config", &bare], "listen"),
+        (vec!["check", "--config", &good, "--operator", &operator], "lisen: is not known"),
+    ] {
+        let (status, text) = run(&args);
+        assert_eq!(status, Some(2), "{args:?}: {text}");
+        assert!(text.contains(says) && !text.contains("panicked"), "{args:?}: {text}");
+    }
+    assert_eq!(run(&["check", "--config", &good]).0, Some(0));
+    let (status, text) = run(&["version"]);
+    assert_eq!((status, text.trim()), (Some(0), concat!("sprucelink ", env!("CARGO_PKG_VERSION"))));
+    assert!(run(&["help"]).1.contains("usage:"));
+    drop(std::fs::remove_dir_all(dir));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -152,6 +152,7 @@
     pub address: SocketAddr,
     events: Arc<Mutex<Vec<String>>>,
     pub calls: Arc<Mutex<Vec<u64>>>,
+    cuts: Arc<AtomicU64>,
 }
 
 impl Feed {
@@ -160,7 +161,8 @@
         let address = listener.local_addr().expect("an address");
         let events: Arc<Mutex<Vec<String>>> = Arc::default();
         let calls: Arc<Mutex<Vec<u64>>> = Arc::default();
-        let (log, all) = (Arc::clone(&calls), Arc::clone(&events));
+        let cuts: Arc<AtomicU64> = Arc::default();
+        let (log, all, cut) = (Arc::clone(&calls), Arc::clone(&events), Arc::clone(&cuts));
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
@@ -172,7 +174,8 @@
                     }
                 }
                 log.lock().expect("unpoisoned").push(last);
-                let all = Arc::clone(&all);
+                let (all, cut) = (Arc::clone(&all), Arc::clone(&cut));
+                let before = cut.load(Ordering::SeqCst);
                 thread::spawn(move || {
                     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
                     let mut alive = stream.write_all(head.as_bytes()).is_ok();
@@ -182,9 +185,9 @@
                         let fresh = all.lock().expect("unpoisoned")[next..].to_vec();
                         for data in fresh {
                             next += 1;
-                            let cut = data == "cut";
-                            alive &= !cut && write!(stream, "id: {next}\ndata: {data}\n\n").is_ok();
+                            alive &= write!(stream, "id: {next}\ndata: {data}\n\n").is_ok();
                         }
+                        alive &= cut.load(Ordering::SeqCst) == before;
                         alive &= write!(stream, ": still here\n\n").is_ok();
                         thread::sleep(Duration::from_millis(20));
                     }
@@ -192,7 +195,12 @@
                 });
             }
         });
-        Feed { address, events, calls }
+        Feed { address, events, calls, cuts }
+    }
+
+    /// Ends every call.
+    pub fn cut(&self) {
+        self.cuts.fetch_add(1, Ordering::SeqCst);
     }
 
     pub fn send(&self, event: impl Into<String>) {
