Garbage against the running program; a core whose clock stops ends the process

Seen by reading src/run/serve.rs: a panic in the core's timer task would have ended that task alone, and every deadline with it, while the front went on taking requests. serve() now ends with status 1 when it does.

Portals go with the statement that is closed. A stored certificate for other names and an account of another authority are not used. 120 sessions of garbage and stray messages from fixed seeds: nothing panics, a session beside them goes on.

--- a/src/front/extended.rs
+++ b/src/front/extended.rs
@@ -376,7 +376,12 @@
             Message::Describe(kind, name) => names.describe(out, kind, name)?,
             Message::Close(kind, name) => {
                 match kind {
-                    Kind::Statement => drop(names.statements.remove(name)),
+                    // Its portals go with it, as the protocol says.
+                    Kind::Statement => {
+                        if let Some(closed) = names.statements.remove(name) {
+                            names.portals.retain(|_, p| !Rc::ptr_eq(&p.prepared, &closed));
+                        }
+                    }
                     Kind::Portal => drop(names.portals.remove(name)),
                 }
                 pg::bare(out, pg::CLOSE_COMPLETE);
--- a/src/run/acme.rs
+++ b/src/run/acme.rs
@@ -5,6 +5,7 @@
 use instant_acme::{
     Account, AuthorizationStatus, ChallengeType, Identifier, NewAccount, NewOrder, OrderStatus, RetryPolicy,
 };
+use serde_json::{json, Value};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -19,6 +20,7 @@
 use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use tokio_rustls::rustls::ServerConfig;
 use tokio_rustls::TlsAcceptor;
+use x509_parser::extensions::GeneralName;
 
 /// A certificate is renewed with at least this share of its life to go, however short it is.
 const LIFE_SHARE: f64 = 1.0 / 3.0;
@@ -62,12 +64,20 @@
     key: String,
     from: i64,
     until: i64,
+    names: Vec<String>,
 }
 
 fn unix() -> i64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs() as i64)
 }
 
+fn dns_name(name: &GeneralName) -> Option<String> {
+    match name {
+        GeneralName::DNSName(name) => Some((*name).to_owned()),
+        _ => None,
+    }
+}
+
 impl Held {
     fn new(chain: String, key: String) -> Result<Held, String> {
         let leaf =
@@ -76,7 +86,11 @@
             x509_parser::parse_x509_certificate(&leaf).map_err(|e| format!("certificate: {e}"))?;
         let (from, until) =
             (parsed.validity().not_before.timestamp(), parsed.validity().not_after.timestamp());
-        Ok(Held { chain, key, from, until })
+        let names = match parsed.subject_alternative_name() {
+            Ok(Some(names)) => names.value.general_names.iter().filter_map(dns_name).collect(),
+            _ => Vec::new(),
+        };
+        Ok(Held { chain, key, from, until, names })
     }
 
     fn acceptor(&self) -> Result<TlsAcceptor, String> {
@@ -107,7 +121,9 @@
 }
 
 async fn renew(acme: Acme, front: Rc<Front>, answers: Answers) {
-    let mut held = acme.store.as_deref().and_then(|dir| load(dir).ok()).filter(|h| h.until > unix());
+    let mut held = acme.store.as_deref().and_then(|dir| load(dir).ok());
+    // Not one that has expired, nor one for the names of an older file.
+    held = held.filter(|h| h.until > unix() && acme.names.iter().all(|n| h.names.contains(n)));
     if let Some(held) = &held {
         install(&front, held, "certificate loaded");
     }
@@ -186,14 +202,18 @@
     let builder = builder.map_err(say)?;
     let file = acme.store.as_ref().map(|dir| dir.join("account.json"));
     let known = file.as_ref().and_then(|f| std::fs::read_to_string(f).ok());
-    if let Some(credentials) = known.and_then(|text| serde_json::from_str(&text).ok()) {
+    let known = known.and_then(|text| serde_json::from_str::<Value>(&text).ok());
+    // An account is good at its own authority only.
+    let known = known.filter(|k| k["directory"] == acme.directory);
+    if let Some(credentials) = known.and_then(|k| serde_json::from_value(k["credentials"].clone()).ok()) {
         return builder.from_credentials(credentials).await.map_err(say);
     }
     let contact: Vec<&str> = acme.contact.iter().map(String::as_str).collect();
     let new = NewAccount { contact: &contact, terms_of_service_agreed: true, only_return_existing: false };
     let (account, credentials) = builder.create(&new, acme.directory.clone(), None).await.map_err(say)?;
     if let Some(file) = file {
-        let text = serde_json::to_string(&credentials).map_err(|e| e.to_string())?;
+        let credentials = serde_json::to_value(&credentials).map_err(|e| e.to_string())?;
+        let text = json!({"directory": acme.directory, "credentials": credentials}).to_string();
         write_private(&file, &text).map_err(|e| format!("account not saved: {e}"))?;
     }
     Ok(account)
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -38,7 +38,7 @@
         core.on_list(event, i == 0);
     }
     core.passed_event(config.known.0);
-    spawn_local(Rc::clone(&core).run());
+    let mut ticking = spawn_local(Rc::clone(&core).run());
     if let Some(address) = config.feed {
         spawn_local(feed::follow(Rc::clone(&core), address));
     }
@@ -53,6 +53,8 @@
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
+        // Guards against a program that lives on without its clock: nothing would end any more.
+        _ = &mut ticking => return Err("the core's clock has stopped".into()),
     }
     core.log(&format!("stopping: {} open", core.open()));
     let stop = Instant::now() + STILL_COMING + span(longest);
--- a/tests/extended.rs
+++ b/tests/extended.rs
@@ -317,3 +317,38 @@
     assert_eq!(error(&raw.until_ready())[0], "42P05");
     assert!(engine.seen("do").is_empty());
 }
+
+/// Garbage and messages out of order, from fixed seeds: no input ends the process, and a session
+/// beside them goes on.
+#[test]
+fn no_input_ends_the_process() {
+    let engine = Engine::echo();
+    let mut program = start(&[&engine]);
+    let mut good = Raw::connect(second(&program));
+    let mut gen = quickcheck::Gen::from_size_and_seed(40, 11);
+    let mut bytes = move || <Vec<u8> as quickcheck::Arbitrary>::arbitrary(&mut gen);
+    for i in 0..120 {
+        let mut raw = Raw::open(second(&program));
+        if i % 3 > 0 {
+            raw.send(&startup());
+        }
+        for tag in bytes().into_iter().take(12) {
+            // One in two is a message by its frame, with a type that there is.
+            let noise = bytes();
+            let known = b"QPBDECHSXFdcfp"[usize::from(tag) % 14];
+            let message = if tag % 2 == 0 { framed(known, &noise) } else { noise };
+            if std::io::Write::write_all(&mut raw.stream, &message).is_err() {
+                break;
+            }
+        }
+    }
+    good.send(&[parse("st", LANE), bind("po", "st", &["x"]), execute("po", 0)].concat());
+    good.send(&[framed(b'C', b"Sst\0"), execute("po", 0), sync()].concat());
+    let got = good.until_ready();
+    assert_eq!(
+        (kinds(&got).as_str(), error(&got)[0].as_str()),
+        ("12DC3EZ", "34000"),
+        "portals go with their statement"
+    );
+    assert!(program.running() && !program.lines().iter().any(|l| l.contains("panicked")));
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -273,15 +273,18 @@
             std::fs::write(dir.join("operator.json"), text).expect("written");
             command.arg("--operator").arg(dir.join("operator.json"));
         }
-        let mut child = command.stdout(Stdio::piped()).spawn().expect("started");
-        let out = BufReader::new(child.stdout.take().expect("its output"));
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("started");
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
-        let log = Arc::clone(&lines);
-        thread::spawn(move || {
-            for line in out.lines().map_while(Result::ok) {
-                log.lock().expect("unpoisoned").push(line);
-            }
-        });
+        let (out, err) = (child.stdout.take().expect("its output"), child.stderr.take().expect("its errors"));
+        let both: [Box<dyn Read + Send>; 2] = [Box::new(out), Box::new(err)];
+        for from in both {
+            let log = Arc::clone(&lines);
+            thread::spawn(move || {
+                for line in BufReader::new(from).lines().map_while(Result::ok) {
+                    log.lock().expect("unpoisoned").push(line);
+                }
+            });
+        }
         let any = "127.0.0.1:0".parse().expect("an address");
         let mut program = Program { child, lines, platform: any, second: None, dir };
         let at = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
