--- a/src/brain.rs
+++ b/src/brain.rs
@@ -348,7 +348,7 @@
         }
         let (worth, in_turn) = (self.set.classes[class].worth, self.set.classes[class].in_turn);
         let quota = self.set.tenants.get(a.tenant).map(|t| t.quota_per_s / f64::from(self.set.gateways));
-        let within = quota.map_or(true, |q| self.tenants[a.tenant].take(self.now, q, q.max(TENANT_BURST)));
+        let within = quota.is_none_or(|q| self.tenants[a.tenant].take(self.now, q, q.max(TENANT_BURST)));
         let book = &mut self.classes[class];
         let cost = a.cost.unwrap_or(book.mean);
         if a.cost.is_some() {
@@ -861,7 +861,7 @@
     /// Drains, placement, repeats of keyed requests, and the cold budget.
     fn gate_engine(&self, r: &Request, i: usize) -> bool {
         let (e, c) = (&self.engines[i], &self.set.classes[r.class]);
-        let bound = |to: &Option<Vec<u32>>, v: u32| to.as_ref().map_or(true, |l| l.contains(&v));
+        let bound = |to: &Option<Vec<u32>>, v: u32| to.as_ref().is_none_or(|l| l.contains(&v));
         if !e.listed || !bound(&c.kinds, e.kind) || !bound(&c.zones, e.zone) {
             return false;
         }
