--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -86,12 +86,12 @@
         assert!(r.attempts < self.set.max_attempts);
         let e = self.list.iter().find(|e| e.engine == engine).expect("a listed engine");
         assert_eq!(e.state, EngineState::Ready, "drains are kept");
-        assert!(c.kinds.as_ref().map_or(true, |k| k.contains(&e.kind)), "placement is kept");
+        assert!(c.kinds.as_ref().is_none_or(|k| k.contains(&e.kind)), "placement is kept");
         if let Some(key) = r.key.as_ref().filter(|_| c.in_turn) {
             let open = |o: &Seen| o.finals == 0 || o.out.is_some();
             let mut others = self.seen.values().filter(|o| o.key.as_ref() == Some(key) && o.order < r.order);
             assert!(!others.any(open), "order is kept");
-            assert!(self.rests.get(key).map_or(true, |t| now >= *t), "the key rests");
+            assert!(self.rests.get(key).is_none_or(|t| now >= *t), "the key rests");
         }
         if r.attempts > 0 {
             self.extra.push(now);
