SIGHUP: read the configuration anew and follow the feed to its new address

Cause: run/serve.rs registers SIGTERM and SIGINT only, and SIGHUP's default action ends a process. Ruled out by the logs: no panic, no line on stderr before.

The file is read off the serving path (spawn_blocking); only the feed's address changes in a running program. core/feed.rs follows a watch channel: the call to the old address is dropped, the new one goes on from the last event read. A file that cannot be read, or names no feed, changes nothing.

Checked: the test fails before (the program ends), passes after; the logs show one feed followed at a time.

--- a/src/core/feed.rs
+++ b/src/core/feed.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// First and longest rest between two calls. What the feed holds counts as told whether it is
@@ -16,15 +17,34 @@
 /// For a connection to the feed.
 const DIAL: Duration = Duration::from_millis(500);
 
-/// Follows the feed at `address` for good.
-pub async fn follow(core: Rc<Core>, address: String) {
+/// Follows the feed for good, one call at a time, at whatever address it has: a new one is called at
+/// once and the call to the old one dropped, whatever it still had to say.
+pub async fn follow(core: Rc<Core>, mut address: watch::Receiver<Option<String>>) {
     let mut rest = REST[0];
     loop {
+        let at = address.borrow_and_update().clone();
         let mut reader = sse::Reader::default();
-        let why = call(&core, &address, &mut reader).await;
+        let why = tokio::select! {
+            // Guards against a feed that has moved and an old one that stays open with no news.
+            biased;
+            Ok(()) = address.changed() => None,
+            why = async {
+                match &at {
+                    Some(at) => call(&core, at, &mut reader).await,
+                    None => std::future::pending().await,
+                }
+            } => Some(why),
+        };
+        let Some(why) = why else {
+            rest = REST[0];
+            continue;
+        };
         core.log(&format!("feed lost: {why}"));
         rest = next_rest(rest, reader.open());
-        sleep(rest).await;
+        tokio::select! {
+            () = sleep(rest) => {}
+            Ok(()) = address.changed() => rest = REST[0],
+        }
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,13 +9,18 @@
     std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
 }
 
-fn read(files: &Files) -> Result<(config::Config, Option<operator::Operator>), String> {
+fn read_config(files: &Files) -> Result<config::Config, String> {
     let path = files.config.clone().or_else(|| std::env::var("EDGE_CONFIG").ok());
     let path = path.ok_or("no configuration: give --config FILE or set EDGE_CONFIG")?;
     let mut config = config::parse(&text(&path)?).map_err(|e| format!("{path}: {e}"))?;
     if let Some(listen) = &files.listen {
         config.listen.clone_from(listen);
     }
+    Ok(config)
+}
+
+fn read(files: &Files) -> Result<(config::Config, Option<operator::Operator>), String> {
+    let config = read_config(files)?;
     let operator = files
         .operator
         .as_ref()
@@ -39,7 +44,7 @@
         }
         Command::Serve(files) => {
             let (config, operator) = read(&files).map_err(|e| (e, 2))?;
-            serve::serve(config, operator).map_err(|e| (e, 1))?;
+            serve::serve(config, operator, files, read_config).map_err(|e| (e, 1))?;
         }
     }
     Ok(())
--- a/src/run/args.rs
+++ b/src/run/args.rs
@@ -17,7 +17,7 @@
 }
 
 /// The files that a start reads.
-#[derive(Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Files {
     /// The configuration; else `EDGE_CONFIG` names it.
     pub config: Option<String>,
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -1,6 +1,7 @@
 //! Serving: from the configuration to the last answer after SIGTERM.
 
 use super::acme;
+use super::args::Files;
 use super::config::Config;
 use super::operator::Operator;
 use crate::core::pool::Pool;
@@ -11,8 +12,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tokio::task::{spawn_blocking, spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 
 /// After SIGTERM new connections and requests still come for this long.
@@ -22,14 +24,50 @@
 
 type Opened = (Rc<Front>, JoinHandle<()>);
 
-/// Serves until SIGTERM or SIGINT; an error is one of the start.
-pub fn serve(config: Config, operator: Option<Operator>) -> Result<(), String> {
+/// Reads the configuration's file anew.
+pub type Reread = fn(&Files) -> Result<Config, String>;
+
+/// Serves until SIGTERM or SIGINT; an error is one of the start. At SIGHUP the configuration is read
+/// anew from `files` by `reread`.
+pub fn serve(config: Config, operator: Option<Operator>, files: Files, reread: Reread) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config, operator))
+    LocalSet::new().block_on(&runtime, run(config, operator, files, reread))
+}
+
+/// Reads the configuration anew at every SIGHUP, one after the other. Only where the control feed is
+/// changes in a running program: no session, request or link to an engine is touched.
+async fn reload(
+    core: Rc<Core>,
+    mut hup: Signal,
+    files: Files,
+    reread: Reread,
+    feed: watch::Sender<Option<String>>,
+) {
+    while hup.recv().await.is_some() {
+        let files = files.clone();
+        // Off the serving path: a slow file system must not hold up requests.
+        let read = spawn_blocking(move || reread(&files)).await;
+        let read = read.unwrap_or_else(|_| Err("the reader failed".into()));
+        let address = read.and_then(|c| c.feed.ok_or_else(|| "configuration: feed: missing".into()));
+        match address {
+            Ok(address) => {
+                core.log(&format!("configuration read anew: feed at {address}"));
+                feed.send_if_modified(|old| {
+                    let moved = old.as_ref() != Some(&address);
+                    *old = Some(address);
+                    moved
+                });
+            }
+            // Guards against a file replaced by a bad one: the program goes on as it was.
+            Err(why) => core.log(&format!("configuration not read anew, nothing changes: {why}")),
+        }
+    }
 }
 
-async fn run(config: Config, operator: Option<Operator>) -> Result<(), String> {
+async fn run(config: Config, operator: Option<Operator>, files: Files, reread: Reread) -> Result<(), String> {
+    // Before anything is awaited: a signal without its handler would end the program.
+    let hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(0));
@@ -39,9 +77,9 @@
     }
     core.passed_event(config.known.0);
     let mut ticking = spawn_local(Rc::clone(&core).run());
-    if let Some(address) = config.feed {
-        spawn_local(feed::follow(Rc::clone(&core), address));
-    }
+    let (moved, address) = watch::channel(config.feed);
+    spawn_local(feed::follow(Rc::clone(&core), address));
+    spawn_local(reload(Rc::clone(&core), hup, files, reread, moved));
     let mut fronts = vec![open("serving", &core, &config.listen, config.setup).await?];
     if let Some(operator) = operator {
         let second = open("second front", &core, &operator.listen, operator.setup).await?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -163,6 +163,43 @@
     assert_eq!(news, 1, "the repeat was passed over");
 }
 
+/// SIGHUP ended the program. It moves the feed and nothing else: the event after the last one read is
+/// asked for at the new address, the old feed is let go, and what is open stays open.
+#[test]
+fn a_hang_up_moves_the_feed_and_touches_nothing_else() {
+    let release = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let go = std::sync::Arc::clone(&release);
+    let engine = Engine::start(move |_| {
+        while !go.load(std::sync::atomic::Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Reply::Pages(vec!["a\tb\tc\n".into()])
+    });
+    let (old, new) = (Feed::start(), Feed::start());
+    for feed in [&old, &new] {
+        feed.send(list(1, true, &[("s-1", engine.address, "ready")]));
+        feed.send("{\"n\":2}");
+    }
+    let mut program = Program::start(&[("s-1", engine.address)], Some(&old), None);
+    let mut raw = Raw::connect(program.platform);
+    raw.send(&query(&sql("lane-rate", 1, "")));
+    engine.wait_for("do", 1);
+    // A file that cannot be read changes nothing, and is told of.
+    let good = program.config_with_feed(new.address);
+    program.reload(&good[..good.len() / 2]);
+    program.wait_line("configuration not read anew");
+    program.reload(&good);
+    program.wait_line("configuration read anew");
+    new.send(list(3, false, &[("s-2", engine.address, "ready")]));
+    program.wait_line("engine s-2 is Ready");
+    assert_eq!(new.calls.lock().expect("unpoisoned")[0], 2, "it goes on from the last event read");
+    assert_eq!(old.calls.lock().expect("unpoisoned").len(), 1, "the old one is not called again");
+    until(|| (old.listening() == 0).then_some(()));
+    release.store(true, std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(rows(&raw.until_ready()).len(), 1);
+    assert!(program.running());
+}
+
 /// An address used again: the old engine's connections carry nothing for the new one.
 #[test]
 fn a_new_engine_at_an_old_address_is_dialled_anew() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -153,6 +153,7 @@
     events: Arc<Mutex<Vec<String>>>,
     pub calls: Arc<Mutex<Vec<u64>>>,
     cuts: Arc<AtomicU64>,
+    open: Arc<AtomicU64>,
 }
 
 impl Feed {
@@ -162,7 +163,9 @@
         let events: Arc<Mutex<Vec<String>>> = Arc::default();
         let calls: Arc<Mutex<Vec<u64>>> = Arc::default();
         let cuts: Arc<AtomicU64> = Arc::default();
+        let open: Arc<AtomicU64> = Arc::default();
         let (log, all, cut) = (Arc::clone(&calls), Arc::clone(&events), Arc::clone(&cuts));
+        let held = Arc::clone(&open);
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
@@ -176,6 +179,8 @@
                 log.lock().expect("unpoisoned").push(last);
                 let (all, cut) = (Arc::clone(&all), Arc::clone(&cut));
                 let before = cut.load(Ordering::SeqCst);
+                let held = Arc::clone(&held);
+                held.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
                     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
                     let mut alive = stream.write_all(head.as_bytes()).is_ok();
@@ -192,10 +197,16 @@
                         thread::sleep(Duration::from_millis(20));
                     }
                     let _ = stream.shutdown(std::net::Shutdown::Both);
+                    held.fetch_sub(1, Ordering::SeqCst);
                 });
             }
         });
-        Feed { address, events, calls, cuts }
+        Feed { address, events, calls, cuts, open }
+    }
+
+    /// Calls that are open.
+    pub fn listening(&self) -> u64 {
+        self.open.load(Ordering::SeqCst)
     }
 
     /// Ends every call.
@@ -304,8 +315,26 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another text in the configuration's place and sends SIGHUP.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(self.dir.join("config.json"), config).expect("written");
+        self.signal("-HUP");
+    }
+
+    /// The configuration's text, with its feed at another address.
+    pub fn config_with_feed(&self, at: SocketAddr) -> String {
+        let text = std::fs::read_to_string(self.dir.join("config.json")).expect("read");
+        let mut json: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+        json["feed"] = at.to_string().into();
+        json.to_string()
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
 
     /// Waits for its end: the exit status.
