Hold buffers only while bytes are in hand; who says nothing makes room for who asks

Causes, by the log's figures and a trace: every connection took two 64 KiB buffers before it had said anything (front/mod.rs connection, core/links.rs read); sessions were filled by clients that ask once and stay, and newcomers turned away; Link::command dropped an undo that found no buffer and Inner::undo took it as said, so the next attempt was a second copy; a result without a buffer ended as the engine's fault and cost it its trust.

Now a buffer is taken with the first bytes and given back with the last; undos and last words always have one; an undo has landed only once it has left; results lie packed; a full front tells the silent, then the longest idle to go; opening and begun messages have 2 s; last words are written, half-closed and drained within bounds.

The new tests fail without the change.

--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -1,18 +1,17 @@
 //! Connections to engines. A link carries many attempts; it belongs to an engine's id, not to its
 //! address, for addresses are used again. What breaks a link ends each attempt on it once.
 
-use super::pool::{Buf, Pool, SIZE};
+use super::pool::{read_into, Buf, Pool, SIZE};
 use super::table::Core;
 use super::{now, span};
 use crate::interface::Micros;
 use crate::proto::resp;
-use bytes::BufMut;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -41,6 +40,8 @@
     pub notes: Micros,
     /// Connections to one engine at a time.
     pub most: usize,
+    /// Connections to all engines at a time.
+    pub most_links: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,12 +123,19 @@
         self.riders.borrow().len()
     }
 
-    /// Queues a command; false if no buffer is free for it.
-    pub fn command(&self, pool: &Pool, parts: &[&[u8]]) -> bool {
+    /// Queues a command on an attempt that is out; on a dead link there is none any more. Guards the
+    /// rule on second copies: an undo that found no buffer was never said, and the next attempt left.
+    pub fn command(&self, pool: &Pool, parts: &[&[u8]]) {
+        if self.state.get() != State::Dead {
+            self.put(parts, || Some(pool.must()));
+        }
+    }
+
+    fn put(&self, parts: &[&[u8]], buffer: impl FnOnce() -> Option<Buf>) -> bool {
         let size = 16 + parts.iter().map(|p| p.len() + 16).sum::<usize>();
         let mut queue = self.queue.borrow_mut();
         if !queue.back().is_some_and(|b| b.has_room(size)) {
-            let Some(buf) = pool.get().filter(|b| b.has_room(size)) else { return false };
+            let Some(buf) = buffer().filter(|b| b.has_room(size)) else { return false };
             queue.push_back(buf);
         }
         if let Some(buf) = queue.back_mut() {
@@ -139,10 +147,20 @@
         true
     }
 
+    /// Bytes queued so far.
+    pub fn queued(&self) -> u64 {
+        self.queued.get()
+    }
+
+    /// Whether all up to a place in the stream has left, or never will.
+    pub fn gone(&self, place: u64) -> bool {
+        self.written.get() >= place || self.state.get() == State::Dead
+    }
+
     /// Queues the command that sends an attempt.
     pub fn send(&self, pool: &Pool, id: u64, attempt: u32, parts: &[&[u8]]) -> bool {
         let start = self.queued.get();
-        let queued = self.command(pool, parts);
+        let queued = self.put(parts, || pool.get());
         if queued {
             self.riders.borrow_mut().insert(id, Rider { attempt, start, sent: now() });
         }
@@ -171,6 +189,7 @@
     /// Closes it: what was on it, and whether each command never left.
     pub fn close(&self) -> Vec<(u64, u32, bool)> {
         self.state.set(State::Dead);
+        self.queue.borrow_mut().clear();
         self.wake.notify_one();
         let written = self.written.get();
         let riders = std::mem::take(&mut *self.riders.borrow_mut());
@@ -231,10 +250,9 @@
 }
 
 async fn read(core: &Rc<Core>, link: &Link, mut reader: OwnedReadHalf) -> String {
-    let Some(mut buf) = core.pool().get() else { return "no buffer is free".into() };
+    let mut held = None;
     loop {
-        let room = SIZE.saturating_sub(buf.len());
-        match timeout(LOOK, reader.read_buf(&mut (&mut *buf).limit(room))).await {
+        match timeout(LOOK, read_into(core.pool(), &mut reader, &mut held)).await {
             Ok(Ok(0)) => return "closed by the engine".into(),
             Ok(Ok(_)) => {}
             Ok(Err(e)) => return e.to_string(),
@@ -242,6 +260,7 @@
             Err(_) => continue,
         }
         link.heard.set(now());
+        let Some(buf) = &mut held else { continue };
         let mut at = 0;
         loop {
             let answer = match resp::read_array(&buf[at..], SIZE) {
@@ -261,7 +280,9 @@
             }
         }
         buf.drain(..at);
-        if !buf.has_room(1) {
+        if buf.is_empty() {
+            held = None;
+        } else if !buf.has_room(1) {
             return "unreadable: an answer longer than any may be".into();
         }
     }
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -1,13 +1,22 @@
 //! Buffers of one size, used again. The pool has a bound: what finds it empty is refused, so that
 //! a flood costs answers and not the process.
 
+use bytes::BufMut;
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io;
 use std::ops::{Deref, DerefMut};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{ready, Poll};
+use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
 
 /// Size of every buffer: the largest result (48,000 bytes) and its framing fit one.
 pub const SIZE: usize = 64 * 1024;
 
+/// Bytes read at first, off the stack: most messages are shorter.
+const FIRST_READ: usize = 2_048;
+
 #[derive(Debug)]
 struct Inner {
     free: RefCell<Vec<Vec<u8>>>,
@@ -36,9 +45,15 @@
         if self.0.out.get() >= self.0.most {
             return None;
         }
+        Some(self.must())
+    }
+    /// An empty buffer, also when all are out: for what cannot be put off, such as an attempt's undo, an
+    /// error to a client or bytes that have come. Each link and each session has two at most, so their
+    /// numbers bound it; it counts like any other, so that new work is refused meanwhile.
+    pub fn must(&self) -> Buf {
         self.0.out.set(self.0.out.get() + 1);
         let bytes = self.0.free.borrow_mut().pop().unwrap_or_else(|| Vec::with_capacity(SIZE));
-        Some(Buf { bytes, pool: Rc::clone(&self.0) })
+        Buf { bytes, pool: Rc::clone(&self.0) }
     }
     /// Buffers that are out.
     pub fn out(&self) -> usize {
@@ -76,3 +91,30 @@
         &mut self.bytes
     }
 }
+
+/// Reads what there is into a buffer that is taken from the pool only once there are bytes; 0 at the
+/// end of the stream. A full buffer reads nothing, for good. Guards the pool against connections that
+/// say nothing: hundreds of them would hold every buffer.
+pub async fn read_into<S: AsyncRead + Unpin>(
+    pool: &Pool,
+    stream: &mut S,
+    held: &mut Option<Buf>,
+) -> io::Result<usize> {
+    if let Some(buf) = held {
+        let room = SIZE.saturating_sub(buf.len());
+        if room == 0 {
+            std::future::pending::<()>().await;
+        }
+        return stream.read_buf(&mut (&mut **buf).limit(room)).await;
+    }
+    poll_fn(|cx| {
+        let mut first = [0; FIRST_READ];
+        let mut read = ReadBuf::new(&mut first);
+        ready!(Pin::new(&mut *stream).poll_read(cx, &mut read))?;
+        if !read.filled().is_empty() {
+            held.insert(pool.must()).extend_from_slice(read.filled());
+        }
+        Poll::Ready(Ok(read.filled().len()))
+    })
+    .await
+}
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -15,9 +15,8 @@
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 
-/// Room for one page in a result's buffer; none is longer than 6,000 bytes.
-const SLOT: usize = 6_000;
-const SLOTS: usize = SIZE / SLOT;
+/// Longest page.
+const PAGE: usize = 6_000;
 /// Pages of a result: 48,000 bytes in whole rows come nowhere near.
 const MOST_PAGES: usize = 64;
 /// Longest statement; its command fits a buffer.
@@ -28,27 +27,31 @@
 const FIGURES: Micros = Micros(10_000_000);
 /// Advice to come back is never shorter: a client that returns at once meets the same jam.
 const COME_BACK_LEAST: Micros = Micros(100_000);
-/// An attempt called off counts as out for so much longer: its undo must reach its engine before the
-/// next attempt reaches another. Paths differ by under 2 ms, and by more when a machine is busy.
+/// An attempt called off counts as out for so much longer once its undo has left: that must reach its
+/// engine before the next attempt reaches another. Paths differ by under 2 ms, and by more when a
+/// machine is busy.
 const UNDO_LANDS: Micros = Micros(10_000);
+/// Between two looks at whether an undo has left.
+const UNDO_LEAVES: Micros = Micros(1_000);
 
-/// A result, whole.
+/// A result: its pages one behind the other in as few buffers as hold them, in the order they came.
 #[derive(Debug, Default)]
 pub struct ResultSet {
     bufs: Vec<Buf>,
-    lens: Vec<Option<usize>>,
+    /// By page: its buffer, and where it begins and ends there.
+    pages: Vec<Option<(usize, usize, usize)>>,
 }
 
 impl ResultSet {
     fn put(&mut self, pool: &Pool, page: usize, body: &[u8]) -> bool {
-        while self.bufs.len() <= page / SLOTS {
-            let Some(mut buf) = pool.get() else { return false };
-            buf.resize(SIZE, 0);
+        if !self.bufs.last().is_some_and(|buf| buf.has_room(body.len())) {
+            let Some(buf) = pool.get() else { return false };
             self.bufs.push(buf);
         }
-        let at = page % SLOTS * SLOT;
-        self.bufs[page / SLOTS][at..at + body.len()].copy_from_slice(body);
-        self.lens[page] = Some(body.len());
+        let last = self.bufs.len() - 1;
+        let at = self.bufs[last].len();
+        self.bufs[last].extend_from_slice(body);
+        self.pages[page] = Some((last, at, at + body.len()));
         true
     }
 
@@ -56,10 +59,9 @@
     /// byte in it; a result begins at (0, 0).
     pub fn row(&self, (mut page, mut byte): (usize, usize)) -> Option<(&[u8], (usize, usize))> {
         loop {
-            let len = self.lens.get(page).copied()?.unwrap_or(0);
-            if byte < len {
-                let at = page % SLOTS * SLOT;
-                let rest = &self.bufs[page / SLOTS][at + byte..at + len];
+            let (buf, at, end) = self.pages.get(page).copied()?.unwrap_or_default();
+            if byte < end - at {
+                let rest = &self.bufs[buf][at + byte..end];
                 let end = rest.iter().position(|b| *b == b'\n').unwrap_or(rest.len());
                 return Some((&rest[..end], (page, byte + end + 1)));
             }
@@ -115,7 +117,8 @@
     bill: Option<(f64, f64)>,
     stats: Stats,
     served: bool,
-    undone: bool,
+    /// Where its undo ends in the link's stream, and since when that was seen to have left.
+    undone: Option<(u64, Option<Micros>)>,
 }
 
 struct Entry {
@@ -371,11 +374,7 @@
         inner.work(self, orders);
         while let Some(&(at, id, attempt)) = inner.landing.first().filter(|l| l.0 <= now()) {
             inner.landing.remove(&(at, id, attempt));
-            let out = inner.open.get(&id).and_then(|e| e.out.as_ref());
-            if out.is_some_and(|o| o.attempt == attempt && o.undone) {
-                let orders = inner.end(id, End::Undone);
-                inner.work(self, orders);
-            }
+            inner.land(self, id, attempt);
         }
         while let Some(&(at, id)) = inner.deadlines.first().filter(|d| d.0 <= now()) {
             inner.deadlines.remove(&(at, id));
@@ -407,7 +406,7 @@
                 Order::Send(id, engine) => queue.extend(self.send(core, id, engine)),
                 Order::Undo(id, attempt) => {
                     if self.undo(core, id, attempt) {
-                        self.landing.insert((now() + UNDO_LANDS, id, attempt));
+                        self.landing.insert((now() + UNDO_LEAVES, id, attempt));
                         core.wake.notify_one();
                     }
                 }
@@ -471,8 +470,9 @@
         entry.sends += 1;
         self.tally.attempts += 1;
         let left = entry.deadline - now();
+        let links = self.engines.iter().map(|e| e.links.len()).sum::<usize>();
         let link = match self.engines.get_mut(engine) {
-            Some(e) => link_for(e, core, id, engine),
+            Some(e) => link_for(e, core, id, engine, links < core.terms.most_links),
             None => Err(End::Unreachable),
         };
         let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
@@ -495,7 +495,7 @@
         }
         let (result, stats) = (ResultSet::default(), Stats::default());
         entry.out =
-            Some(Out { attempt, link, sent: now(), result, bill: None, stats, served: false, undone: false });
+            Some(Out { attempt, link, sent: now(), result, bill: None, stats, served: false, undone: None });
         Vec::new()
     }
 
@@ -535,13 +535,35 @@
     /// still come, as in the simulator.
     fn undo(&mut self, core: &Rc<Core>, id: u64, attempt: u32) -> bool {
         let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut());
-        let Some(out) = out.filter(|o| o.attempt == attempt && !o.undone) else { return false };
-        out.undone = true;
+        let Some(out) = out.filter(|o| o.attempt == attempt && o.undone.is_none()) else { return false };
         let (word, name): (&[u8], _) = (if out.served { b"forget" } else { b"undo" }, format!("{id:016x}"));
         out.link.command(&core.pool, &[word, name.as_bytes()]);
+        out.undone = Some((out.link.queued(), None));
         true
     }
 
+    /// Ends an attempt that was called off, once its undo has left and has had the time to land. Guards
+    /// the rule on second copies where this side is slow: an undo that still waits for its connection,
+    /// or for a turn on the processor, is overtaken by the next attempt.
+    fn land(&mut self, core: &Rc<Core>, id: u64, attempt: u32) {
+        let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut()).filter(|o| o.attempt == attempt);
+        let Some(Out { undone: Some((place, left)), link, .. }) = out else { return };
+        let wait = match *left {
+            Some(at) => at + UNDO_LANDS - now(),
+            None if link.gone(*place) => {
+                *left = Some(now());
+                UNDO_LANDS
+            }
+            None => UNDO_LEAVES,
+        };
+        if wait > Micros(0) {
+            self.landing.insert((now() + wait, id, attempt));
+            return;
+        }
+        let orders = self.end(id, End::Undone);
+        self.work(core, orders);
+    }
+
     /// A request's time is over. The module answers before that; this is for when it did not.
     fn expire(&mut self, core: &Rc<Core>, id: u64) {
         let out = self.open.get(&id).and_then(|e| e.out.as_ref()).map(|o| o.attempt);
@@ -582,7 +604,7 @@
         };
         let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut()).filter(|o| o.attempt == attempt);
         let Some(out) = out else { return Ok(Vec::new()) };
-        if a.body.len() > SLOT {
+        if a.body.len() > PAGE {
             return Err(Malformed::field("body", "is longer than a page may be"));
         }
         let page = match a.word {
@@ -601,40 +623,41 @@
                 return Ok(self.end(id, end));
             }
             // Its further pages went with the undo.
-            Word::Served { pages } if out.undone && pages > 1 => {
+            Word::Served { pages } if out.undone.is_some() && pages > 1 => {
                 out.link.command(pool, &[b"forget", name.as_bytes()]);
                 return Ok(Vec::new());
             }
-            Word::Rows { .. } if out.undone => return Ok(Vec::new()),
+            Word::Rows { .. } if out.undone.is_some() => return Ok(Vec::new()),
             Word::Served { pages } if !out.served && (1..=MOST_PAGES).contains(&pages) => {
                 (out.served, out.stats, out.bill) = (true, a.stats, a.bill);
-                out.result.lens = vec![None; pages];
+                out.result.pages = vec![None; pages];
                 for n in 1..pages {
                     let n = n.to_string();
                     out.link.command(pool, &[b"page", name.as_bytes(), n.as_bytes()]);
                 }
                 0
             }
-            Word::Rows { page } if out.served && (1..out.result.lens.len()).contains(&page) => page,
+            Word::Rows { page } if out.served && (1..out.result.pages.len()).contains(&page) => page,
             _ => return Err(Malformed::field("batch", "is out of place")),
         };
         if !out.result.put(pool, page, a.body) {
             out.link.command(pool, &[b"forget", name.as_bytes()]);
             return Ok(self.end(id, End::Crashed));
         }
-        let whole = out.result.lens.iter().all(Option::is_some);
+        let whole = out.result.pages.iter().all(Option::is_some);
         Ok(if whole { self.end(id, End::Served) } else { Vec::new() })
     }
 }
 
 /// A link of an engine with room for a request: the fullest, so that others fall idle; or a new one.
-fn link_for(e: &mut Engine, core: &Rc<Core>, id: u64, engine: usize) -> Result<Rc<Link>, End> {
+fn link_for(e: &mut Engine, core: &Rc<Core>, id: u64, engine: usize, more: bool) -> Result<Rc<Link>, End> {
     let open = e.links.iter().filter(|l| l.takes(id, &core.terms));
     if let Some(link) = open.max_by_key(|l| (!l.dialing(), l.riders())) {
         return Ok(Rc::clone(link));
     }
     let address = e.address.ok_or(End::Unreachable)?;
-    if e.links.len() >= core.terms.most {
+    // Descriptors are kept back for both sides: neither may take the other's.
+    if e.links.len() >= core.terms.most || !more {
         return Err(End::NotRun);
     }
     let link = Link::new(engine, address);
@@ -680,7 +703,8 @@
     /// A core with two engines that accept connections and say nothing.
     async fn core() -> (Rc<Core>, Vec<TcpListener>) {
         let dial = Micros(5_000_000);
-        let terms = Terms { streams: 32, dial, idle: Micros(15_000_000), notes: Micros(0), most: 4 };
+        let terms =
+            Terms { streams: 32, dial, idle: Micros(15_000_000), notes: Micros(0), most: 4, most_links: 8 };
         let core = Core::new(settings(), 7, [Vec::new(), Vec::new()], terms, Pool::new(64));
         let (mut members, mut listeners) = (Vec::new(), Vec::new());
         for id in ["s-1", "s-2"] {
@@ -727,7 +751,7 @@
             core.on_answer(&link, &note).expect("understood");
             {
                 let inner = core.inner.borrow();
-                assert!(inner.open[&1].out.as_ref().expect("still out").undone);
+                assert!(inner.open[&1].out.as_ref().expect("still out").undone.is_some());
                 assert_eq!(inner.open[&1].sends, 1, "sent again before the undo has landed");
             }
             tokio::task::spawn_local(Rc::clone(&core).run());
@@ -741,6 +765,36 @@
         });
     }
 
+    /// Guards against two copies where this side is slow: the undo waits for its connection, so the
+    /// next attempt waits for the undo.
+    #[test]
+    fn an_undo_that_has_not_left_has_not_landed() {
+        local(async {
+            let (core, _engines) = core().await;
+            let _ticket = core.take(request(&core, 1)).expect("taken");
+            let stuck = Link::new(0, "127.0.0.1:9".parse().expect("an address"));
+            let (attempt, place) = {
+                let mut inner = core.inner.borrow_mut();
+                let out = inner.open.get_mut(&1).and_then(|e| e.out.as_mut()).expect("out");
+                stuck.command(&core.pool, &[b"undo"]);
+                out.undone = Some((stuck.queued(), None));
+                out.link = Rc::clone(&stuck);
+                (out.attempt, stuck.queued())
+            };
+            let lands = || {
+                core.inner.borrow_mut().land(&core, 1, attempt);
+                core.inner.borrow().open[&1].out.as_ref().is_none_or(|o| o.attempt != attempt)
+            };
+            assert!(!lands() && !stuck.gone(place));
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            assert!(!lands(), "it is still in the queue");
+            stuck.close();
+            assert!(!lands(), "it has left only now");
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            assert!(lands());
+        });
+    }
+
     /// Guards the one final answer: a second one has nowhere to go, whoever words it.
     #[test]
     fn a_request_is_answered_once() {
@@ -821,6 +875,9 @@
         assert!(pool.get().is_none());
         let link = Link::new(0, "127.0.0.1:9".parse().expect("an address"));
         assert!(!link.send(&pool, 1, 0, &[b"do"]) && link.riders() == 0);
+        // An undo is said all the same: unsaid, its attempt would run on beside the next one.
+        link.command(&pool, &[b"undo"]);
+        assert!(link.queued() > 0 && !link.gone(link.queued()));
         drop(held);
         assert!(link.send(&pool, 1, 0, &[b"do"]));
         assert_eq!(link.close(), [(1, 0, true)], "never written: it never ran");
@@ -829,7 +886,7 @@
     #[test]
     fn rows_come_back_in_order_over_pages_and_buffers() {
         let pool = Pool::new(3);
-        let mut set = ResultSet { bufs: Vec::new(), lens: vec![None; 13] };
+        let mut set = ResultSet { bufs: Vec::new(), pages: vec![None; 13] };
         for page in (0..13).rev() {
             assert!(set.put(&pool, page, format!("{page}\ta\n{page}\tb\n").as_bytes()));
         }
--- a/src/front/extended.rs
+++ b/src/front/extended.rs
@@ -359,7 +359,7 @@
     Execute(String, u32),
 }
 
-impl Session {
+impl Session<'_> {
     /// Takes a message of an extended query; what needs an engine is left to do.
     pub(super) fn extended(&mut self, out: &mut Vec<u8>, message: Message) -> Result<Todo, Fault> {
         let names = &mut self.names;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,30 +3,38 @@
 
 pub mod answer;
 pub mod extended;
+pub mod seats;
 pub mod session;
 pub mod wire;
 
 use crate::core::facade::Asked;
+use crate::core::now;
 use crate::core::pool::Buf;
 use crate::core::table::{Core, Request, Ticket, MOST_STATEMENT};
-use crate::core::{now, span};
 use crate::interface::Micros;
 use crate::proto::fields::Fields;
 use crate::proto::pg::{self, Fault, Opening};
 use crate::proto::tables;
+use seats::{Seat, Seats};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
 use wire::Wire;
 
-/// A client that has not begun its session by then is let go.
-const OPENING: Duration = Duration::from_secs(10);
+/// A client that has not begun its session by then is let go: it is owed a word within 3 s.
+const OPENING: Duration = Duration::from_secs(2);
+/// For the TLS handshake, which takes some round trips and a signature.
+const HANDSHAKE: Duration = Duration::from_secs(10);
+/// Connections that are being ended with a last word at a time; more are closed at once.
+const MOST_PARTING: usize = 16;
+/// A last word that cannot be written by then is not.
+const LAST_WORD: Duration = Duration::from_secs(1);
 /// After an accept that failed for want of descriptors.
 const BREATH: Duration = Duration::from_millis(20);
 
@@ -67,7 +75,8 @@
     /// What it is set up with.
     pub setup: Setup,
     sessions: RefCell<BTreeMap<u32, (u32, Rc<Notify>)>>,
-    open: Cell<usize>,
+    seats: Rc<Seats>,
+    parting: Cell<usize>,
     busy: Cell<usize>,
     closing: Cell<bool>,
     close: Notify,
@@ -93,9 +102,10 @@
     pub fn new(core: Rc<Core>, setup: Setup) -> Rc<Front> {
         Rc::new(Front {
             core,
+            seats: Seats::new(setup.most_sessions, !setup.extended),
             setup,
             sessions: RefCell::default(),
-            open: Cell::new(0),
+            parting: Cell::new(0),
             busy: Cell::new(0),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -132,29 +142,29 @@
         self.busy.get()
     }
 
-    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
-        let _open = Counted::one(&self.open);
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let full = self.open.get() > self.setup.most_sessions;
-        let (Some(input), Some(output)) = (self.core.pool().get(), self.core.pool().get()) else {
-            return turn_away(&mut stream).await;
+        let mut wire = Wire::new(stream, self.core.pool().clone());
+        let Some(seat) = self.seats.take() else {
+            let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.");
+            return self
+                .part(wire, Some(Fault { detail: Some("retry_after_ms=1000".into()), ..fault }))
+                .await;
         };
-        let mut wire = Wire::new(stream, input, output);
-        let next = timeout(OPENING, self.opening(&mut wire, false)).await;
-        // An error anywhere below is the end of the connection: nobody is left to tell.
-        match next {
-            Ok(Ok(Next::Session(start))) => self.session(wire, start, full).await,
-            Ok(Ok(Next::Secure(acceptor))) => {
-                let (stream, input, output) = wire.into_parts();
-                let Ok(Ok(stream)) = timeout(OPENING, acceptor.accept(stream)).await else { return };
-                let mut wire = Wire::new(stream, input, output);
-                if let Ok(Ok(Next::Session(start))) = timeout(OPENING, self.opening(&mut wire, true)).await {
-                    self.session(wire, start, full).await;
+        match self.open(&mut wire, &seat, false).await {
+            Next::Session(start) => self.session(wire, start, seat).await,
+            Next::Secure(acceptor) => {
+                let Ok(Ok(stream)) = timeout(HANDSHAKE, acceptor.accept(wire.stream)).await else { return };
+                let mut wire = Wire::new(stream, self.core.pool().clone());
+                match self.open(&mut wire, &seat, true).await {
+                    Next::Session(start) => self.session(wire, start, seat).await,
+                    Next::Part(fault) => self.part(wire, fault).await,
+                    Next::Secure(_) => {}
                 }
             }
-            _ => {}
+            Next::Part(fault) => self.part(wire, fault).await,
         }
     }
 
@@ -162,14 +172,43 @@
         self: &Rc<Self>,
         mut wire: Wire<S>,
         start: session::Start,
-        full: bool,
+        seat: Seat,
     ) {
-        if full {
-            return turn_away(&mut wire.stream).await;
+        // An error here is one of the connection: nobody is left to tell.
+        if let Ok(fault) = session::serve(Rc::clone(self), &mut wire, start, &seat).await {
+            drop(seat);
+            self.part(wire, fault).await;
+        }
+    }
+
+    /// Ends a connection, with a last word if there is one.
+    async fn part<S: AsyncRead + AsyncWrite + Unpin>(&self, mut wire: Wire<S>, fault: Option<Fault>) {
+        if let Some(fault) = fault {
+            pg::error(wire.output(), &fault.fatal());
+        }
+        let _parting = Counted::one(&self.parting);
+        let flushed = timeout(LAST_WORD, wire.flush()).await;
+        if matches!(flushed, Ok(Ok(()))) && self.parting.get() <= MOST_PARTING {
+            wire.part().await;
+        }
+    }
+
+    /// The packets before a session, for as long as they may take and the seat is theirs.
+    async fn open<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        wire: &mut Wire<S>,
+        seat: &Seat,
+        secure: bool,
+    ) -> Next {
+        tokio::select! {
+            biased;
+            next = timeout(OPENING, self.opening(wire, secure)) => match next {
+                Ok(Ok(next)) => next,
+                Ok(Err(_)) => Next::Part(None),
+                Err(_) => Next::Part(Some(late("start-up packet", OPENING))),
+            },
+            () = seat.leave() => Next::Part(None),
         }
-        drop(session::serve(Rc::clone(self), &mut wire, start).await);
-        // Under TLS this says that nothing was cut off.
-        drop(timeout(OPENING, wire.stream.shutdown()).await);
     }
 
     /// The packets before a session.
@@ -186,23 +225,23 @@
                 }
                 Ok(None) => {
                     if wire.fill().await? == 0 {
-                        return Ok(Next::Nothing);
+                        return Ok(Next::Part(None));
                     }
                     continue;
                 }
-                Err(e) => return part(wire, Fault::from(e)).await,
+                Err(e) => return Ok(Next::Part(Some(e.into()))),
             };
             let acceptor = self.tls.borrow().clone();
             match opening {
                 Opening::Ssl if !secure && acceptor.is_some() => {
                     // Guards against bytes smuggled in before encryption and read as if after it.
                     if !wire.input().is_empty() {
-                        return part(wire, Fault::new("08P01", "field SSLRequest: data came behind it"))
-                            .await;
+                        let fault = Fault::new("08P01", "field SSLRequest: data came behind it");
+                        return Ok(Next::Part(Some(fault)));
                     }
                     wire.output().push(b'S');
                     wire.flush().await?;
-                    return Ok(acceptor.map_or(Next::Nothing, Next::Secure));
+                    return Ok(acceptor.map_or(Next::Part(None), Next::Secure));
                 }
                 Opening::Ssl | Opening::Gssenc => {
                     wire.output().push(b'N');
@@ -213,7 +252,7 @@
                     if let Some((_, cancel)) = sessions.get(&session).filter(|s| s.0 == secret) {
                         cancel.notify_waiters();
                     }
-                    return Ok(Next::Nothing);
+                    return Ok(Next::Part(None));
                 }
                 Opening::Startup { .. } if self.setup.require_tls && !secure => {
                     let fault = match acceptor {
@@ -222,7 +261,7 @@
                             Fault::new("57P03", "there is no certificate yet").hint("Come back in 5000 ms.")
                         }
                     };
-                    return part(wire, fault).await;
+                    return Ok(Next::Part(Some(fault)));
                 }
                 Opening::Startup { minor, parameters } => {
                     return Ok(Next::Session(session::Start { minor, parameters }))
@@ -294,24 +333,16 @@
 enum Next {
     Session(session::Start),
     Secure(TlsAcceptor),
-    Nothing,
+    /// The end, with or without a last word.
+    Part(Option<Fault>),
 }
 
-/// Ends a connection with a last word.
-async fn part<S: AsyncRead + AsyncWrite + Unpin>(wire: &mut Wire<S>, fault: Fault) -> std::io::Result<Next> {
-    pg::error(wire.output(), &fault.fatal());
-    wire.flush().await?;
-    Ok(Next::Nothing)
+/// What was begun and did not come whole in time.
+fn late(what: &str, within: Duration) -> Fault {
+    Fault::new("08P01", format!("field {what} did not come whole within {} ms", within.as_millis()))
 }
 
 fn missing(field: &str, why: &str) -> Fault {
     let example = "/* kind=CLASS,timeout=MILLISECONDS */ SELECT ...";
     Fault::new("08P01", format!("field {field} {why}")).hint(format!("Write {example}"))
 }
-
-async fn turn_away<S: AsyncWrite + Unpin>(stream: &mut S) {
-    let mut out = Vec::new();
-    let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.").fatal();
-    pg::error(&mut out, &Fault { detail: Some("retry_after_ms=1000".into()), ..fault });
-    let _ = timeout(span(Micros(1_000_000)), stream.write_all(&out)).await;
-}
--- /dev/null
+++ b/src/front/seats.rs
@@ -0,0 +1,137 @@
+//! Who is connected to a front, and who has to go when it is full: first those that have said nothing
+//! of a session, then the session that has been idle for longest. Newcomers are turned away only when
+//! nobody can go. Guards against clients that connect and stay: they would keep the others out.
+
+use crate::core::now;
+use crate::interface::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// A newcomer has so long to say something before it may have to go: its first packet is under way.
+const GRACE: Micros = Micros(50_000);
+
+/// What a connection is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// No session yet.
+    Silent,
+    /// A session with no open request.
+    Idle,
+    /// A session whose request is open.
+    Busy,
+}
+
+/// One connection's seat.
+#[derive(Debug)]
+struct Place {
+    standing: Cell<Standing>,
+    since: Cell<Micros>,
+    told: Cell<bool>,
+    leave: Notify,
+}
+
+/// The seats of a front.
+#[derive(Debug)]
+pub struct Seats {
+    places: RefCell<BTreeMap<u64, Rc<Place>>>,
+    next: Cell<u64>,
+    most: usize,
+    /// Idle sessions hold nothing that their clients would miss.
+    idle_may_go: bool,
+}
+
+/// A seat that is taken; it is free again when this is dropped.
+#[derive(Debug)]
+pub struct Seat {
+    seats: Rc<Seats>,
+    number: u64,
+    place: Rc<Place>,
+}
+
+impl Seats {
+    /// So many seats.
+    pub fn new(most: usize, idle_may_go: bool) -> Rc<Seats> {
+        Rc::new(Seats { places: RefCell::default(), next: Cell::new(0), most, idle_may_go })
+    }
+
+    /// A seat for a newcomer, if need be of one that is told to go; `None` where nobody can.
+    pub fn take(self: &Rc<Self>) -> Option<Seat> {
+        let mut places = self.places.borrow_mut();
+        let staying = || places.values().filter(|p| !p.told.get());
+        if staying().count() >= self.most {
+            let may = |p: &&Rc<Place>| match p.standing.get() {
+                Standing::Silent => now() - p.since.get() > GRACE,
+                Standing::Idle => self.idle_may_go,
+                Standing::Busy => false,
+            };
+            let first = |p: &&Rc<Place>| (p.standing.get() != Standing::Silent, p.since.get());
+            let goes = staying().filter(may).min_by_key(first)?;
+            goes.told.set(true);
+            goes.leave.notify_one();
+        }
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (standing, since) = (Cell::new(Standing::Silent), Cell::new(now()));
+        let place = Rc::new(Place { standing, since, told: Cell::new(false), leave: Notify::new() });
+        places.insert(number, Rc::clone(&place));
+        Some(Seat { seats: Rc::clone(self), number, place })
+    }
+}
+
+impl Seat {
+    /// The session has an open request, or has none.
+    pub fn busy(&self, busy: bool) {
+        let standing = if busy { Standing::Busy } else { Standing::Idle };
+        if self.place.standing.replace(standing) != standing {
+            self.place.since.set(now());
+        }
+    }
+    /// Whether it was told to go. A request that came first is answered first.
+    pub fn told(&self) -> bool {
+        self.place.told.get()
+    }
+    /// Returns when it is told to go.
+    pub async fn leave(&self) {
+        self.place.leave.notified().await;
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.seats.places.borrow_mut().remove(&self.number);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the usual clients: silent ones, then idle ones, make room for them; who has a request
+    /// open, or has only just come, stays.
+    #[test]
+    fn the_silent_go_first_then_the_longest_idle_and_the_busy_never() {
+        let seats = Seats::new(4, true);
+        let taken: Vec<Seat> = (0..4).map(|_| seats.take().expect("a seat")).collect();
+        assert!(seats.take().is_none(), "all have only just come");
+        let at = |i: usize, ago: i64| taken[i].place.since.set(now() - Micros(ago));
+        taken[0].busy(true);
+        taken[1].busy(false);
+        taken[2].busy(false);
+        at(0, 9_000_000);
+        at(1, 2_000_000);
+        at(2, 3_000_000);
+        at(3, 100_000);
+        let told = || taken.iter().map(Seat::told).collect::<Vec<_>>();
+        let newcomers: Vec<Option<Seat>> = (0..4).map(|_| seats.take()).collect();
+        assert_eq!(told(), [false, true, true, true]);
+        assert!(newcomers[2].is_some() && newcomers[3].is_none(), "only the busy and the new are left");
+        drop(newcomers);
+        assert!(seats.take().is_some());
+        let keeps = Seats::new(1, false);
+        let idle = keeps.take().expect("a seat");
+        idle.busy(false);
+        assert!(keeps.take().is_none(), "where a session holds something it is not ended");
+    }
+}
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -1,8 +1,9 @@
 //! One client's session: start-up, simple queries, and what both fronts share in answering them.
 
 use super::extended::{self, Names};
+use super::seats::Seat;
 use super::wire::Wire;
-use super::{answer, Counted, Front};
+use super::{answer, late, Counted, Front};
 use crate::core::pool::SIZE;
 use crate::core::table::{Final, Ticket};
 use crate::proto::pg::{self, Fault, Message};
@@ -11,10 +12,14 @@
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::Notify;
+use tokio::time::{sleep_until, Duration, Instant};
 
 /// Room for a message that is not a row: an error, a description.
 const ERROR_ROOM: usize = 4096;
 
+/// A message that was begun must be whole by then: its sender is owed a word within 3 s.
+const WHOLE: Duration = Duration::from_secs(2);
+
 /// How a session begins.
 pub struct Start {
     /// The protocol's minor version that was asked for.
@@ -24,9 +29,12 @@
 }
 
 /// What a session knows.
-pub struct Session {
+pub struct Session<'a> {
     pub(super) front: Rc<Front>,
     pub(super) cancel: Rc<Notify>,
+    seat: &'a Seat,
+    /// Since when a message is here in part only.
+    partial: Option<Instant>,
     /// Messages are passed over up to the next Sync.
     pub(super) skipping: bool,
     /// Statements and portals, on the second front.
@@ -44,6 +52,13 @@
     Extended(extended::Todo),
 }
 
+/// Whether a session goes on.
+enum Step {
+    On,
+    /// Its end, with or without a last word.
+    End(Option<Fault>),
+}
+
 /// Takes a session's entry out when it ends.
 struct Listed<'a>(&'a Front, u32);
 impl Drop for Listed<'_> {
@@ -52,12 +67,14 @@
     }
 }
 
-/// Serves a session to its end.
+/// Serves a session to its end: its last word, if there is one. Where its seat is wanted it ends as
+/// soon as nothing is open.
 pub async fn serve<S: AsyncRead + AsyncWrite + Unpin>(
     front: Rc<Front>,
     wire: &mut Wire<S>,
     start: Start,
-) -> io::Result<()> {
+    seat: &Seat,
+) -> io::Result<Option<Fault>> {
     let (number, secret) = (front.core.draw() as u32 >> 1, front.core.draw() as u32);
     let cancel = Rc::new(Notify::new());
     front.sessions.borrow_mut().insert(number, (secret, Rc::clone(&cancel)));
@@ -65,11 +82,9 @@
     let parameters = if front.setup.extended { &start.parameters[..] } else { &[] };
     let statement_timeout = match extended::start_timeout(parameters) {
         Ok(timeout) => timeout,
-        Err(fault) => {
-            pg::error(wire.output(), &fault.fatal());
-            return wire.flush().await;
-        }
+        Err(fault) => return Ok(Some(fault)),
     };
+    seat.busy(false);
     let out = wire.output();
     let unknown: Vec<&str> =
         start.parameters.iter().map(|p| p.0.as_str()).filter(|n| n.starts_with("_pq_.")).collect();
@@ -91,18 +106,29 @@
     pg::ready(out);
     wire.flush().await?;
     let names = Names::new(statement_timeout);
-    let mut session =
-        Session { front: Rc::clone(&front), cancel, skipping: false, names, scratch: Vec::new() };
-    while session.step(wire).await? {}
-    Ok(())
+    let mut session = Session {
+        front: Rc::clone(&front),
+        cancel,
+        seat,
+        partial: None,
+        skipping: false,
+        names,
+        scratch: Vec::new(),
+    };
+    loop {
+        match session.step(wire).await? {
+            Step::On => {}
+            Step::End(fault) => return Ok(fault),
+        }
+    }
 }
 
-impl Session {
-    /// Handles one message; false at the end of the session.
-    async fn step<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<bool> {
+impl Session<'_> {
+    /// Handles one message.
+    async fn step<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<Step> {
         let mut out = std::mem::take(&mut self.scratch);
         let (todo, len) = match pg::read_message(wire.input(), SIZE) {
-            Ok(Some((Message::Terminate, _))) => return Ok(false),
+            Ok(Some((Message::Terminate, _))) => return Ok(Step::End(None)),
             Ok(Some((Message::Query(_), len))) if self.skipping => (Ok(Todo::Nothing), len),
             Ok(Some((Message::Query(text), len))) => (Ok(Todo::Query(text.to_owned())), len),
             Ok(Some((Message::Sync, len))) => (Ok(Todo::Sync), len),
@@ -118,12 +144,10 @@
             }
             Err((_, Some(len))) if self.skipping => (Ok(Todo::Nothing), len),
             Err((e, Some(len))) => (Err(e.into()), len),
-            Err((e, None)) => {
-                pg::error(wire.output(), &Fault::from(e).fatal());
-                wire.flush().await?;
-                return Ok(false);
-            }
+            Err((e, None)) => return Ok(Step::End(Some(e.into()))),
         };
+        self.partial = None;
+        self.seat.busy(true);
         let simple = wire.input()[0] == b'Q';
         wire.consume(len);
         wire.room(out.len()).await?;
@@ -151,7 +175,7 @@
             Err(fault) => Err(fault),
         };
         match done {
-            Ok(false) => return Ok(false),
+            Ok(false) => return Ok(Step::End(None)),
             Ok(true) => {}
             Err(fault) => {
                 wire.room(ERROR_ROOM).await?;
@@ -164,24 +188,36 @@
             pg::ready(wire.output());
             wire.flush().await?;
         }
-        Ok(true)
+        Ok(Step::On)
     }
 
-    /// Waits for more input; false where the session ends.
-    async fn more<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<bool> {
+    /// Waits for more input.
+    async fn more<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<Step> {
         wire.flush().await?;
+        self.seat.busy(false);
+        if wire.input().is_empty() {
+            self.partial = None;
+            // Its client may send the next request to another connection: nothing is open on this one.
+            if self.seat.told() {
+                return Ok(Step::End(None));
+            }
+        } else {
+            self.partial.get_or_insert_with(Instant::now);
+        }
+        let whole_by = self.partial.map(|since| since + WHOLE);
         let closed = self.front.close.notified();
         if self.front.closing.get() && wire.input().is_empty() {
-            if self.front.setup.extended {
-                let fault = Fault::new("57P01", "the server is stopping").hint("Connect again.").fatal();
-                pg::error(wire.output(), &fault);
-                wire.flush().await?;
-            }
-            return Ok(false);
+            let fault = Fault::new("57P01", "the server is stopping").hint("Connect again.");
+            return Ok(Step::End(self.front.setup.extended.then_some(fault)));
         }
         tokio::select! {
-            n = wire.fill() => Ok(n? > 0),
-            () = closed => Ok(true),
+            n = wire.fill() => Ok(if n? > 0 { Step::On } else { Step::End(None) }),
+            () = closed => Ok(Step::On),
+            () = self.seat.leave() => Ok(Step::On),
+            // Guards the seats against messages that never end.
+            () = sleep_until(whole_by.unwrap_or_else(Instant::now)), if whole_by.is_some() => {
+                Ok(Step::End(Some(late("length", WHOLE))))
+            }
         }
     }
 
--- a/src/front/wire.rs
+++ b/src/front/wire.rs
@@ -1,33 +1,38 @@
-//! A client's connection with its two buffers.
+//! A client's connection with its two buffers, which it holds only while there are bytes in them.
 
 use crate::core::now;
-use crate::core::pool::{Buf, SIZE};
+use crate::core::pool::{read_into, Buf, Pool};
 use crate::interface::Micros;
-use bytes::BufMut;
 use std::io;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::timeout;
+
+/// A client that takes none of what it is sent for so long is let go: its answer holds memory.
+const STUCK: Duration = Duration::from_secs(10);
+/// Read and thrown away behind a last word, at most; and for how long. Closing on unread input would
+/// send a reset, which may overtake the last word; but no client is read for ever.
+const DRAIN_MOST: usize = 4 << 20;
+const DRAIN_FOR: Duration = Duration::from_millis(500);
 
 /// A stream and what was read from it, and is to be written to it.
 pub struct Wire<S> {
     /// The connection.
     pub stream: S,
-    input: Buf,
-    output: Buf,
+    pool: Pool,
+    input: Option<Buf>,
+    output: Option<Buf>,
     arrived: Micros,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Wire<S> {
     /// A connection from which nothing was read.
-    pub fn new(stream: S, input: Buf, output: Buf) -> Wire<S> {
-        Wire { stream, input, output, arrived: now() }
-    }
-    /// The connection and its two buffers.
-    pub fn into_parts(self) -> (S, Buf, Buf) {
-        (self.stream, self.input, self.output)
+    pub fn new(stream: S, pool: Pool) -> Wire<S> {
+        Wire { stream, pool, input: None, output: None, arrived: now() }
     }
     /// What was read and not consumed.
     pub fn input(&self) -> &[u8] {
-        &self.input
+        self.input.as_ref().map_or(&[], |buf| buf.as_slice())
     }
     /// When the last of it came.
     pub fn arrived(&self) -> Micros {
@@ -35,33 +40,59 @@
     }
     /// Consumes so many bytes of the input.
     pub fn consume(&mut self, n: usize) {
-        self.input.drain(..n);
+        if let Some(buf) = &mut self.input {
+            buf.drain(..n);
+            self.input.take_if(|buf| buf.is_empty());
+        }
     }
     /// What is to be written.
     pub fn output(&mut self) -> &mut Vec<u8> {
-        &mut self.output
+        self.output.get_or_insert_with(|| self.pool.must())
     }
     /// Reads what there is; 0 at the end of the stream. Never returns while the input is full.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        let room = SIZE.saturating_sub(self.input.len());
-        if room == 0 {
-            std::future::pending::<()>().await;
-        }
-        let n = self.stream.read_buf(&mut (&mut *self.input).limit(room)).await?;
+        let n = read_into(&self.pool, &mut self.stream, &mut self.input).await?;
         self.arrived = now();
         Ok(n)
     }
     /// Writes all that is to be written.
     pub async fn flush(&mut self) -> io::Result<()> {
-        self.stream.write_all(&self.output).await?;
-        self.output.clear();
-        self.stream.flush().await
+        let Some(output) = self.output.take() else { return Ok(()) };
+        let mut rest = &output[..];
+        while !rest.is_empty() {
+            match timeout(STUCK, self.stream.write(rest)).await?? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                n => rest = &rest[n..],
+            }
+        }
+        timeout(STUCK, self.stream.flush()).await?
     }
     /// Makes room for so many bytes more, by writing if need be.
     pub async fn room(&mut self, n: usize) -> io::Result<()> {
-        if self.output.has_room(n) {
+        if self.output.as_ref().is_none_or(|buf| buf.has_room(n)) {
             return Ok(());
         }
         self.flush().await
     }
+    /// Ends the connection so that its last word arrives: half-closes it and throws away what the
+    /// client still sends, within bounds.
+    pub async fn part(mut self) {
+        self.input = None;
+        drop(
+            timeout(DRAIN_FOR, async {
+                // An error here is the end of the connection: nobody is left to tell.
+                self.stream.shutdown().await?;
+                let (mut bytes, mut left) = ([0; 8_192], DRAIN_MOST);
+                while left > 0 {
+                    match self.stream.read(&mut bytes).await? {
+                        0 => return Ok(()),
+                        n => left = left.saturating_sub(n),
+                    }
+                }
+                // Enough: it has the rest of the time to read its last word.
+                std::future::pending::<io::Result<()>>().await
+            })
+            .await,
+        );
+    }
 }
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -9,8 +9,12 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 
-/// Descriptors kept for the listener, the feed, signals and standard streams.
-const SPARE_SOCKETS: usize = 32;
+/// Descriptors kept for the listener, the feed, signals, standard streams, and connections that are
+/// being turned away.
+const SPARE_SOCKETS: usize = 48;
+/// Sixteenths of the other descriptors that sessions may hold: clients hold a third of all at most, and
+/// the rest is for those that say nothing. What is left is the engines'.
+const SESSIONS: usize = 10;
 
 /// Everything that a start needs.
 pub struct Config {
@@ -76,12 +80,12 @@
             idle: Micros::from_secs(num("limits.connIdle", 15.0)),
             notes: set.progress_pace,
             most: (sockets / 32).max(2),
+            most_links: (sockets - SPARE_SOCKETS) * (16 - SESSIONS) / 16,
         },
         setup: Setup {
             classes: set.classes.iter().enumerate().map(class).collect(),
             tenants: (0..set.tenants.len()).map(|i| name("customers", i)).collect(),
-            // Clients hold a third of the descriptors at most; engines are left another.
-            most_sessions: (sockets - SPARE_SOCKETS) / 2,
+            most_sessions: (sockets - SPARE_SOCKETS) * SESSIONS / 16,
             extended: false,
             require_tls: false,
             default_class: None,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -163,6 +163,60 @@
     assert_eq!(news, 1, "the repeat was passed over");
 }
 
+/// Guards the usual clients: connections that say nothing, and sessions that asked once and stay, filled
+/// the sessions and held two buffers each, and newcomers were turned away.
+#[test]
+fn who_says_nothing_or_stays_idle_makes_room_for_who_asks() {
+    let engine = Engine::echo();
+    let program = Program::limited(&[("s-1", engine.address)], None, None, 16, 96);
+    let mut kept: Vec<Raw> = Vec::new();
+    for id in 1..120 {
+        let mut raw = Raw::connect(program.platform);
+        assert_eq!(rows(&raw.ask(&sql("lane-rate", id, ""))).len(), 1, "request {id}");
+        kept.push(raw);
+    }
+    assert!(kept[0].message().is_none(), "the longest idle was let go");
+    kept[118].ask(&sql("lane-rate", 119 + 1, ""));
+    let silent: Vec<Raw> = (0..200).map(|_| Raw::open(program.platform)).collect();
+    // What has only just come is given the time to say something.
+    std::thread::sleep(Duration::from_millis(100));
+    for id in 200..240 {
+        let mut raw = Raw::connect(program.platform);
+        assert_eq!(rows(&raw.ask(&sql("lane-rate", id, ""))).len(), 1, "request {id}");
+    }
+    drop(silent);
+}
+
+/// Guards the seats and the buffers: nothing that was begun may take for ever, and its sender hears so.
+#[test]
+fn what_is_begun_and_never_whole_ends_with_a_word() {
+    let program = Program::start(&[], None, None);
+    let at = Instant::now();
+    let (mut silent, mut half) = (Raw::open(program.platform), Raw::open(program.platform));
+    let mut message = Raw::connect(program.platform);
+    half.send(&startup()[..9]);
+    message.send(&query(&sql("lane-rate", 1, ""))[..20]);
+    for (raw, name) in [(&mut silent, "start-up"), (&mut half, "start-up"), (&mut message, "length")] {
+        let text = &error(&[raw.message().expect("a last word")])[1];
+        assert!(text.contains(&format!("field {name}")), "{text}");
+        assert!(raw.message().is_none());
+    }
+    assert!(at.elapsed() >= Duration::from_millis(1_500), "not before its time");
+}
+
+/// Guards the last word: closing on unread input sends a reset, which may overtake it.
+#[test]
+fn who_sends_what_is_far_too_long_still_reads_its_error() {
+    let program = Program::start(&[], None, None);
+    let mut raw = Raw::connect(program.platform);
+    let mut message = vec![b'x'; 3 << 20];
+    message[..5].copy_from_slice(&[b'Q', 0x03, 0x93, 0x87, 0x00]);
+    raw.send(&message);
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(error(&[raw.message().expect("a last word")])[1].contains("field length"));
+    assert!(raw.message().is_none());
+}
+
 /// SIGHUP ended the program. It moves the feed and nothing else: the event after the last one read is
 /// asked for at the new address, the old feed is let go, and what is open stays open.
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -268,12 +268,23 @@
 impl Program {
     /// Starts it with these engines, by id, and the second front if there is an operator's file.
     pub fn start(engines: &[(&str, SocketAddr)], feed: Option<&Feed>, operator: Option<&str>) -> Program {
+        Program::limited(engines, feed, operator, 192, 1024)
+    }
+
+    /// The same with so many megabytes and descriptors.
+    pub fn limited(
+        engines: &[(&str, SocketAddr)],
+        feed: Option<&Feed>,
+        operator: Option<&str>,
+        memory_mb: usize,
+        sockets: usize,
+    ) -> Program {
         let dir = scratch();
         let ready: Vec<_> = engines.iter().map(|(id, at)| (*id, *at, "ready")).collect();
         let feed = feed.map_or(String::new(), |f| format!(r#""feed":"{}","#, f.address));
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",{feed}
-             "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+             "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
              "known":{{"n":1,"events":[{}]}},"settings":{SETTINGS}}}"#,
             list(1, true, &ready)
         );
