Refuse what is no whole request, naming the field; read on behind a last word

Ruled out: pipelined floods (all of an unknown class, each gets its error), start-up parameters (all alike).

Now figures have a range, no field stands twice, keyed classes need their key, an id is known for 30 s with a mark of its statement, several statements and a comment with nothing behind it are errors, and what is sent behind a last word is read for up to 64 MiB and 4 s.

--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -11,6 +11,7 @@
 use crate::proto::Malformed;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
@@ -31,6 +32,9 @@
 /// engine before the next attempt reaches another. Paths differ by under 2 ms, and by more when a
 /// machine is busy.
 const UNDO_LANDS: Micros = Micros(10_000);
+/// Ids of requests are known for so long, and so many of them at most.
+const PAST: Micros = Micros(30_000_000);
+const MOST_PAST: usize = 20_000;
 /// Between two looks at whether an undo has left.
 const UNDO_LEAVES: Micros = Micros(1_000);
 
@@ -152,6 +156,36 @@
     attempts: u32,
 }
 
+/// Ids of requests taken of late, each with a mark of its statement. Guards against an id that comes
+/// again with another statement once the first has ended: its answer could be taken for the other's, by
+/// engines and clients alike. The same again is a client whose connection broke.
+#[derive(Default)]
+struct Past {
+    marks: BTreeMap<u64, u64>,
+    order: VecDeque<(Micros, u64)>,
+}
+
+impl Past {
+    /// Notes an id; false if another statement had it.
+    fn note(&mut self, id: u64, statement: &[u8], at: Micros) -> bool {
+        let old = |o: &(Micros, u64), n: usize| at - o.0 > PAST || n >= MOST_PAST;
+        while self.order.front().is_some_and(|o| old(o, self.order.len())) {
+            if let Some((_, gone)) = self.order.pop_front() {
+                self.marks.remove(&gone);
+            }
+        }
+        let mut hash = DefaultHasher::new();
+        hash.write(statement);
+        let mark = hash.finish();
+        let known = self.marks.get(&id).copied();
+        if known.is_none() {
+            self.marks.insert(id, mark);
+            self.order.push_back((at, id));
+        }
+        known.is_none_or(|k| k == mark)
+    }
+}
+
 struct Inner {
     facade: Facade,
     tally: Tally,
@@ -162,6 +196,7 @@
     landing: BTreeSet<(Micros, u64, u32)>,
     engines: Vec<Engine>,
     last_event: u64,
+    past: Past,
     seed: u64,
 }
 
@@ -210,6 +245,7 @@
             landing,
             engines: Vec::new(),
             last_event: 0,
+            past: Past::default(),
             seed,
         };
         Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new() })
@@ -250,11 +286,11 @@
         z ^ (z >> 31)
     }
 
-    /// Takes a request. `None` if one with its id is open.
+    /// Takes a request. `None` if its id is open, or was another statement's not long ago.
     pub fn take(self: &Rc<Self>, request: Request) -> Option<Ticket> {
         let mut inner = self.inner.borrow_mut();
         let (id, at) = (request.asked.id, now());
-        if inner.open.contains_key(&id) {
+        if inner.open.contains_key(&id) || !inner.past.note(id, &request.statement, at) {
             return None;
         }
         let (sender, answer) = oneshot::channel();
@@ -808,6 +844,14 @@
                 inner.settle(1, Final::Failed(Cause::Lost, Micros(5)));
             }
             assert!(matches!(ticket.wait().await, Final::Refused(Cause::Busy, _)));
+            let mut other = request(&core, 1);
+            other.statement.extend_from_slice(b"SELECT 2");
+            assert!(core.take(other).is_none(), "nor one that was another statement's");
+            let (mut past, late) = (Past::default(), Micros(PAST.0 + 1));
+            assert!(past.note(1, b"a", Micros(0)) && past.note(1, b"a", PAST), "its client's second try");
+            assert!(!past.note(1, b"b", PAST) && past.note(1, b"b", late));
+            (2..2 * MOST_PAST as u64).for_each(|id| assert!(past.note(id, b"", late)));
+            assert!(past.order.len() <= MOST_PAST && past.marks.len() <= MOST_PAST);
         });
     }
 
--- a/src/front/extended.rs
+++ b/src/front/extended.rs
@@ -149,16 +149,11 @@
     if tables::is_empty(statement) {
         return Ok(Sort::Empty);
     }
+    tables::single(statement).map_err(|e| Fault::new("0A000", e.0))?;
     let (mut rest, mut words) = (statement, Vec::new());
     while let Some((kind, len)) = token(rest) {
         let (head, tail) = rest.split_at(len.min(rest.len()));
         let comment = kind == Token::Opaque && (head.starts_with("--") || head.starts_with("/*"));
-        if head == ";" && kind == Token::Mark && !tables::is_empty(tail) {
-            return Err(Fault::new(
-                "0A000",
-                "one statement at a time: several in one text are not supported",
-            ));
-        }
         if kind != Token::Space && !comment && head != ";" && words.len() < 8 {
             words.push(head);
         }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -32,7 +32,7 @@
 /// For the TLS handshake, which takes some round trips and a signature.
 const HANDSHAKE: Duration = Duration::from_secs(10);
 /// Connections that are being ended with a last word at a time; more are closed at once.
-const MOST_PARTING: usize = 16;
+const MOST_PARTING: usize = 24;
 /// A last word that cannot be written by then is not.
 const LAST_WORD: Duration = Duration::from_secs(1);
 /// After an accept that failed for want of descriptors.
@@ -300,6 +300,10 @@
         let of_class = &setup.classes[class];
         let once = match &f.opkey {
             Some(key) if of_class.keyed => Some(key.clone()),
+            // Guards against a load that runs twice: a client's retry could not be told from a new request.
+            None if of_class.keyed && !setup.extended => {
+                return Err(missing("opkey", "is missing: the class carries a key"));
+            }
             None if of_class.keyed => Some(format!("{:016x}{:016x}", self.core.draw(), self.core.draw())),
             _ => None,
         };
@@ -316,7 +320,8 @@
         let statement = self.keep(statement)?;
         let request = Request { asked, class: of_class.name.clone(), once, statement };
         let ticket = self.core.take(request);
-        ticket.ok_or_else(|| Fault::new("42710", format!("field req: a request {id:016x} is open already")))
+        ticket
+            .ok_or_else(|| Fault::new("42710", format!("field req: {id:016x} was given to a request before")))
     }
 
     fn keep(&self, statement: &str) -> Result<Buf, Fault> {
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -150,8 +150,10 @@
         self.seat.busy(true);
         let simple = wire.input()[0] == b'Q';
         wire.consume(len);
-        wire.room(out.len()).await?;
-        wire.output().append(&mut out);
+        if !out.is_empty() {
+            wire.room(out.len()).await?;
+            wire.output().append(&mut out);
+        }
         self.scratch = out;
         // Until the answer is written: a stop waits for it.
         let front = Rc::clone(&self.front);
@@ -256,10 +258,17 @@
         if self.front.setup.extended && self.simple_here(wire.output(), statement)?.is_some() {
             return Ok(None);
         }
-        if tables::is_empty(statement) {
+        // Guards the platform's sign of life: only an empty text is one. A comment with nothing behind it
+        // is a request that was cut.
+        if text.trim_matches(|c: char| c.is_whitespace() || c == ';').is_empty() {
             pg::bare(wire.output(), pg::EMPTY_QUERY);
             return Ok(None);
         }
+        if tables::is_empty(statement) {
+            return Err(Fault::new("08P01", "field query holds no statement behind its comment"));
+        }
+        // Guards the engines, and the answer: one request is one statement.
+        tables::single(statement).map_err(|e| Fault::new("0A000", e.0))?;
         self.front.take(&f, statement, wire.arrived(), self.names.statement_timeout).map(Some)
     }
 
--- a/src/front/wire.rs
+++ b/src/front/wire.rs
@@ -10,10 +10,13 @@
 
 /// A client that takes none of what it is sent for so long is let go: its answer holds memory.
 const STUCK: Duration = Duration::from_secs(10);
-/// Read and thrown away behind a last word, at most; and for how long. Closing on unread input would
-/// send a reset, which may overtake the last word; but no client is read for ever.
-const DRAIN_MOST: usize = 4 << 20;
-const DRAIN_FOR: Duration = Duration::from_millis(500);
+/// Read and thrown away behind a last word, at most, in pieces of so much; for how long in all, and for
+/// how long with nothing coming. Closing on unread input would send a reset, which may overtake the last
+/// word where a client writes before it reads; but no client is read for ever.
+const DRAIN_MOST: usize = 64 << 20;
+const DRAIN_PIECE: usize = 32 * 1024;
+const DRAIN_FOR: Duration = Duration::from_secs(4);
+const DRAIN_QUIET: Duration = Duration::from_millis(500);
 
 /// A stream and what was read from it, and is to be written to it.
 pub struct Wire<S> {
@@ -82,15 +85,14 @@
             timeout(DRAIN_FOR, async {
                 // An error here is the end of the connection: nobody is left to tell.
                 self.stream.shutdown().await?;
-                let (mut bytes, mut left) = ([0; 8_192], DRAIN_MOST);
+                let (mut bytes, mut left) = (vec![0; DRAIN_PIECE], DRAIN_MOST);
                 while left > 0 {
-                    match self.stream.read(&mut bytes).await? {
-                        0 => return Ok(()),
+                    match timeout(DRAIN_QUIET, self.stream.read(&mut bytes)).await?? {
+                        0 => break,
                         n => left = left.saturating_sub(n),
                     }
                 }
-                // Enough: it has the rest of the time to read its last word.
-                std::future::pending::<io::Result<()>>().await
+                io::Result::Ok(())
             })
             .await,
         );
--- a/src/proto/fields.rs
+++ b/src/proto/fields.rs
@@ -57,8 +57,13 @@
 
 /// Understands names and values; names that are not known are skipped.
 pub fn read<'a>(list: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Fields, Malformed> {
-    let mut f = Fields::default();
+    let (mut f, mut seen) = (Fields::default(), Vec::new());
     for (name, value) in list {
+        // Guards against a request that says two things: what was checked must be what is meant.
+        if seen.contains(&name) {
+            return Err(Malformed::field(name, "stands there twice"));
+        }
+        seen.push(name);
         match name {
             "kind" => f.kind = Some(value.to_owned()),
             "req" => {
@@ -68,10 +73,11 @@
             }
             "timeout" => f.timeout_ms = Some(millis(name, value)?),
             "owner" => f.owner = Some(value.to_owned()),
-            "resent" => f.resent = value == "1",
+            "resent" if value == "1" => f.resent = true,
+            "resent" => return Err(Malformed::field(name, "is not 1")),
             "opkey" => f.opkey = Some(opkey(value)?),
-            "ms" => f.ms = Some(amount(name, value)?),
-            "heap_mb" => f.heap_mb = Some(amount(name, value)?),
+            "ms" => f.ms = Some(amount(name, value, MOST_WORK_MS)?),
+            "heap_mb" => f.heap_mb = Some(amount(name, value, MOST_MEMORY_MB)?),
             _ => {}
         }
     }
@@ -87,13 +93,20 @@
     Ok(value.to_owned())
 }
 
+/// Most work that an estimate may name, in milliseconds on one core: eleven days of it.
+const MOST_WORK_MS: f64 = 1e9;
+/// Most memory that an estimate may name, in MB: a hundred terabytes.
+const MOST_MEMORY_MB: f64 = 1e8;
+
 /// Milliseconds, at most a day.
 pub fn millis(name: &str, value: &str) -> Result<u64, Malformed> {
     let whole = value.parse::<u64>().ok().filter(|v| *v <= 86_400_000);
     whole.ok_or_else(|| Malformed::field(name, "is not a number of milliseconds"))
 }
 
-fn amount(name: &str, value: &str) -> Result<f64, Malformed> {
-    let v = value.parse::<f64>().ok().filter(|v| v.is_finite() && (0.0..=1e12).contains(v));
-    v.ok_or_else(|| Malformed::field(name, "is not a number of 0 or more"))
+/// A figure within its range: engines close the connection, and with it all that is open there, on
+/// what they cannot use.
+fn amount(name: &str, value: &str, most: f64) -> Result<f64, Malformed> {
+    let v = value.parse::<f64>().ok().filter(|v| (0.0..=most).contains(v));
+    v.ok_or_else(|| Malformed::field(name, &format!("is not a number from 0 to {most:.0}")))
 }
--- a/src/proto/tables.rs
+++ b/src/proto/tables.rs
@@ -1,5 +1,7 @@
 //! Which group of tables a statement reads or writes: the number after the underscore in the
-//! name of its schema.
+//! name of its schema; and whether a text holds one statement.
+
+use super::Malformed;
 
 /// What a word in a statement is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -133,6 +135,19 @@
     digits.parse().ok()
 }
 
+/// Whether a text holds one statement at most: what stands behind a semicolon is another one, unless it
+/// is nothing.
+pub fn single(mut text: &str) -> Result<(), Malformed> {
+    while let Some((kind, len)) = token(text) {
+        let (head, tail) = text.split_at_checked(len).unwrap_or((text, ""));
+        if head == ";" && kind == Token::Mark && !is_empty(tail) {
+            return Err(Malformed::field("query", "holds several statements, where one is supported"));
+        }
+        text = tail;
+    }
+    Ok(())
+}
+
 /// Whether a text holds no statement: white space, comments and semicolons only.
 pub fn is_empty(mut text: &str) -> bool {
     while let Some((kind, len)) = token(text) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -46,7 +46,7 @@
         std::io::Read::read_exact(&mut raw.stream, &mut word).expect("an answer");
         assert_eq!(word, *b"N");
     }
-    raw.send(&[startup(), query(""), query(" ;-- none\n"), query(&sql("lane-rate", 1, ""))].concat());
+    raw.send(&[startup(), query(""), query(" ;\n"), query(&sql("lane-rate", 1, ""))].concat());
     assert!(kinds(&raw.until_ready()).starts_with("RS"));
     assert_eq!(kinds(&raw.until_ready()), "IZ", "the front's sign of life");
     assert_eq!(kinds(&raw.until_ready()), "IZ");
@@ -65,6 +65,19 @@
         (sql("no-such", 1, ""), "kind"),
         (sql("lane-rate", 1, ",owner=nobody"), "owner"),
         ("SELECT 1".to_owned(), "kind"),
+        ("/**/".to_owned(), "query"),
+        (sql("lane-rate", 1, "").split(" SELECT").next().expect("a comment").to_owned(), "query"),
+        (sql("lane-rate", 1, ",heap_mb=1e12"), "heap_mb"),
+        (sql("lane-rate", 1, ",heap_mb=-40"), "heap_mb"),
+        (sql("lane-rate", 1, ",ms=nan"), "ms"),
+        (sql("lane-rate", 1, ",resent=2"), "resent"),
+        (sql("lane-rate", 1, ",timeout=5"), "timeout"),
+        (sql("tariff-load", 1, ""), "opkey"),
+        ("/* kind=lane-rate,timeout=5 */ SELECT 1".to_owned(), "req"),
+        (
+            "/* kind=lane-rate,req=0000000000000001,timeout=99999999999999999999999 */ SELECT 1".to_owned(),
+            "timeout",
+        ),
     ] {
         let got = good.ask(&text);
         let [code, message, _, _] = error(&got);
@@ -88,6 +101,13 @@
     wrong.send(&[0, 0, 0, 8, 0, 2, 0, 0]);
     assert!(error(&[wrong.message().expect("a last word")])[1].contains("field version"));
     assert_eq!(rows(&good.ask(&sql("lane-rate", 2, ""))).len(), 1);
+    // Several statements in one text: the first alone would be answered for all.
+    let several = good.ask(&format!("{}; DROP TABLE staging.batch", sql("lane-rate", 3, "")));
+    assert_eq!(error(&several)[0], "0A000");
+    // An id that was given to a request before, with another statement.
+    let again = good.ask(&sql("lane-rate", 2, "").replace("orders", "lines"));
+    assert_eq!(error(&again)[0], "42710");
+    assert_eq!(engine.seen("do").len(), 1, "nothing malformed was sent on");
     assert!(program.running());
 }
 
@@ -209,7 +229,7 @@
 fn who_sends_what_is_far_too_long_still_reads_its_error() {
     let program = Program::start(&[], None, None);
     let mut raw = Raw::connect(program.platform);
-    let mut message = vec![b'x'; 3 << 20];
+    let mut message = vec![b'x'; 60 << 20];
     message[..5].copy_from_slice(&[b'Q', 0x03, 0x93, 0x87, 0x00]);
     raw.send(&message);
     std::thread::sleep(Duration::from_millis(50));
