Read answers strictly, give a spoilt connection up, and pass over what is nobody's

Now a known field that cannot be read, a page that is no whole rows, a result over 48,000 bytes or an answer that stops growing for 500 ms spoils the answer: the link is closed, what was out ends as one that may have run, after the close has landed, with nothing held against the engine. A break by the engine counts once. Unwritten attempts on a link that was up never ran, and that is no failed dial.

The new tests fail without the change.

--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -41,6 +41,9 @@
     Unreachable,
     /// The connection broke with it out.
     Broken,
+    /// It went down with a connection that broke for another's sake or was given up on here: it may have
+    /// run, and nothing is held against its engine.
+    Cut,
     /// Called off.
     Undone,
     /// The request was over before it ran, or there was no room to send it.
@@ -174,7 +177,7 @@
                     End::Expired => Outcome::Expired,
                     End::Unreachable => Outcome::DialFailed,
                     End::Broken => Outcome::Dropped,
-                    End::Undone => Outcome::Revoked,
+                    End::Undone | End::Cut => Outcome::Revoked,
                     End::NotRun => Outcome::Unused,
                 },
                 latency,
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -19,6 +19,9 @@
 
 /// How often a link looks whether it has been idle for too long.
 const LOOK: Duration = Duration::from_secs(1);
+/// An answer that has begun and grows no further for so long will not be whole: engines write answers in
+/// one go, and this is long even for a busy machine.
+const STALL: Duration = Duration::from_millis(500);
 /// Share of the idle time after which this side closes: engines close at the whole of it, and a
 /// request that crosses their close would count as one that may have run.
 const IDLE_SHARE: f64 = 0.8;
@@ -172,7 +175,8 @@
         self.riders.borrow().get(&id).map(|r| r.attempt)
     }
 
-    /// An attempt has ended; `undone` if the engine may still answer it.
+    /// An attempt has ended; `undone` if the engine may still answer it, or has answered in a way that it
+    /// may answer again: second copies come.
     pub fn release(&self, id: u64, undone: bool) {
         let was = self.riders.borrow_mut().remove(&id).is_some();
         if was && undone {
@@ -186,6 +190,11 @@
         }
     }
 
+    /// Whether an attempt of a request was on it and did not end served.
+    pub fn undone(&self, id: u64) -> bool {
+        self.undone.borrow().contains(&id)
+    }
+
     /// Closes it: what was on it, and whether each command never left.
     pub fn close(&self) -> Vec<(u64, u32, bool)> {
         self.state.set(State::Dead);
@@ -202,20 +211,32 @@
     }
 }
 
+/// Why a link ended: in words, and whether this side gave up on it.
+type Why = (String, bool);
+
+fn theirs(why: impl ToString) -> Why {
+    (why.to_string(), false)
+}
+
+/// What was read makes no sense: what else comes on this link is of no use either.
+fn spoilt(why: impl std::fmt::Display) -> Why {
+    (format!("unreadable: {why}"), true)
+}
+
 /// Dials a link and serves it until it ends.
 pub async fn run(core: Rc<Core>, link: Rc<Link>) {
     let why = match timeout(span(core.terms().dial), TcpStream::connect(link.address)).await {
         Ok(Ok(stream)) if link.state.get() == State::Dialing => serve(&core, &link, stream).await,
-        Ok(Ok(_)) => "not wanted any more".to_owned(),
-        Ok(Err(e)) => format!("no connection: {e}"),
-        Err(_) => "no connection in time".to_owned(),
+        Ok(Ok(_)) => theirs("not wanted any more"),
+        Ok(Err(e)) => theirs(format!("no connection: {e}")),
+        Err(_) => theirs("no connection in time"),
     };
-    core.on_link_down(&link, &why);
+    core.on_link_down(&link, &why.0, why.1);
 }
 
-async fn serve(core: &Rc<Core>, link: &Link, stream: TcpStream) -> String {
+async fn serve(core: &Rc<Core>, link: &Link, stream: TcpStream) -> Why {
     if let Err(e) = stream.set_nodelay(true) {
-        return e.to_string();
+        return theirs(e);
     }
     link.state.set(State::Up);
     let (reader, writer) = stream.into_split();
@@ -225,10 +246,10 @@
     }
 }
 
-async fn write(link: &Link, mut writer: OwnedWriteHalf) -> String {
+async fn write(link: &Link, mut writer: OwnedWriteHalf) -> Why {
     loop {
         if link.state.get() == State::Dead {
-            return "closed here".into();
+            return theirs("closed here");
         }
         let next = link.queue.borrow_mut().pop_front();
         let Some(buf) = next else {
@@ -238,52 +259,50 @@
         let mut rest = &buf[..];
         while !rest.is_empty() {
             match writer.write(rest).await {
-                Ok(0) => return "closed by the engine".into(),
+                Ok(0) => return theirs("closed by the engine"),
                 Ok(n) => {
                     rest = &rest[n..];
                     link.written.set(link.written.get() + n as u64);
                 }
-                Err(e) => return e.to_string(),
+                Err(e) => return theirs(e),
             }
         }
     }
 }
 
-async fn read(core: &Rc<Core>, link: &Link, mut reader: OwnedReadHalf) -> String {
+async fn read(core: &Rc<Core>, link: &Link, mut reader: OwnedReadHalf) -> Why {
     let mut held = None;
     loop {
-        match timeout(LOOK, read_into(core.pool(), &mut reader, &mut held)).await {
-            Ok(Ok(0)) => return "closed by the engine".into(),
+        let patience = if held.is_some() { STALL } else { LOOK };
+        match timeout(patience, read_into(core.pool(), &mut reader, &mut held)).await {
+            Ok(Ok(0)) => return theirs("closed by the engine"),
             Ok(Ok(_)) => {}
-            Ok(Err(e)) => return e.to_string(),
-            Err(_) if link.idle(core.terms()) => return String::new(),
+            Ok(Err(e)) => return theirs(e),
+            // Guards against an answer that stops short: all that is out here would wait behind it.
+            Err(_) if held.is_some() => return spoilt("an answer stopped growing"),
+            Err(_) if link.idle(core.terms()) => return theirs(""),
             Err(_) => continue,
         }
         link.heard.set(now());
         let Some(buf) = &mut held else { continue };
         let mut at = 0;
         loop {
-            let answer = match resp::read_array(&buf[at..], SIZE) {
-                Ok(Some((parts, len))) => resp::read_answer(&parts).map(|a| Some((a, len))),
-                Ok(None) => Ok(None),
-                Err(e) => Err(e),
-            };
-            match answer {
-                Ok(Some((answer, len))) => {
-                    if let Err(e) = core.on_answer(link, &answer) {
-                        return format!("unreadable: {e}");
+            match resp::read_array(&buf[at..], SIZE) {
+                Ok(Some((parts, len))) => {
+                    if let Err(e) = core.on_answer(link, &parts) {
+                        return spoilt(e);
                     }
                     at += len;
                 }
                 Ok(None) => break,
-                Err(e) => return format!("unreadable: {e}"),
+                Err(e) => return spoilt(e),
             }
         }
         buf.drain(..at);
         if buf.is_empty() {
             held = None;
         } else if !buf.has_room(1) {
-            return "unreadable: an answer longer than any may be".into();
+            return spoilt("an answer longer than any may be");
         }
     }
 }
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -7,7 +7,7 @@
 use super::{now, span};
 use crate::interface::{Micros, Settings};
 use crate::proto::events::{ListEvent, Phase};
-use crate::proto::resp::{Answer, Stats, Word};
+use crate::proto::resp::{self, Answer, Stats, Word};
 use crate::proto::Malformed;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -18,8 +18,8 @@
 
 /// Longest page.
 const PAGE: usize = 6_000;
-/// Pages of a result: 48,000 bytes in whole rows come nowhere near.
-const MOST_PAGES: usize = 64;
+/// Longest result.
+const MOST_RESULT: usize = 48_000;
 /// Longest statement; its command fits a buffer.
 pub const MOST_STATEMENT: usize = SIZE - 2_048;
 /// Before its deadline by less than this a refusal is one for lack of time.
@@ -59,6 +59,11 @@
         true
     }
 
+    /// Bytes of it.
+    fn len(&self) -> usize {
+        self.pages.iter().flatten().map(|p| p.2 - p.1).sum()
+    }
+
     /// The row at a place, without its line feed, and the place behind it. A place is a page and a
     /// byte in it; a result begins at (0, 0).
     pub fn row(&self, (mut page, mut byte): (usize, usize)) -> Option<(&[u8], (usize, usize))> {
@@ -123,6 +128,8 @@
     served: bool,
     /// Where its undo ends in the link's stream, and since when that was seen to have left.
     undone: Option<(u64, Option<Micros>)>,
+    /// As what it ends once that has landed.
+    ends: End,
 }
 
 struct Entry {
@@ -349,7 +356,7 @@
                 // Guards the rule on drains: what waits for a connection would go out after the word.
                 let dialing: Vec<_> = engine.links.iter().filter(|l| l.dialing()).cloned().collect();
                 for link in dialing {
-                    orders.extend(inner.close_link(&link));
+                    orders.extend(inner.close_link(&link, false));
                 }
             }
             log(&format!("engine {} is {:?} at {}, number {i}", member.id, member.phase, member.address));
@@ -358,24 +365,35 @@
         self.wake.notify_one();
     }
 
-    /// An engine answered.
-    pub fn on_answer(self: &Rc<Self>, link: &Link, answer: &Answer) -> Result<(), Malformed> {
-        let text = std::str::from_utf8(answer.id).ok().filter(|t| t.len() == 16);
+    /// An engine answered. Only what is said of an attempt on this link is read: second copies, and answers
+    /// under ids that never were here, are passed over whatever they hold.
+    pub fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed> {
+        let text = parts.first().and_then(|id| std::str::from_utf8(id).ok()).filter(|t| t.len() == 16);
         let id = text.and_then(|t| u64::from_str_radix(t, 16).ok());
         let id = id.ok_or_else(|| Malformed::field("id", "is not 16 hex digits"))?;
         let mut inner = self.inner.borrow_mut();
-        let orders = inner.answered(&self.pool, link, id, answer)?;
+        let Some(attempt) = link.attempt(id) else {
+            // A late answer to an attempt that was here: its pages are not wanted.
+            let late = link.undone(id).then(|| resp::read_answer(parts).ok()).flatten();
+            if late.is_some_and(|a| matches!(a.word, Word::Served { pages } if pages > 1)) {
+                link.command(&self.pool, &[b"forget", format!("{id:016x}").as_bytes()]);
+            }
+            return Ok(());
+        };
+        let answer = resp::read_answer(parts)?;
+        let orders = inner.answered(&self.pool, id, attempt, &answer)?;
         inner.work(self, orders);
         Ok(())
     }
 
-    /// A link has ended.
-    pub fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str) {
+    /// A link has ended; `ours` if this side gave up on it.
+    pub fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool) {
         let mut inner = self.inner.borrow_mut();
         if !why.is_empty() {
             log(&format!("link to engine {} ended with {} out: {why}", link.engine, link.riders()));
         }
-        let orders = inner.close_link(link);
+        let orders = inner.close_link(link, ours);
+        self.wake.notify_one();
         inner.work(self, orders);
     }
 
@@ -468,7 +486,7 @@
         match entry.last {
             _ if entry.deadline - now() < NO_TIME => Cause::Deadline,
             Some(End::Crashed) => Cause::Engine,
-            Some(End::Broken) => Cause::Lost,
+            Some(End::Broken | End::Cut) => Cause::Lost,
             Some(End::Unreachable) => Cause::Unreachable,
             Some(End::Expired) => Cause::Deadline,
             _ => Cause::Busy,
@@ -530,8 +548,17 @@
             return self.tell_end(id, attempt, End::NotRun, Micros(0), None, Stats::default());
         }
         let (result, stats) = (ResultSet::default(), Stats::default());
-        entry.out =
-            Some(Out { attempt, link, sent: now(), result, bill: None, stats, served: false, undone: None });
+        entry.out = Some(Out {
+            attempt,
+            link,
+            sent: now(),
+            result,
+            bill: None,
+            stats,
+            served: false,
+            undone: None,
+            ends: End::Undone,
+        });
         Vec::new()
     }
 
@@ -557,7 +584,7 @@
     /// Ends the attempt that is out, as `end`.
     fn end(&mut self, id: u64, end: End) -> Vec<Order> {
         let Some(out) = self.open.get_mut(&id).and_then(|e| e.out.take()) else { return Vec::new() };
-        out.link.release(id, matches!(end, End::Undone | End::Expired));
+        out.link.release(id, end != End::Served);
         let latency = now() - out.sent;
         let orders = self.tell_end(id, out.attempt, end, latency, out.bill, out.stats);
         // One that was given up before has nobody to answer.
@@ -583,7 +610,8 @@
     /// or for a turn on the processor, is overtaken by the next attempt.
     fn land(&mut self, core: &Rc<Core>, id: u64, attempt: u32) {
         let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut()).filter(|o| o.attempt == attempt);
-        let Some(Out { undone: Some((place, left)), link, .. }) = out else { return };
+        let Some(Out { undone: Some((place, left)), link, ends, .. }) = out else { return };
+        let ends = *ends;
         let wait = match *left {
             Some(at) => at + UNDO_LANDS - now(),
             None if link.gone(*place) => {
@@ -596,7 +624,7 @@
             self.landing.insert((now() + wait, id, attempt));
             return;
         }
-        let orders = self.end(id, End::Undone);
+        let orders = self.end(id, ends);
         self.work(core, orders);
     }
 
@@ -615,40 +643,47 @@
         }
     }
 
-    fn close_link(&mut self, link: &Rc<Link>) -> Vec<Order> {
+    /// Ends a link and every attempt on it, each once. What was never written never ran. One break is
+    /// one fault of its engine, however many were out; where this side closes, what was out counts as out
+    /// until the close has landed, for the next attempt would overtake it.
+    fn close_link(&mut self, link: &Rc<Link>, ours: bool) -> Vec<Order> {
         if let Some(engine) = self.engines.get_mut(link.engine) {
             engine.links.retain(|l| !Rc::ptr_eq(l, link));
         }
-        let mut orders = Vec::new();
+        let (mut orders, mut blamed, dialing) = (Vec::new(), ours, link.dialing());
         for (id, attempt, unwritten) in link.close() {
-            let out = self.open.get(&id).and_then(|e| e.out.as_ref());
-            if out.is_some_and(|o| o.attempt == attempt && Rc::ptr_eq(&o.link, link)) {
-                orders.extend(self.end(id, if unwritten { End::Unreachable } else { End::Broken }));
+            let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut());
+            let out = out.filter(|o| o.attempt == attempt && Rc::ptr_eq(&o.link, link));
+            let Some(out) = out else { continue };
+            let end = match unwritten {
+                true if dialing => End::Unreachable,
+                true => End::NotRun,
+                false if std::mem::replace(&mut blamed, true) => End::Cut,
+                false => End::Broken,
+            };
+            if ours && !unwritten {
+                out.ends = end;
+                out.undone = Some((0, Some(now())));
+                self.landing.insert((now() + UNDO_LANDS, id, attempt));
+            } else {
+                orders.extend(self.end(id, end));
             }
         }
         orders
     }
 
-    fn answered(&mut self, pool: &Pool, link: &Link, id: u64, a: &Answer) -> Result<Vec<Order>, Malformed> {
+    fn answered(&mut self, pool: &Pool, id: u64, attempt: u32, a: &Answer) -> Result<Vec<Order>, Malformed> {
         let name = format!("{id:016x}");
-        let Some(attempt) = link.attempt(id) else {
-            // A late answer to an attempt that has ended: its pages are not wanted.
-            if matches!(a.word, Word::Served { pages } if pages > 1) {
-                link.command(pool, &[b"forget", name.as_bytes()]);
-            }
-            return Ok(Vec::new());
-        };
         let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut()).filter(|o| o.attempt == attempt);
         let Some(out) = out else { return Ok(Vec::new()) };
-        if a.body.len() > PAGE {
-            return Err(Malformed::field("body", "is longer than a page may be"));
-        }
         let page = match a.word {
             Word::Update { how, num } => {
                 let note = how.map(|how| self.facade.report(now(), News::Note(id, attempt, how, num)));
                 return Ok(note.unwrap_or_default());
             }
-            Word::Green | Word::Other => return Ok(Vec::new()),
+            Word::Green => return Ok(Vec::new()),
+            Word::Other => return Err(Malformed::field("word", "is not known")),
+            Word::Overload | Word::Nobody if out.served => return Ok(Vec::new()),
             Word::Overload | Word::Crashed | Word::Nobody => {
                 out.stats = a.stats;
                 let end = match a.word {
@@ -663,22 +698,33 @@
                 out.link.command(pool, &[b"forget", name.as_bytes()]);
                 return Ok(Vec::new());
             }
-            Word::Rows { .. } if out.undone.is_some() => return Ok(Vec::new()),
-            Word::Served { pages } if !out.served && (1..=MOST_PAGES).contains(&pages) => {
-                (out.served, out.stats, out.bill) = (true, a.stats, a.bill);
-                out.result.pages = vec![None; pages];
-                for n in 1..pages {
-                    let n = n.to_string();
-                    out.link.command(pool, &[b"page", name.as_bytes(), n.as_bytes()]);
-                }
-                0
-            }
-            Word::Rows { page } if out.served && (1..out.result.pages.len()).contains(&page) => page,
-            _ => return Err(Malformed::field("batch", "is out of place")),
+            // A second copy.
+            Word::Served { .. } if out.served => return Ok(Vec::new()),
+            Word::Served { .. } => 0,
+            Word::Rows { .. } if out.undone.is_some() || !out.served => return Ok(Vec::new()),
+            Word::Rows { page } => match out.result.pages.get(page) {
+                Some(None) => page,
+                Some(Some(_)) => return Ok(Vec::new()),
+                None => return Err(Malformed::field("batch", "is out of place")),
+            },
         };
+        if a.body.len() > PAGE || !resp::is_page(a.body) {
+            return Err(Malformed::field("body", "is no page of whole rows"));
+        }
+        if out.result.len() + a.body.len() > MOST_RESULT {
+            return Err(Malformed::field("body", "makes the result longer than any may be"));
+        }
+        if let Word::Served { pages } = a.word {
+            (out.served, out.stats, out.bill) = (true, a.stats, a.bill);
+            out.result.pages = vec![None; pages];
+            for n in 1..pages {
+                let n = n.to_string();
+                out.link.command(pool, &[b"page", name.as_bytes(), n.as_bytes()]);
+            }
+        }
         if !out.result.put(pool, page, a.body) {
             out.link.command(pool, &[b"forget", name.as_bytes()]);
-            return Ok(self.end(id, End::Crashed));
+            return Ok(self.end(id, End::Cut));
         }
         let whole = out.result.pages.iter().all(Option::is_some);
         Ok(if whole { self.end(id, End::Served) } else { Vec::new() })
@@ -712,7 +758,6 @@
     use super::*;
     use crate::interface::*;
     use crate::proto::events::Member;
-    use crate::proto::resp::How;
     use std::time::Duration;
     use tokio::net::TcpListener;
 
@@ -781,9 +826,7 @@
             };
             tokio::time::sleep(Duration::from_millis(50)).await;
             // Hardly begun long after the wanted time: the module calls it off.
-            let word = Word::Update { how: Some(How::SoFar), num: 0.0 };
-            let (stats, bill, body) = (Stats::default(), None, &b""[..]);
-            let note = Answer { id: b"0000000000000001", word, stats, bill, body };
+            let note: [&[u8]; 3] = [b"0000000000000001", b"update", b"how=so_far,num=0.0"];
             core.on_answer(&link, &note).expect("understood");
             {
                 let inner = core.inner.borrow();
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -7,8 +7,7 @@
 use std::io;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-/// Columns of every result.
-pub const COLUMNS: usize = 3;
+pub use crate::proto::resp::COLUMNS;
 
 /// Advice to come back: the hint for people, the detail for programs.
 fn come_back(fault: Fault, wait: Micros) -> Fault {
--- a/src/proto/resp.rs
+++ b/src/proto/resp.rs
@@ -137,27 +137,55 @@
     pub body: &'a [u8],
 }
 
-fn num(text: &str) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|v| v.is_finite())
+/// Columns of a row.
+pub const COLUMNS: usize = 3;
+/// Pages of a result: 48,000 bytes in whole rows come nowhere near.
+const MOST_PAGES: usize = 64;
+
+fn num(name: &str, text: &str) -> Result<f64, Malformed> {
+    let v = text.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+    v.ok_or_else(|| Malformed::field(name, "is not a number of 0 or more"))
+}
+
+fn page_number(name: &str, text: &str) -> Result<usize, Malformed> {
+    let n = text.parse::<usize>().ok().filter(|n| (1..=MOST_PAGES).contains(n));
+    n.ok_or_else(|| Malformed::field(name, "is no number of a page"))
 }
 
-fn read_stats(text: &str) -> Stats {
+/// Names and values parted by `between` and `mark`; what has no mark is no field.
+fn named(text: &str, between: char, mark: char) -> impl Iterator<Item = Result<(&str, &str), Malformed>> {
+    let parts = text.split(between).filter(move |_| text != "-" && !text.is_empty());
+    parts.map(move |p| {
+        p.split_once(mark).ok_or_else(|| Malformed::field("fields", "hold one without a value"))
+    })
+}
+
+fn read_stats(text: &str) -> Result<Stats, Malformed> {
     let mut s = Stats::default();
-    for (name, value) in text.split(';').filter_map(|p| p.split_once(':')) {
-        let v = num(value);
-        match name {
-            "inflight" | "rif" => s.inflight = v,
-            "queue" | "q" => s.queue = v,
-            "util" | "busy" => s.util = v,
-            "x0" => s.x0 = v,
-            "x1" => s.x1 = v,
-            _ => {}
-        }
+    for part in named(text, ';', ':') {
+        let (name, value) = part?;
+        let place = match name {
+            "inflight" | "rif" => &mut s.inflight,
+            "queue" | "q" => &mut s.queue,
+            "util" | "busy" => &mut s.util,
+            "x0" => &mut s.x0,
+            "x1" => &mut s.x1,
+            _ => continue,
+        };
+        *place = Some(num("stats", value)?);
     }
-    s
+    Ok(s)
 }
 
-/// Understands the parts of an array as an engine's answer. Unknown fields are skipped.
+/// Whether a page's body is text in whole rows of three columns, as the engines' wire promises.
+pub fn is_page(body: &[u8]) -> bool {
+    let columns = |row: &[u8]| row.iter().filter(|b| **b == b'\t').count() + 1;
+    let whole = body.split_inclusive(|b| *b == b'\n').all(|r| r.ends_with(b"\n") && columns(r) == COLUMNS);
+    whole && !body.contains(&0) && std::str::from_utf8(body).is_ok()
+}
+
+/// Understands the parts of an array as an engine's answer. Unknown fields are skipped; a known one that
+/// cannot be read spoils the whole answer. Guards against half a result that passes for a whole one.
 pub fn read_answer<'a>(parts: &[&'a [u8]]) -> Result<Answer<'a>, Malformed> {
     let [id, word, rest @ ..] = parts else { return Err(Malformed::field("word", "is missing")) };
     let fields = std::str::from_utf8(rest.first().copied().unwrap_or(b"-"))
@@ -165,14 +193,15 @@
     let body = rest.get(1).copied().unwrap_or(b"");
     let (mut pages, mut page, mut how, mut value) = (None, None, None, 0.0);
     let (mut stats, mut cpu, mut used) = (Stats::default(), None, None);
-    for (name, text) in fields.split(',').filter_map(|p| p.split_once('=')) {
+    for part in named(fields, ',', '=') {
+        let (name, text) = part?;
         match name {
-            "batches" => pages = text.parse().ok(),
-            "batch" => page = text.parse().ok(),
-            "stats" => stats = read_stats(text),
-            "cpu" => cpu = num(text),
-            "used" => used = num(text),
-            "num" => value = num(text).unwrap_or(0.0),
+            "batches" => pages = Some(page_number(name, text)?),
+            "batch" => page = Some(page_number(name, text)?),
+            "stats" => stats = read_stats(text)?,
+            "cpu" => cpu = Some(num(name, text)?),
+            "used" => used = Some(num(name, text)?),
+            "num" => value = num(name, text)?,
             "how" => {
                 how = match text {
                     "so_far" => Some(How::SoFar),
@@ -185,14 +214,12 @@
         }
     }
     let word = match *word {
-        b"served" => Word::Served { pages: pages.unwrap_or(1).max(1) },
+        b"served" => Word::Served { pages: pages.ok_or_else(|| Malformed::field("batches", "is missing"))? },
         b"overload" => Word::Overload,
         b"crashed" => Word::Crashed,
         b"nobody" => Word::Nobody,
         b"update" => Word::Update { how, num: value },
-        b"rows" => {
-            Word::Rows { page: page.ok_or_else(|| Malformed::field("batch", "is missing or no number"))? }
-        }
+        b"rows" => Word::Rows { page: page.ok_or_else(|| Malformed::field("batch", "is missing"))? },
         b"green" => Word::Green,
         _ => Word::Other,
     };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -159,6 +159,67 @@
     program.wait_line("unreadable: field body");
 }
 
+fn bulks(parts: &[&str]) -> String {
+    let each: String =
+        parts.iter().map(|p| format!("${}\r\n{p}\r\n", p.replace('@', &"0".repeat(16)).len())).collect();
+    format!("*{}\r\n{each}", parts.len())
+}
+
+/// Nothing spoilt reaches a client: the attempt goes elsewhere where the class allows it, the connection
+/// is given up and what is good after it is served. Engines are not left out for it.
+#[test]
+fn spoilt_answers_are_tried_again_and_reach_nobody() {
+    use std::sync::atomic::{AtomicUsize, Ordering};
+    let spoilt = [
+        bulks(&["@", "served", "batches=x,cpu=5", "a\tb\tc\n"]),
+        bulks(&["@", "served", "cpu=5", "a\tb\tc\n"]),
+        bulks(&["@", "served", "batches=1,cpu=nan", "a\tb\tc\n"]),
+        bulks(&["@", "served", "batches=1,stats=inflight:?", "a\tb\tc\n"]),
+        bulks(&["@", "served", "batches=1", "a\tb\tc\na\tb"]),
+        bulks(&["@", "served", "batches=1", "a\tb\n"]),
+        bulks(&["@", "served", "batches=1", "a\tb\tc\n"]).replace("$6\r\na", "$9\r\na"),
+        bulks(&["@", "sreved", "batches=1", "a\tb\tc\n"]),
+        "*4\r\n$16\r\n@\r\n$6\r\nserved\r\n$9\r\nbatches=1\r\n$3221225472\r\n".into(),
+        "*4\r\n$16\r\n@\r\n$6\r\nser".into(),
+    ];
+    // Three to a program: its ration of further attempts.
+    for spoilt in spoilt.chunks(3) {
+        let (all, tries) = (spoilt.to_vec(), AtomicUsize::new(0));
+        // One attempt in two is spoilt, each in another way.
+        let engine = Engine::start(move |_| {
+            let n = tries.fetch_add(1, Ordering::SeqCst);
+            let bad = all.get(n / 2).filter(|_| n % 2 == 0);
+            bad.map_or_else(|| Reply::Pages(vec!["good\tb\tc\n".into()]), |b| Reply::Raw(b.clone()))
+        });
+        let program = Program::start(&[("s-1", engine.address)], None, None);
+        let mut raw = Raw::connect(program.platform);
+        for (id, text) in spoilt.iter().enumerate() {
+            assert_eq!(rows(&raw.ask(&sql("lane-rate", id as u64, ""))), ["good|b|c"], "{text}");
+        }
+        let lines = program.lines();
+        assert_eq!(lines.iter().filter(|l| l.contains("unreadable")).count(), spoilt.len());
+        assert!(lines.iter().all(|l| !l.contains("distrusted")), "no engine is left out for it");
+    }
+}
+
+/// Second copies, and answers under ids that nobody asked with, are passed over without harm.
+#[test]
+fn what_an_answer_brings_beyond_its_own_is_passed_over() {
+    let engine = Engine::start(|_| {
+        let good = bulks(&["@", "served", "batches=1", "a\tb\tc\n"]);
+        let other = bulks(&["0123456789abcdef", "served", "-", "x"]);
+        Reply::Raw([other.as_str(), &good, &good, &other].concat())
+    });
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    for i in 1..30 {
+        assert_eq!(rows(&raw.ask(&sql("lane-rate", i, ""))), ["a|b|c"]);
+    }
+    assert_eq!(engine.seen("do").len(), 29, "each was sent once");
+    assert_eq!(engine.seen("page").len() + engine.seen("forget").len(), 0);
+    assert!(program.lines().iter().all(|l| !l.contains("ended with")), "the connection stays");
+}
+
 /// The feed is followed over a cut, repeats are passed over, and a draining engine gets nothing new.
 #[test]
 fn the_feed_is_followed_over_a_cut() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,6 +35,8 @@
     Hold,
     /// One word without a body.
     Word(&'static str),
+    /// These bytes, with the request's id for each `@`.
+    Raw(String),
     /// Closes the connection.
     Cut,
     /// Says that there are two pages and closes the connection when asked for the second.
@@ -133,6 +135,7 @@
                 }
                 Reply::Hold => {}
                 Reply::Word(word) => answer(&mut out, &[&id, word, "-", ""]),
+                Reply::Raw(text) => drop(out.write_all(text.replace('@', &id).as_bytes())),
                 Reply::Cut => break,
                 Reply::CutMidAnswer(first) => answer(&mut out, &[&id, "served", "batches=2", &first]),
             },
