Forget engines that are gone: their numbers are given to new ones

Seen by reading: Core.engines, Facade.engines and the module's engines grew by one with each new id, and every decision walks them all (brain.rs pick, draw_few, judge_engines; table.rs send). Now a number is free again once its engine has been gone, by its own entry or a whole list without it, for longer than any request is open, and has no connection left; links to gone engines are retired. The module starts a number that was gone from nothing, but for what is out.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -535,6 +535,10 @@
             let i = entry.engine.0 as usize;
             self.engines.resize_with(self.engines.len().max(i + 1), Engine::default);
             let e = &mut self.engines[i];
+            if std::mem::replace(&mut e.gone, entry.state == EngineState::Gone) {
+                // Back under its number, or another in its place: nothing is known of it but what is out.
+                *e = Engine { threads: e.threads, flying: e.flying, gone: e.gone, ..Engine::default() };
+            }
             if entry.since > e.started {
                 // A fresh start: what was known of the old process is void.
                 (e.slow, e.slow_samples, e.failures, e.bad) = (0.0, 0, 0, 0.0);
--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -97,6 +97,9 @@
 pub struct Facade {
     brain: Brain,
     engines: BTreeMap<String, u32>,
+    /// Numbers of engines that were forgotten.
+    free: Vec<u32>,
+    next: u32,
     zones: Vec<String>,
     kinds: Vec<String>,
     timers: BinaryHeap<std::cmp::Reverse<(Micros, u64)>>,
@@ -111,13 +114,38 @@
     /// A module that starts now.
     pub fn new(set: Settings, seed: u64, zones: Vec<String>, kinds: Vec<String>, now: Micros) -> Facade {
         let brain = Brain::new(set, seed, now);
-        Facade { brain, engines: BTreeMap::new(), zones, kinds, timers: BinaryHeap::new(), out: Vec::new() }
+        Facade {
+            brain,
+            engines: BTreeMap::new(),
+            free: Vec::new(),
+            next: 0,
+            zones,
+            kinds,
+            timers: BinaryHeap::new(),
+            out: Vec::new(),
+        }
     }
 
-    /// The number of an engine, given at first sight.
+    /// The number of an engine, given at first sight: one that is free again, or a new one.
     pub fn engine(&mut self, id: &str) -> usize {
-        let next = self.engines.len() as u32;
-        *self.engines.entry(id.to_owned()).or_insert(next) as usize
+        if let Some(number) = self.engines.get(id) {
+            return *number as usize;
+        }
+        let number = self.free.pop().unwrap_or(self.next);
+        self.next = self.next.max(number + 1);
+        self.engines.insert(id.to_owned(), number);
+        number as usize
+    }
+
+    /// Forgets an engine that is gone and that no request knows of any more: its number may be given to
+    /// another. Guards against days on which new ids come for ever: every decision looks at all numbers.
+    pub fn forget(&mut self, number: usize) {
+        let number = number as u32;
+        let known = self.engines.len();
+        self.engines.retain(|_, n| *n != number);
+        if self.engines.len() < known {
+            self.free.push(number);
+        }
     }
 
     /// A request came in.
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -150,6 +150,8 @@
     address: Option<SocketAddr>,
     since: i64,
     links: Vec<Rc<Link>>,
+    /// Since when the list has it no more.
+    gone: Option<Micros>,
 }
 
 /// What became of requests since the last line of figures.
@@ -203,6 +205,8 @@
     landing: BTreeSet<(Micros, u64, u32)>,
     engines: Vec<Engine>,
     last_event: u64,
+    /// An engine is remembered for so long after it has gone: no request is open for longer.
+    keep: Micros,
     past: Past,
     seed: u64,
 }
@@ -240,6 +244,7 @@
     /// A core that knows no engine yet.
     pub fn new(set: Settings, seed: u64, names: [Vec<String>; 2], terms: Terms, pool: Pool) -> Rc<Core> {
         let [zones, kinds] = names;
+        let keep = set.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let facade = Facade::new(set, seed, zones, kinds, now());
         let (open, deadlines, landing) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
         let (tally, next_figures) = (Tally::default(), now() + FIGURES);
@@ -252,6 +257,7 @@
             landing,
             engines: Vec::new(),
             last_event: 0,
+            keep,
             past: Past::default(),
             seed,
         };
@@ -341,6 +347,7 @@
             return;
         }
         inner.last_event = list.n;
+        inner.forget_gone(list);
         let mut orders = inner.facade.report(now(), News::List(list, remembered));
         for member in &list.members {
             let i = inner.facade.engine(&member.id);
@@ -352,6 +359,10 @@
                 engine.links.iter().for_each(|l| l.retire());
             }
             (engine.address, engine.since) = (address, member.up_since_ms);
+            engine.gone = (member.phase == Phase::Gone).then(now);
+            if engine.gone.is_some() {
+                engine.links.iter().for_each(|l| l.retire());
+            }
             if member.phase != Phase::Ready {
                 // Guards the rule on drains: what waits for a connection would go out after the word.
                 let dialing: Vec<_> = engine.links.iter().filter(|l| l.dialing()).cloned().collect();
@@ -438,6 +449,22 @@
 }
 
 impl Inner {
+    /// Forgets the engines that have been gone for long enough and have no connection left.
+    fn forget_gone(&mut self, list: &ListEvent) {
+        let at = now();
+        for i in 0..self.engines.len() {
+            let engine = &mut self.engines[i];
+            if list.complete {
+                // What a whole list does not name is gone, too.
+                engine.gone.get_or_insert(at);
+            }
+            if engine.links.is_empty() && engine.gone.is_some_and(|t| at - t > self.keep) {
+                *engine = Engine::default();
+                self.facade.forget(i);
+            }
+        }
+    }
+
     fn due(&self) -> Option<Micros> {
         let deadline = self.deadlines.first().map(|d| d.0);
         let landing = self.landing.first().map(|l| l.0);
@@ -874,6 +901,39 @@
         });
     }
 
+    /// Guards memory and time per request on long days: engines come under new ids for ever, and each took
+    /// a number that every decision looked at from then on.
+    #[test]
+    fn engines_that_are_gone_make_room_for_new_ones() {
+        local(async {
+            let (core, engines) = core().await;
+            core.inner.borrow_mut().keep = Micros(0);
+            let address = engines[0].local_addr().expect("an address").to_string();
+            let member = |id: u64, phase: Phase| Member {
+                id: format!("e-{id}"),
+                address: address.clone(),
+                zone: String::new(),
+                kind: String::new(),
+                cell: 0,
+                phase,
+                up_since_ms: 0,
+            };
+            for n in 2..500 {
+                let members = vec![member(n - 1, Phase::Gone), member(n, Phase::Ready)];
+                core.on_list(&ListEvent { n, complete: false, members }, false);
+                tokio::time::sleep(Duration::from_micros(10)).await;
+            }
+            assert!(core.inner.borrow().engines.len() < 10, "{}", core.inner.borrow().engines.len());
+            // A whole list that names one only: the others go, and what it names is used.
+            let members = vec![member(499, Phase::Ready)];
+            core.on_list(&ListEvent { n: 500, complete: true, members }, false);
+            let _ticket = core.take(request(&core, 1)).expect("taken");
+            let mut inner = core.inner.borrow_mut();
+            let number = inner.facade.engine("e-499");
+            assert_eq!(inner.open[&1].out.as_ref().expect("out").link.engine, number);
+        });
+    }
+
     /// Guards the one final answer: a second one has nowhere to go, whoever words it.
     #[test]
     fn a_request_is_answered_once() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -45,6 +45,8 @@
 #[derive(Default)]
 pub(crate) struct Engine {
     pub(crate) listed: bool,
+    /// The list has said that it is gone.
+    pub(crate) gone: bool,
     pub(crate) zone: u32,
     pub(crate) kind: u32,
     pub(crate) cell: u32,
