Ask the feed anew for an event that could not be read, before it is passed over

Seen by reading: core/feed.rs call ticked the number of an unreadable event off at once, so a drain or a new engine in it was never heard of. Now the call ends and is made again from the last event read, three times at most; then it is passed over and logged, as before. Half an event is no event already: each call has its own reader (checked by reading and the test). The test fails without the change.

--- a/src/core/feed.rs
+++ b/src/core/feed.rs
@@ -17,10 +17,32 @@
 /// For a connection to the feed.
 const DIAL: Duration = Duration::from_millis(500);
 
+/// An event that cannot be read is asked for anew so many times before it is passed over: what spoilt it
+/// on the way may not come again, and what it told would be lost.
+const ANEW: u32 = 3;
+
+/// The event that could not be read last, and how often that was.
+#[derive(Default)]
+struct Unread {
+    event: Option<u64>,
+    times: u32,
+}
+
+impl Unread {
+    /// Whether an event that could not be read is to be asked for anew.
+    fn again(&mut self, event: Option<u64>) -> bool {
+        if self.event != event {
+            *self = Unread { event, times: 0 };
+        }
+        self.times += 1;
+        self.times <= ANEW
+    }
+}
+
 /// Follows the feed for good, one call at a time, at whatever address it has: a new one is called at
 /// once and the call to the old one dropped, whatever it still had to say.
 pub async fn follow(core: Rc<Core>, mut address: watch::Receiver<Option<String>>) {
-    let mut rest = REST[0];
+    let (mut rest, mut unread) = (REST[0], Unread::default());
     loop {
         let at = address.borrow_and_update().clone();
         let mut reader = sse::Reader::default();
@@ -30,7 +52,7 @@
             Ok(()) = address.changed() => None,
             why = async {
                 match &at {
-                    Some(at) => call(&core, at, &mut reader).await,
+                    Some(at) => call(&core, at, &mut reader, &mut unread).await,
                     None => std::future::pending().await,
                 }
             } => Some(why),
@@ -58,7 +80,7 @@
     }
 }
 
-async fn call(core: &Rc<Core>, address: &str, reader: &mut sse::Reader) -> String {
+async fn call(core: &Rc<Core>, address: &str, reader: &mut sse::Reader, unread: &mut Unread) -> String {
     let mut stream = match timeout(DIAL, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return e.to_string(),
@@ -83,6 +105,7 @@
             match events::parse(&event.data) {
                 Ok(Some(list)) => core.on_list(&list, false),
                 Ok(None) => event.id.into_iter().for_each(|n| core.passed_event(n)),
+                Err(e) if unread.again(event.id) => return format!("an event could not be read: {e}"),
                 // Guards against one bad event that would come again with every call.
                 Err(e) => {
                     core.log(&format!("feed event skipped: {e}"));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -298,6 +298,26 @@
     assert!(raw.message().is_none());
 }
 
+/// Guards the rule on drains: an event that came spoilt was ticked off, and what it told never heard of.
+/// It is asked for anew; one that stays spoilt is passed over in the end.
+#[test]
+fn an_event_that_cannot_be_read_is_asked_for_anew_and_passed_over_in_the_end() {
+    let (engine, feed) = (Engine::echo(), Feed::start());
+    feed.send(list(1, true, &[("s-1", engine.address, "ready")]));
+    let drains = list(2, false, &[("s-1", engine.address, "draining")]);
+    feed.send_spoilt_once(&drains, &drains[..drains.len() / 2]);
+    let program = Program::start(&[("s-1", engine.address)], Some(&feed), None);
+    program.wait_line("an event could not be read");
+    program.wait_line("engine s-1 is Draining");
+    feed.send("{\"n\":3,\"members\":7}");
+    program.wait_line("feed event skipped");
+    feed.send(list(4, false, &[("s-2", engine.address, "ready")]));
+    program.wait_line("engine s-2 is Ready");
+    let calls = feed.calls.lock().expect("unpoisoned").clone();
+    let from = |n: u64| calls.iter().filter(|c| **c == n).count();
+    assert!(from(1) == 2 && from(2) == 3, "{calls:?}");
+}
+
 /// SIGHUP ended the program. It moves the feed and nothing else: the event after the last one read is
 /// asked for at the new address, the old feed is let go, and what is open stays open.
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -157,6 +157,7 @@
     pub calls: Arc<Mutex<Vec<u64>>>,
     cuts: Arc<AtomicU64>,
     open: Arc<AtomicU64>,
+    spoilt: Arc<Mutex<Option<(usize, String)>>>,
 }
 
 impl Feed {
@@ -169,6 +170,8 @@
         let open: Arc<AtomicU64> = Arc::default();
         let (log, all, cut) = (Arc::clone(&calls), Arc::clone(&events), Arc::clone(&cuts));
         let held = Arc::clone(&open);
+        let spoilt: Arc<Mutex<Option<(usize, String)>>> = Arc::default();
+        let overlay = Arc::clone(&spoilt);
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let mut input = BufReader::new(stream.try_clone().expect("a second handle"));
@@ -183,6 +186,7 @@
                 let (all, cut) = (Arc::clone(&all), Arc::clone(&cut));
                 let before = cut.load(Ordering::SeqCst);
                 let held = Arc::clone(&held);
+                let overlay = Arc::clone(&overlay);
                 held.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
                     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
@@ -193,6 +197,8 @@
                         let fresh = all.lock().expect("unpoisoned")[next..].to_vec();
                         for data in fresh {
                             next += 1;
+                            let other = overlay.lock().expect("unpoisoned").take_if(|o| o.0 == next);
+                            let data = other.map_or(data, |o| o.1);
                             alive &= write!(stream, "id: {next}\ndata: {data}\n\n").is_ok();
                         }
                         alive &= cut.load(Ordering::SeqCst) == before;
@@ -204,7 +210,7 @@
                 });
             }
         });
-        Feed { address, events, calls, cuts, open }
+        Feed { address, events, calls, cuts, open, spoilt }
     }
 
     /// Calls that are open.
@@ -212,6 +218,13 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Sends an event that the first call to get it gets as another text.
+    pub fn send_spoilt_once(&self, event: impl Into<String>, spoilt: impl Into<String>) {
+        let mut events = self.events.lock().expect("unpoisoned");
+        *self.spoilt.lock().expect("unpoisoned") = Some((events.len() + 1, spoilt.into()));
+        events.push(event.into());
+    }
+
     /// Ends every call.
     pub fn cut(&self) {
         self.cuts.fetch_add(1, Ordering::SeqCst);
