--- a/src/brain.rs
+++ b/src/brain.rs
@@ -91,6 +91,8 @@
 const TRICKLE: Micros = Micros(1_000_000);
 /// First rest after a failed connection; doubles up to eight times this.
 const DOWN_REST: Micros = Micros(500_000);
+/// So many errors end a request: what two engines cannot do is most likely its own fault.
+const MOST_ERRORS: u32 = 2;
 /// An attempt is redone when what is left would take this many times a fresh one.
 const REDO_GAIN: f64 = 3.0;
 /// An answer is late when this many times its expected time passes the wanted one; else half would be.
@@ -501,6 +503,11 @@
         if among.iter().any(|i| self.usable(r, *i)) {
             among.retain(|i| self.usable(r, *i));
         }
+        // Guards against an engine that fails at once: it looks idle, and would draw what it just failed.
+        let elsewhere = |i: &usize| r.last != Some(EngineId(*i as u32));
+        if r.errors > 0 && among.iter().any(elsewhere) {
+            among.retain(elsewhere);
+        }
         among.retain(|i| (!room || self.has_room(r, *i)) && (r.few.is_empty() || r.few.contains(i)));
         let drawn: Vec<f64> = among.iter().map(|i| self.weight(r, *i)).collect();
         let mut at = dice * drawn.iter().sum::<f64>();
@@ -629,6 +636,7 @@
         if !outcome.never_ran() {
             r.may_have_run.get_or_insert((a.sent, at));
         }
+        r.errors += u32::from(outcome == Outcome::Error);
         r.answered |= complete;
         let (key, answered, in_all) = (r.key.clone(), r.answered, (self.now - r.arrived).secs());
         let e = &mut self.engines[i];
@@ -681,7 +689,8 @@
         }
         match self.requests.get(&id) {
             _ if answered || outcome == Outcome::Delivered => self.finish(id, out),
-            Some(r) if self.may_repeat(r) => _ = self.line.insert(place(r), id),
+            // Guards the ration of further attempts against requests that every engine fails.
+            Some(r) if r.errors < MOST_ERRORS && self.may_repeat(r) => _ = self.line.insert(place(r), id),
             _ => self.answer(id, out),
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,6 +106,8 @@
     pub(crate) key: Option<String>,
     pub(crate) level: usize,
     pub(crate) attempts: u32,
+    /// Attempts that ended with an engine's error.
+    pub(crate) errors: u32,
     /// The first attempt that may have run: when, and where.
     pub(crate) may_have_run: Option<(Micros, EngineId)>,
     pub(crate) out: Option<Attempt>,
@@ -171,6 +173,7 @@
             key: None,
             level: 0,
             attempts: 0,
+            errors: 0,
             may_have_run: None,
             out: None,
             last: None,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -28,6 +28,21 @@
     assert!(hits <= 5, "{hits} of 100");
 }
 
+/// Seen on sockets: a request that no engine could use went out six times, and so did dozens of its kind;
+/// little was left of the ration for what a further attempt would have helped.
+#[test]
+fn two_errors_end_a_request_and_the_second_try_goes_elsewhere() {
+    for seed in 0..20 {
+        let mut b = Bench::seeded(settings(vec![class(Effect::Safe)]), seed, 3);
+        let (id, out) = b.arrive(0, 0.1, None);
+        let first = sent(&out)[0].1;
+        let again = b.end(id, 0, Outcome::Error);
+        assert_ne!(sent(&again)[0].1, first);
+        let over = b.end(id, 1, Outcome::Error);
+        assert!(sent(&over).is_empty() && refused(&over, id));
+    }
+}
+
 #[test]
 fn broken_connections_do_not_make_an_engine_cold() {
     let mut b = Bench::new(settings(vec![class(Effect::Unsafe)]), 1);
