--- a/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision of the gateway. Its vocabulary is in `src/interface.rs`: read that first.
+//! Every decision of the gateway. Its vocabulary is in `crates/policy/src/interface.rs`: read that first.
 //!
 //! An ordinary query is priced, admitted and levelled by the tolls of Konana et al. (sections 3.2 to
 //! 3.4), then waits in the gateway's line until an engine drawn for it has room. What ends badly is
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A gateway under test: feeds events, keeps what was asked for.
 #![allow(dead_code)]
 
-use sprucelink::brain::Brain;
-use sprucelink::interface::*;
+use sprucelink_policy::brain::Brain;
+use sprucelink_policy::interface::*;
 
 pub struct Bench {
     pub brain: Brain,
--- a/tests/policy_size.rs
+++ b/crates/policy/tests/policy_size.rs
@@ -8,5 +8,5 @@
     for (i, line) in text.lines().enumerate() {
         assert!(line.chars().count() <= 110, "line {} is too wide", i + 1);
     }
-    assert!(text.lines().take(3).any(|l| l.contains("src/interface.rs")));
+    assert!(text.lines().take(3).any(|l| l.contains("crates/policy/src/interface.rs")));
 }
--- a/src/bin/sprucelink-simhost.rs
+++ b/src/bin/sprucelink-simhost.rs
@@ -4,9 +4,9 @@
 //! output; it decides nothing.
 #![forbid(unsafe_code)]
 
-use sprucelink::brain::Brain;
-use sprucelink::interface::{Action, EngineId, Event, ListKind, Micros};
 use sprucelink::wire::{parse_line, print_action, Line, PoolEntry, WireError};
+use sprucelink_policy::brain::Brain;
+use sprucelink_policy::interface::{Action, EngineId, Event, ListKind, Micros};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -1,10 +1,10 @@
 //! The decision module in blocking style: `pick` for a request, `report` for news, `tick` for the
 //! time. Network code sees orders, never the module's events or actions.
 
-use crate::brain::Brain;
-use crate::interface::*;
 use crate::proto::events::{ListEvent, Phase};
 use crate::proto::resp::{How, Stats};
+use sprucelink_policy::brain::Brain;
+use sprucelink_policy::interface::*;
 use std::collections::{BTreeMap, BinaryHeap};
 
 /// A request as the core hands it to the module.
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -4,8 +4,8 @@
 use super::pool::{read_into, Buf, Pool, SIZE};
 use super::table::Core;
 use super::{now, span};
-use crate::interface::Micros;
 use crate::proto::resp;
+use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,7 +7,7 @@
 pub mod pool;
 pub mod table;
 
-use crate::interface::Micros;
+use sprucelink_policy::interface::Micros;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The system's Unix clock: every deadline and every time told to the module is read off it.
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -5,10 +5,10 @@
 use super::links::{self, Link, Terms};
 use super::pool::{Buf, Pool, SIZE};
 use super::{now, span};
-use crate::interface::{Micros, Settings};
 use crate::proto::events::{ListEvent, Phase};
 use crate::proto::resp::{self, Answer, Stats, Word};
 use crate::proto::Malformed;
+use sprucelink_policy::interface::{Micros, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hasher};
@@ -783,8 +783,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::interface::*;
     use crate::proto::events::Member;
+    use sprucelink_policy::interface::*;
     use std::time::Duration;
     use tokio::net::TcpListener;
 
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -2,8 +2,8 @@
 
 use super::wire::Wire;
 use crate::core::table::{Cause, ResultSet};
-use crate::interface::Micros;
 use crate::proto::pg::{self, Fault};
+use sprucelink_policy::interface::Micros;
 use std::io;
 use tokio::io::{AsyncRead, AsyncWrite};
 
--- a/src/front/seats.rs
+++ b/src/front/seats.rs
@@ -3,7 +3,7 @@
 //! nobody can go. Guards against clients that connect and stay: they would keep the others out.
 
 use crate::core::now;
-use crate::interface::Micros;
+use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- a/src/front/wire.rs
+++ b/src/front/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::core::now;
 use crate::core::pool::{read_into, Buf, Pool};
-use crate::interface::Micros;
+use sprucelink_policy::interface::Micros;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,19 +2,16 @@
 //! which queries are admitted, at which priority level and to which engine they go, and what is
 //! done when an attempt ends badly; and it carries that out on sockets.
 //!
-//! [`interface`] holds the decision module's vocabulary, [`brain`] every decision, [`wire`] the
-//! codec of the simulator's adapter. [`proto`] is what is spoken on sockets, [`core`] what is kept
-//! in memory, [`front`] what clients connect to, [`run`] start and stop.
+//! The decision module and its vocabulary are a crate of their own, `sprucelink-policy`. [`wire`] is the
+//! codec of the simulator's adapter, [`proto`] what is spoken on sockets, [`core`] what is kept in
+//! memory, [`front`] what clients connect to, [`run`] start and stop.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-pub mod brain;
 pub mod core;
 pub mod front;
-pub mod interface;
 pub mod proto;
 pub mod run;
-mod state;
 pub mod wire;
 
 #[cfg(doctest)]
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -3,10 +3,10 @@
 
 use crate::core::links::Terms;
 use crate::front::{Class, Setup};
-use crate::interface::{Effect, Micros, Settings};
 use crate::proto::events::{self, ListEvent};
 use crate::wire::{parse_line, Line};
 use serde_json::Value;
+use sprucelink_policy::interface::{Effect, Micros, Settings};
 use std::collections::BTreeMap;
 
 /// Descriptors kept for the listener, the feed, signals, standard streams, and connections that are
@@ -52,7 +52,7 @@
         get(path).split(',').filter(|s| !s.is_empty()).map(str::to_owned).collect()
     };
     let name = |kind: &str, i: usize| get(&format!("{kind}.{i}.name")).to_owned();
-    let class = |(i, c): (usize, &crate::interface::ClassSettings)| Class {
+    let class = |(i, c): (usize, &sprucelink_policy::interface::ClassSettings)| Class {
         name: name("profiles", i),
         keyed: c.effect == Effect::Keyed,
         deadline: c.deadline,
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -8,7 +8,7 @@
 use crate::core::table::Core;
 use crate::core::{feed, span};
 use crate::front::{Front, Setup};
-use crate::interface::Micros;
+use sprucelink_policy::interface::Micros;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,7 @@
 //! It knows no more than how things are written. Unknown settings, report values and state words
 //! are skipped; a malformed line is an error that names the line and the field.
 
-use crate::interface::*;
+use sprucelink_policy::interface::*;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
