Core parted by concern; log lines through tracing, as text or JSON

Need: the recorder of the deciding part is to hang on one seam, and its lines need fields; core/table.rs held five concerns and imported links.rs, which imported it.

Change: requests, attempts, engines and results are files of their own, moved as they were; links.rs knows its owner by a trait, so the arrows go one way. The two are one commit, as the same lines moved and changed.

--- /dev/null
+++ b/src/core/attempts.rs
@@ -0,0 +1,255 @@
+//! Attempts: each leaves once, is called off at most once, and has its one end.
+
+use super::engines::link_for;
+use super::facade::{End, News, Order};
+use super::links::{Link, Owner, Terms};
+use super::now;
+use super::pool::Pool;
+use super::requests::{Core, Final, Inner};
+use super::results::{ResultSet, MOST_RESULT, PAGE};
+use crate::proto::resp::{self, Answer, Stats, Word};
+use crate::proto::Malformed;
+use sprucelink_policy::interface::Micros;
+use std::rc::Rc;
+use tracing::{debug, warn};
+
+/// An attempt called off counts as out for so much longer once its undo has left: that must reach its
+/// engine before the next attempt reaches another. Paths differ by under 2 ms, and by more when a
+/// machine is busy.
+pub(super) const UNDO_LANDS: Micros = Micros(10_000);
+/// Between two looks at whether an undo has left.
+pub(super) const UNDO_LEAVES: Micros = Micros(1_000);
+
+pub(super) struct Out {
+    pub(super) attempt: u32,
+    pub(super) link: Rc<Link>,
+    pub(super) sent: Micros,
+    pub(super) result: ResultSet,
+    pub(super) bill: Option<(f64, f64)>,
+    pub(super) stats: Stats,
+    pub(super) served: bool,
+    /// Where its undo ends in the link's stream, and since when that was seen to have left.
+    pub(super) undone: Option<(u64, Option<Micros>)>,
+    /// As what it ends once that has landed.
+    pub(super) ends: End,
+}
+
+impl Owner for Core {
+    fn pool(&self) -> &Pool {
+        self.pool()
+    }
+    fn terms(&self) -> &Terms {
+        self.terms()
+    }
+    /// An engine answered. Only what is said of an attempt on this link is read: second copies, and answers
+    /// under ids that never were here, are passed over whatever they hold.
+    fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed> {
+        let text = parts.first().and_then(|id| std::str::from_utf8(id).ok()).filter(|t| t.len() == 16);
+        let id = text.and_then(|t| u64::from_str_radix(t, 16).ok());
+        let id = id.ok_or_else(|| Malformed::field("id", "is not 16 hex digits"))?;
+        let mut inner = self.inner.borrow_mut();
+        let Some(attempt) = link.attempt(id) else {
+            // A late answer to an attempt that was here: its pages are not wanted.
+            let late = link.undone(id).then(|| resp::read_answer(parts).ok()).flatten();
+            if late.is_some_and(|a| matches!(a.word, Word::Served { pages } if pages > 1)) {
+                link.command(self.pool(), &[b"forget", format!("{id:016x}").as_bytes()]);
+            }
+            return Ok(());
+        };
+        let answer = resp::read_answer(parts)?;
+        let orders = inner.answered(self.pool(), id, attempt, &answer)?;
+        inner.work(self, orders);
+        Ok(())
+    }
+
+    /// A link has ended; `ours` if this side gave up on it.
+    fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool) {
+        let mut inner = self.inner.borrow_mut();
+        if !why.is_empty() {
+            let (number, out) = (link.engine, link.riders());
+            warn!(number, out, "link to engine {number} ended with {out} out: {why}");
+            for (request, attempt) in link.out() {
+                debug!(number, request = format!("{request:016x}"), attempt, "was out on it");
+            }
+        }
+        let orders = inner.close_link(link, ours);
+        self.wake.notify_one();
+        inner.work(self, orders);
+    }
+}
+
+impl Inner {
+    pub(super) fn send(&mut self, core: &Rc<Core>, id: u64, engine: usize) -> Vec<Order> {
+        let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
+        let attempt = entry.sends;
+        entry.sends += 1;
+        self.tally.attempts += 1;
+        let left = entry.deadline - now();
+        let links = self.engines.iter().map(|e| e.links.len()).sum::<usize>();
+        let link = match self.engines.get_mut(engine) {
+            Some(e) => link_for(e, core, id, engine, links < core.terms().most_links),
+            None => Err(End::Unreachable),
+        };
+        let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
+        let link = match link {
+            Ok(link) => link,
+            Err(end) => return self.tell_end(id, attempt, end, Micros(0), None, Stats::default()),
+        };
+        let mut fields = format!("class={},wait={}", entry.class, (left.0 / 1000).max(1));
+        if let Some(key) = &entry.once {
+            fields.push_str(&format!(",once={key}"));
+        }
+        if let Some(mb) = entry.grant_mb {
+            fields.push_str(&format!(",mb={}", mb.ceil().max(1.0)));
+        }
+        fields.push_str(&format!(",nice={}", entry.level));
+        let name = format!("{id:016x}");
+        let parts = [b"do", name.as_bytes(), fields.as_bytes(), &entry.statement[..]];
+        if !link.send(core.pool(), id, attempt, &parts) {
+            return self.tell_end(id, attempt, End::NotRun, Micros(0), None, Stats::default());
+        }
+        let (result, stats) = (ResultSet::default(), Stats::default());
+        entry.out = Some(Out {
+            attempt,
+            link,
+            sent: now(),
+            result,
+            bill: None,
+            stats,
+            served: false,
+            undone: None,
+            ends: End::Undone,
+        });
+        Vec::new()
+    }
+
+    /// Tells the module how an attempt ended: what came before must have taken it off `out`.
+    pub(super) fn tell_end(
+        &mut self,
+        id: u64,
+        attempt: u32,
+        end: End,
+        latency: Micros,
+        bill: Option<(f64, f64)>,
+        stats: Stats,
+    ) -> Vec<Order> {
+        let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
+        entry.last = Some(end);
+        let complete = end == End::Served || entry.answer.is_none();
+        let news = News::Ended { id: (id, attempt), end, latency, complete, bill, stats };
+        let orders = self.facade.report(now(), news);
+        self.tidy(id);
+        orders
+    }
+
+    /// Ends the attempt that is out, as `end`.
+    pub(super) fn end(&mut self, id: u64, end: End) -> Vec<Order> {
+        let Some(out) = self.open.get_mut(&id).and_then(|e| e.out.take()) else { return Vec::new() };
+        out.link.release(id, end != End::Served);
+        let latency = now() - out.sent;
+        let orders = self.tell_end(id, out.attempt, end, latency, out.bill, out.stats);
+        // One that was given up before has nobody to answer.
+        if end == End::Served && self.open.get(&id).is_some_and(|e| e.answer.is_some()) {
+            self.settle(id, Final::Served(out.result));
+        }
+        orders
+    }
+
+    /// Calls the attempt that is out off at its engine. Until the undo has landed its own end may
+    /// still come, as in the simulator.
+    pub(super) fn undo(&mut self, core: &Rc<Core>, id: u64, attempt: u32) -> bool {
+        let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut());
+        let Some(out) = out.filter(|o| o.attempt == attempt && o.undone.is_none()) else { return false };
+        let (word, name): (&[u8], _) = (if out.served { b"forget" } else { b"undo" }, format!("{id:016x}"));
+        out.link.command(core.pool(), &[word, name.as_bytes()]);
+        out.undone = Some((out.link.queued(), None));
+        true
+    }
+
+    /// Ends an attempt that was called off, once its undo has left and has had the time to land. Guards
+    /// the rule on second copies where this side is slow: an undo that still waits for its connection,
+    /// or for a turn on the processor, is overtaken by the next attempt.
+    pub(super) fn land(&mut self, core: &Rc<Core>, id: u64, attempt: u32) {
+        let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut()).filter(|o| o.attempt == attempt);
+        let Some(Out { undone: Some((place, left)), link, ends, .. }) = out else { return };
+        let ends = *ends;
+        let wait = match *left {
+            Some(at) => at + UNDO_LANDS - now(),
+            None if link.gone(*place) => {
+                *left = Some(now());
+                UNDO_LANDS
+            }
+            None => UNDO_LEAVES,
+        };
+        if wait > Micros(0) {
+            self.landing.insert((now() + wait, id, attempt));
+            return;
+        }
+        let orders = self.end(id, ends);
+        self.work(core, orders);
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        pool: &Pool,
+        id: u64,
+        attempt: u32,
+        a: &Answer,
+    ) -> Result<Vec<Order>, Malformed> {
+        let name = format!("{id:016x}");
+        let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut()).filter(|o| o.attempt == attempt);
+        let Some(out) = out else { return Ok(Vec::new()) };
+        let page = match a.word {
+            Word::Update { how, num } => {
+                let note = how.map(|how| self.facade.report(now(), News::Note(id, attempt, how, num)));
+                return Ok(note.unwrap_or_default());
+            }
+            Word::Green => return Ok(Vec::new()),
+            Word::Other => return Err(Malformed::field("word", "is not known")),
+            Word::Overload | Word::Nobody if out.served => return Ok(Vec::new()),
+            Word::Overload | Word::Crashed | Word::Nobody => {
+                out.stats = a.stats;
+                let end = match a.word {
+                    Word::Overload => End::Overload,
+                    Word::Nobody => End::NotRun,
+                    _ => End::Crashed,
+                };
+                return Ok(self.end(id, end));
+            }
+            // Its further pages went with the undo.
+            Word::Served { pages } if out.undone.is_some() && pages > 1 => {
+                out.link.command(pool, &[b"forget", name.as_bytes()]);
+                return Ok(Vec::new());
+            }
+            // A second copy.
+            Word::Served { .. } if out.served => return Ok(Vec::new()),
+            Word::Served { .. } => 0,
+            Word::Rows { .. } if out.undone.is_some() || !out.served => return Ok(Vec::new()),
+            Word::Rows { page } => match out.result.pages.get(page) {
+                Some(None) => page,
+                Some(Some(_)) => return Ok(Vec::new()),
+                None => return Err(Malformed::field("batch", "is out of place")),
+            },
+        };
+        if a.body.len() > PAGE || !resp::is_page(a.body) {
+            return Err(Malformed::field("body", "is no page of whole rows"));
+        }
+        if out.result.len() + a.body.len() > MOST_RESULT {
+            return Err(Malformed::field("body", "makes the result longer than any may be"));
+        }
+        if let Word::Served { pages } = a.word {
+            (out.served, out.stats, out.bill) = (true, a.stats, a.bill);
+            out.result.pages = vec![None; pages];
+            for n in 1..pages {
+                let n = n.to_string();
+                out.link.command(pool, &[b"page", name.as_bytes(), n.as_bytes()]);
+            }
+        }
+        if !out.result.put(pool, page, a.body) {
+            out.link.command(pool, &[b"forget", name.as_bytes()]);
+            return Ok(self.end(id, End::Cut));
+        }
+        let whole = out.result.pages.iter().all(Option::is_some);
+        Ok(if whole { self.end(id, End::Served) } else { Vec::new() })
+    }
+}
--- /dev/null
+++ b/src/core/engines.rs
@@ -0,0 +1,130 @@
+//! Engines as the control feed names them, and their links: which are there, which are let go.
+
+use super::attempts::UNDO_LANDS;
+use super::facade::{End, News, Order};
+use super::links::{self, Link};
+use super::now;
+use super::requests::{Core, Inner};
+use crate::proto::events::{ListEvent, Phase};
+use sprucelink_policy::interface::Micros;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tracing::info;
+
+#[derive(Default)]
+pub(super) struct Engine {
+    pub(super) address: Option<SocketAddr>,
+    pub(super) since: i64,
+    pub(super) links: Vec<Rc<Link>>,
+    /// Since when the list has it no more.
+    pub(super) gone: Option<Micros>,
+}
+
+impl Core {
+    /// News of the list of engines. Events that came before are passed over.
+    pub fn on_list(self: &Rc<Self>, list: &ListEvent, remembered: bool) {
+        let mut inner = self.inner.borrow_mut();
+        if list.n <= inner.last_event {
+            return;
+        }
+        inner.last_event = list.n;
+        inner.forget_gone(list);
+        let mut orders = inner.facade.report(now(), News::List(list, remembered));
+        for member in &list.members {
+            let i = inner.facade.engine(&member.id);
+            let most = inner.engines.len().max(i + 1);
+            inner.engines.resize_with(most, Engine::default);
+            let engine = &mut inner.engines[i];
+            let address = member.address.parse().ok();
+            if engine.address != address || engine.since != member.up_since_ms {
+                engine.links.iter().for_each(|l| l.retire());
+            }
+            (engine.address, engine.since) = (address, member.up_since_ms);
+            engine.gone = (member.phase == Phase::Gone).then(now);
+            if engine.gone.is_some() {
+                engine.links.iter().for_each(|l| l.retire());
+            }
+            if member.phase != Phase::Ready {
+                // Guards the rule on drains: what waits for a connection would go out after the word.
+                let dialing: Vec<_> = engine.links.iter().filter(|l| l.dialing()).cloned().collect();
+                for link in dialing {
+                    orders.extend(inner.close_link(&link, false));
+                }
+            }
+            let (id, phase, address) = (&member.id, member.phase, &member.address);
+            info!(engine = %id, number = i, "engine {id} is {phase:?} at {address}, number {i}");
+        }
+        inner.work(self, orders);
+        self.wake.notify_one();
+    }
+}
+
+impl Inner {
+    /// Forgets the engines that have been gone for long enough and have no connection left.
+    pub(super) fn forget_gone(&mut self, list: &ListEvent) {
+        let at = now();
+        for i in 0..self.engines.len() {
+            let engine = &mut self.engines[i];
+            if list.complete {
+                // What a whole list does not name is gone, too.
+                engine.gone.get_or_insert(at);
+            }
+            if engine.links.is_empty() && engine.gone.is_some_and(|t| at - t > self.keep) {
+                *engine = Engine::default();
+                self.facade.forget(i);
+            }
+        }
+    }
+
+    /// Ends a link and every attempt on it, each once. What was never written never ran. One break is
+    /// one fault of its engine, however many were out; where this side closes, what was out counts as out
+    /// until the close has landed, for the next attempt would overtake it.
+    pub(super) fn close_link(&mut self, link: &Rc<Link>, ours: bool) -> Vec<Order> {
+        if let Some(engine) = self.engines.get_mut(link.engine) {
+            engine.links.retain(|l| !Rc::ptr_eq(l, link));
+        }
+        let (mut orders, mut blamed, dialing) = (Vec::new(), ours, link.dialing());
+        for (id, attempt, unwritten) in link.close() {
+            let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut());
+            let out = out.filter(|o| o.attempt == attempt && Rc::ptr_eq(&o.link, link));
+            let Some(out) = out else { continue };
+            let end = match unwritten {
+                true if dialing => End::Unreachable,
+                true => End::NotRun,
+                false if std::mem::replace(&mut blamed, true) => End::Cut,
+                false => End::Broken,
+            };
+            if ours && !unwritten {
+                out.ends = end;
+                out.undone = Some((0, Some(now())));
+                self.landing.insert((now() + UNDO_LANDS, id, attempt));
+            } else {
+                orders.extend(self.end(id, end));
+            }
+        }
+        orders
+    }
+}
+
+/// A link of an engine with room for a request: the fullest, so that others fall idle; or a new one.
+pub(super) fn link_for(
+    e: &mut Engine,
+    core: &Rc<Core>,
+    id: u64,
+    engine: usize,
+    more: bool,
+) -> Result<Rc<Link>, End> {
+    let open = e.links.iter().filter(|l| l.takes(id, core.terms()));
+    if let Some(link) = open.max_by_key(|l| (!l.dialing(), l.riders())) {
+        return Ok(Rc::clone(link));
+    }
+    let address = e.address.ok_or(End::Unreachable)?;
+    // Descriptors are kept back for both sides: neither may take the other's.
+    if e.links.len() >= core.terms().most || !more {
+        return Err(End::NotRun);
+    }
+    let link = Link::new(engine, address);
+    e.links.push(Rc::clone(&link));
+    tokio::task::spawn_local(links::run(Rc::clone(core), Rc::clone(&link)));
+    Ok(link)
+}
--- a/src/core/feed.rs
+++ b/src/core/feed.rs
@@ -1,6 +1,6 @@
 //! Follows the control feed: reconnects where it left off, and backs off while it fails.
 
-use super::table::Core;
+use super::requests::Core;
 use crate::proto::{events, sse};
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
+use tracing::{error, warn};
 
 /// First and longest rest between two calls. What the feed holds counts as told whether it is
 /// connected or not, and a drain must be heeded within 500 ms: no rest may come near that.
@@ -61,7 +62,7 @@
             rest = REST[0];
             continue;
         };
-        core.log(&format!("feed lost: {why}"));
+        warn!("feed lost: {why}");
         rest = next_rest(rest, reader.open());
         tokio::select! {
             () = sleep(rest) => {}
@@ -108,7 +109,7 @@
                 Err(e) if unread.again(event.id) => return format!("an event could not be read: {e}"),
                 // Guards against one bad event that would come again with every call.
                 Err(e) => {
-                    core.log(&format!("feed event skipped: {e}"));
+                    error!("feed event skipped: {e}");
                     event.id.into_iter().for_each(|n| core.passed_event(n));
                 }
             }
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -2,9 +2,8 @@
 //! address, for addresses are used again. What breaks a link ends each attempt on it once.
 
 use super::pool::{read_into, Buf, Pool, SIZE};
-use super::table::Core;
 use super::{now, span};
-use crate::proto::resp;
+use crate::proto::{resp, Malformed};
 use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -170,6 +169,11 @@
         queued
     }
 
+    /// The attempts on it: request and attempt's number.
+    pub fn out(&self) -> Vec<(u64, u32)> {
+        self.riders.borrow().iter().map(|(id, r)| (*id, r.attempt)).collect()
+    }
+
     /// The attempt of a request that is out on this link.
     pub fn attempt(&self, id: u64) -> Option<u32> {
         self.riders.borrow().get(&id).map(|r| r.attempt)
@@ -211,6 +215,18 @@
     }
 }
 
+/// Who a link's attempts belong to.
+pub trait Owner: 'static {
+    /// The pool of buffers.
+    fn pool(&self) -> &Pool;
+    /// What the settings say of connections.
+    fn terms(&self) -> &Terms;
+    /// An engine answered; an error spoils the link.
+    fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed>;
+    /// A link has ended; `ours` if this side gave up on it.
+    fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool);
+}
+
 /// Why a link ended: in words, and whether this side gave up on it.
 type Why = (String, bool);
 
@@ -224,7 +240,7 @@
 }
 
 /// Dials a link and serves it until it ends.
-pub async fn run(core: Rc<Core>, link: Rc<Link>) {
+pub async fn run<O: Owner>(core: Rc<O>, link: Rc<Link>) {
     let why = match timeout(span(core.terms().dial), TcpStream::connect(link.address)).await {
         Ok(Ok(stream)) if link.state.get() == State::Dialing => serve(&core, &link, stream).await,
         Ok(Ok(_)) => theirs("not wanted any more"),
@@ -234,7 +250,7 @@
     core.on_link_down(&link, &why.0, why.1);
 }
 
-async fn serve(core: &Rc<Core>, link: &Link, stream: TcpStream) -> Why {
+async fn serve<O: Owner>(core: &Rc<O>, link: &Link, stream: TcpStream) -> Why {
     if let Err(e) = stream.set_nodelay(true) {
         return theirs(e);
     }
@@ -270,7 +286,7 @@
     }
 }
 
-async fn read(core: &Rc<Core>, link: &Link, mut reader: OwnedReadHalf) -> Why {
+async fn read<O: Owner>(core: &Rc<O>, link: &Link, mut reader: OwnedReadHalf) -> Why {
     let mut held = None;
     loop {
         let patience = if held.is_some() { STALL } else { LOOK };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,11 +1,14 @@
 //! What is kept in memory: the facade round the decision module, the table of requests, the pool
 //! of buffers and the connections to engines. Nothing here knows what clients speak.
 
+pub mod attempts;
+pub mod engines;
 pub mod facade;
 pub mod feed;
 pub mod links;
 pub mod pool;
-pub mod table;
+pub mod requests;
+pub mod results;
 
 use sprucelink_policy::interface::Micros;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -1,7 +1,8 @@
 //! Final answers as clients see them.
 
 use super::wire::Wire;
-use crate::core::table::{Cause, ResultSet};
+use crate::core::requests::Cause;
+use crate::core::results::ResultSet;
 use crate::proto::pg::{self, Fault};
 use sprucelink_policy::interface::Micros;
 use std::io;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -10,7 +10,7 @@
 use crate::core::facade::Asked;
 use crate::core::now;
 use crate::core::pool::Buf;
-use crate::core::table::{Core, Request, Ticket, MOST_STATEMENT};
+use crate::core::requests::{Core, Request, Ticket, MOST_STATEMENT};
 use crate::proto::fields::Fields;
 use crate::proto::pg::{self, Fault, Opening};
 use crate::proto::tables;
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
+use tracing::warn;
 use wire::Wire;
 
 /// A client that has not begun its session by then is let go: it is owed a word within 3 s.
@@ -119,7 +120,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => drop(tokio::task::spawn_local(Rc::clone(&self).connection(stream))),
                 Err(e) => {
-                    self.core.log(&format!("accept failed: {e}"));
+                    warn!("accept failed: {e}");
                     tokio::time::sleep(BREATH).await;
                 }
             }
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -5,7 +5,7 @@
 use super::wire::Wire;
 use super::{answer, late, Counted, Front};
 use crate::core::pool::SIZE;
-use crate::core::table::{Final, Ticket};
+use crate::core::requests::{Final, Ticket};
 use crate::proto::pg::{self, Fault, Message};
 use crate::proto::{fields, tables};
 use std::io;
@@ -277,7 +277,7 @@
         &mut self,
         wire: &mut Wire<S>,
         mut ticket: Ticket,
-    ) -> io::Result<Option<Result<crate::core::table::ResultSet, Fault>>> {
+    ) -> io::Result<Option<Result<crate::core::results::ResultSet, Fault>>> {
         let cancel = Rc::clone(&self.cancel);
         let extended = self.front.setup.extended;
         loop {
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,7 @@
 #![deny(missing_docs)]
 
 use sprucelink::run::args::{self, Command, Files};
-use sprucelink::run::{config, operator, serve};
+use sprucelink::run::{config, logging, operator, serve};
 
 fn text(path: &str) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
@@ -44,6 +44,7 @@
         }
         Command::Serve(files) => {
             let (config, operator) = read(&files).map_err(|e| (e, 2))?;
+            logging::start(files.logging);
             serve::serve(config, operator, files, read_config).map_err(|e| (e, 1))?;
         }
     }
--- a/src/run/acme.rs
+++ b/src/run/acme.rs
@@ -20,6 +20,7 @@
 use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use tokio_rustls::rustls::ServerConfig;
 use tokio_rustls::TlsAcceptor;
+use tracing::{error, info, warn};
 use x509_parser::extensions::GeneralName;
 
 /// A certificate is renewed with at least this share of its life to go, however short it is.
@@ -139,16 +140,14 @@
         match ordered.unwrap_or_else(|_| Err("the order took too long".into())) {
             Ok(new) => {
                 if let Err(e) = acme.store.as_deref().map_or(Ok(()), |dir| save(dir, &new)) {
-                    front.core.log(&format!("certificate not saved: {e}"));
+                    warn!("certificate not saved: {e}");
                 }
                 install(&front, &new, "certificate renewed");
                 held = Some(new);
                 rest = acme.retry[0];
             }
             Err(e) => {
-                front
-                    .core
-                    .log(&format!("certificate not renewed, next try in {} s: {e}", rest.as_secs_f64()));
+                warn!("certificate not renewed, next try in {} s: {e}", rest.as_secs_f64());
                 sleep(rest.max(LEAST_REST)).await;
                 rest = (rest * 2).min(acme.retry[1]);
             }
@@ -161,9 +160,9 @@
     match held.acceptor() {
         Ok(acceptor) => {
             front.certify(acceptor);
-            front.core.log(&format!("{what}, good until {}", held.until));
+            info!("{what}, good until {}", held.until);
         }
-        Err(e) => front.core.log(&format!("certificate unusable: {e}")),
+        Err(e) => error!("certificate unusable: {e}"),
     }
 }
 
--- a/src/run/args.rs
+++ b/src/run/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use super::logging::{self, Logging};
 use lexopt::{Arg, Parser, ValueExt};
 use std::ffi::OsString;
 
@@ -25,6 +26,8 @@
     pub listen: Option<String>,
     /// The operator's file, which sets the second front up; without it that front is off.
     pub operator: Option<String>,
+    /// How log lines are written.
+    pub logging: Logging,
 }
 
 /// How to call the program.
@@ -32,6 +35,7 @@
 sprucelink: a workload manager in front of query engines
 
 usage: sprucelink serve [--config FILE] [--listen ADDRESS] [--operator FILE]
+                        [--log-format text|json] [--log-level LEVEL]
        sprucelink check [--config FILE] [--listen ADDRESS] [--operator FILE]
        sprucelink version
        sprucelink help
@@ -39,6 +43,8 @@
   --config FILE       the configuration; without it, the file that EDGE_CONFIG names
   --listen ADDRESS    where clients connect, instead of the configuration's own
   --operator FILE     sets up the second front (PostgreSQL with extended queries); without it that is off
+  --log-format FORMAT text lines (the default) or json, one object a line
+  --log-level LEVEL   error, warn, info (the default), debug or trace
 
 exit status: 0 done or stopped, 1 the start failed, 2 a bad command line or configuration
 ";
@@ -53,6 +59,8 @@
             Arg::Long("config") => files.config = Some(value(&mut parser)?),
             Arg::Long("listen") => files.listen = Some(value(&mut parser)?),
             Arg::Long("operator") => files.operator = Some(value(&mut parser)?),
+            Arg::Long("log-format") => files.logging.format = value(&mut parser)?.parse()?,
+            Arg::Long("log-level") => files.logging.level = logging::level(&value(&mut parser)?)?,
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("version") | Arg::Short('V') => return Ok(Command::Version),
             Arg::Value(v) if word.is_none() => word = Some(v.string().map_err(|e| e.to_string())?),
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -3,5 +3,6 @@
 pub mod acme;
 pub mod args;
 pub mod config;
+pub mod logging;
 pub mod operator;
 pub mod serve;
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -5,7 +5,7 @@
 use super::config::Config;
 use super::operator::Operator;
 use crate::core::pool::Pool;
-use crate::core::table::Core;
+use crate::core::requests::Core;
 use crate::core::{feed, span};
 use crate::front::{Front, Setup};
 use sprucelink_policy::interface::Micros;
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::{spawn_blocking, spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
+use tracing::{info, warn};
 
 /// After SIGTERM new connections and requests still come for this long.
 const STILL_COMING: Duration = Duration::from_millis(700);
@@ -37,13 +38,7 @@
 
 /// Reads the configuration anew at every SIGHUP, one after the other. Only where the control feed is
 /// changes in a running program: no session, request or link to an engine is touched.
-async fn reload(
-    core: Rc<Core>,
-    mut hup: Signal,
-    files: Files,
-    reread: Reread,
-    feed: watch::Sender<Option<String>>,
-) {
+async fn reload(mut hup: Signal, files: Files, reread: Reread, feed: watch::Sender<Option<String>>) {
     while hup.recv().await.is_some() {
         let files = files.clone();
         // Off the serving path: a slow file system must not hold up requests.
@@ -52,7 +47,7 @@
         let address = read.and_then(|c| c.feed.ok_or_else(|| "configuration: feed: missing".into()));
         match address {
             Ok(address) => {
-                core.log(&format!("configuration read anew: feed at {address}"));
+                info!("configuration read anew: feed at {address}");
                 feed.send_if_modified(|old| {
                     let moved = old.as_ref() != Some(&address);
                     *old = Some(address);
@@ -60,7 +55,7 @@
                 });
             }
             // Guards against a file replaced by a bad one: the program goes on as it was.
-            Err(why) => core.log(&format!("configuration not read anew, nothing changes: {why}")),
+            Err(why) => warn!("configuration not read anew, nothing changes: {why}"),
         }
     }
 }
@@ -79,7 +74,7 @@
     let mut ticking = spawn_local(Rc::clone(&core).run());
     let (moved, address) = watch::channel(config.feed);
     spawn_local(feed::follow(Rc::clone(&core), address));
-    spawn_local(reload(Rc::clone(&core), hup, files, reread, moved));
+    spawn_local(reload(hup, files, reread, moved));
     let mut fronts = vec![open("serving", &core, &config.listen, config.setup).await?];
     if let Some(operator) = operator {
         let second = open("second front", &core, &operator.listen, operator.setup).await?;
@@ -94,7 +89,7 @@
         // Guards against a program that lives on without its clock: nothing would end any more.
         _ = &mut ticking => return Err("the core's clock has stopped".into()),
     }
-    core.log(&format!("stopping: {} open", core.open()));
+    info!(open = core.open(), "stopping: {} open", core.open());
     let stop = Instant::now() + STILL_COMING + span(longest);
     sleep(STILL_COMING).await;
     for (front, accepting) in &fronts {
@@ -104,7 +99,7 @@
     while fronts.iter().any(|f| f.0.busy() > 0) && Instant::now() < stop {
         sleep(LOOK).await;
     }
-    core.log(&format!("stopped: {} open", core.open()));
+    info!(open = core.open(), "stopped: {} open", core.open());
     Ok(())
 }
 
@@ -115,6 +110,6 @@
     let at = listener.local_addr().map_err(failed)?;
     let front = Front::new(Rc::clone(core), setup);
     let accepting = spawn_local(Rc::clone(&front).listen(listener));
-    core.log(&format!("{what} on {at}"));
+    info!("{what} on {at}");
     Ok((front, accepting))
 }
