--- a/crates/capture/src/recorder.rs
+++ b/crates/capture/src/recorder.rs
@@ -99,15 +99,27 @@
 
 /// What the writer is handed.
 enum Job {
-    Begin { name: String, now: Micros, head: Vec<u8>, checkpoint: Vec<u8>, tail: Option<pb::Tail> },
-    Block { bytes: Vec<u8>, events: u64 },
+    /// The module's copy is written down by the writer: that takes ten times as long as the copy, and grows to
+    /// milliseconds with hundreds of engines.
+    Begin {
+        name: String,
+        now: Micros,
+        head: Vec<u8>,
+        module: Box<Brain>,
+        engines: Vec<pb::Numbered>,
+        tail: Option<pb::Tail>,
+    },
+    Block {
+        bytes: Vec<u8>,
+        events: u64,
+    },
     End(pb::Tail),
 }
 
 impl Job {
     fn bytes(&self) -> u64 {
         match self {
-            Job::Begin { head, checkpoint, .. } => (head.len() + checkpoint.len()) as u64,
+            Job::Begin { head, module, .. } => head.len() as u64 + module.footprint(),
             Job::Block { bytes, .. } => bytes.len() as u64,
             Job::End(_) => 0,
         }
@@ -152,6 +164,8 @@
     records: u64,
     /// An event that the module has not answered yet.
     asked: Option<(Micros, pb::record::What)>,
+    /// Used again from record to record.
+    actions: Vec<pb::Action>,
     scratch: Vec<u8>,
     shared: Arc<Shared>,
     writer: Option<(SyncSender<Job>, JoinHandle<()>)>,
@@ -193,6 +207,7 @@
             last: born,
             records: 0,
             asked: None,
+            actions: Vec::new(),
             scratch: Vec::new(),
             shared,
             writer: Some((sender, writer)),
@@ -216,13 +231,16 @@
     /// The module has answered the event that it was given last.
     pub fn answered(&mut self, actions: &[Action]) {
         let Some((now, what)) = self.asked.take() else { return };
-        let actions = wire::answers_out(actions);
-        let count = actions.len() as u32;
-        let (actions, digest) = match self.answers {
-            Answers::Whole => (actions, 0),
-            Answers::Digest => (Vec::new(), wire::digest(&actions, &mut self.scratch)),
-        };
-        self.put(now, what, actions, count, digest, false);
+        let mut all = std::mem::take(&mut self.actions);
+        all.clear();
+        all.extend(actions.iter().filter_map(wire::action_out));
+        let count = all.len() as u32;
+        let mut digest = 0;
+        if self.answers == Answers::Digest {
+            digest = wire::digest(&all, &mut self.scratch);
+            all.clear();
+        }
+        self.put(now, what, all, count, digest, false);
     }
 
     /// An engine's id got a number, or gave it back.
@@ -256,6 +274,7 @@
         self.batch.push(RECORDS);
         // A Vec grows as it must: this cannot fail.
         let _ = record.encode_length_delimited(&mut self.batch);
+        self.actions = record.actions;
         self.events += 1;
         if self.batch.len() >= BLOCK || now - self.begun >= self.flush || now < self.begun {
             self.hand_over(now);
@@ -308,14 +327,6 @@
         if self.events > 0 {
             self.hand_over(now);
         }
-        let state = match rmp_serde::to_vec_named(brain) {
-            Ok(state) => state,
-            Err(e) => {
-                warn!("capture: the module's state could not be written down: {e}");
-                self.ring.failed(now, 0);
-                return;
-            }
-        };
         let engines = engines
             .into_iter()
             .map(|(id, number)| pb::Numbered { id: id.to_owned(), number, freed: false })
@@ -324,9 +335,9 @@
         let tail = (self.head.segment > 0).then_some(pb::Tail { records: self.records, lost });
         self.head.lost_before = lost;
         let head = self.head.encode_to_vec();
-        let checkpoint = pb::Checkpoint { at_us: now.0, state, engines }.encode_to_vec();
+        let module = Box::new(brain.clone());
         let name = format!("{:020}-{:06}{SUFFIX}", now.0.max(0), self.head.segment);
-        if self.send(Job::Begin { name, now, head, checkpoint, tail }) {
+        if self.send(Job::Begin { name, now, head, module, engines, tail }) {
             self.ring.begun(now);
             (self.last, self.records) = (now, 0);
             self.head.segment += 1;
@@ -376,12 +387,16 @@
         for job in jobs {
             let bytes = job.bytes();
             match job {
-                Job::Begin { name, now, head, checkpoint, tail } => {
+                Job::Begin { name, now, head, module, engines, tail } => {
                     if let Some(tail) = tail.filter(|_| self.open.is_some()) {
                         let done = self.frame(Kind::Tail, &tail.encode_to_vec());
                         self.check(done, 0);
                     }
-                    let done = self.begin(&name, now, &head, &checkpoint);
+                    let state = rmp_serde::to_vec_named(&*module).map_err(io::Error::other);
+                    let done = state.and_then(|state| {
+                        let point = pb::Checkpoint { at_us: now.0, state, engines };
+                        self.begin(&name, now, &head, &point.encode_to_vec())
+                    });
                     self.check(done, 0);
                 }
                 Job::Block { bytes, events } => {
--- /dev/null
+++ b/crates/policy/benches/event.rs
@@ -0,0 +1,119 @@
+//! What an event costs the decision module, by engines: the project's baseline. `cargo bench -p sprucelink-policy`.
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use sprucelink_policy::brain::Brain;
+use sprucelink_policy::interface::*;
+
+/// A module with so many engines and `open` requests, each sent, all half loaded.
+fn module(engines: u32, open: u64) -> (Brain, Micros) {
+    let class = |threads: f64| ClassSettings {
+        worth: 1.0,
+        late_worth: 0.3,
+        aim: Micros::from_secs(1.2),
+        aim_stretch: 2.0,
+        deadline: Micros::from_secs(6.0),
+        effect: Effect::Safe,
+        group: DedupGroup::All,
+        repeat_window: Micros(0),
+        in_turn: false,
+        threads,
+        load: false,
+        kinds: None,
+        zones: None,
+    };
+    let set = Settings {
+        classes: vec![class(1.0), class(3.0)],
+        gateways: 3,
+        report_via: ReportVia::Answers,
+        reports_load: true,
+        kind_cores: vec![12.0],
+        priorities: true,
+        grants: true,
+        cancel: true,
+        max_attempts: 6,
+        fall_multiple: 2.5,
+        fall_span: Micros::from_secs(2.0),
+        start_share: 0.3,
+        cold_for: Micros::from_secs(15.0),
+        attempt_budget: Some(AttemptBudget { span: Micros::from_secs(5.0), free: 3.0, share: 0.1 }),
+        ..Settings::default()
+    };
+    let mut now = Micros::from_secs(1_000.0);
+    let (mut brain, mut out) = (Brain::new(set, 7, now), Vec::new());
+    let entry = |n| {
+        let (engine, state) = (EngineId(n), EngineState::Ready);
+        EngineEntry { engine, zone: 0, kind: 0, cell: n, state, since: None }
+    };
+    brain.handle(
+        now,
+        Event::List { kind: ListKind::Whole, entries: (0..engines).map(entry).collect() },
+        &mut out,
+    );
+    for id in 0..open {
+        now = now + Micros(1_000);
+        brain.handle(now, arrival(id), &mut out);
+    }
+    (brain, now)
+}
+
+fn arrival(id: u64) -> Event {
+    Event::Arrived(Arrival {
+        id: RequestId(id),
+        class: ClassId(usize::from(id.is_multiple_of(6))),
+        tenant: 0,
+        tables: id % 30,
+        time_left: Micros::from_secs(6.0),
+        cost: Some(0.25),
+        memory_mb: Some(200.0),
+        key: None,
+    })
+}
+
+/// A copy by way of its saved state: the module has no other.
+fn copy(saved: &[u8]) -> Brain {
+    rmp_serde::from_slice(saved).expect("its own state")
+}
+
+fn events(c: &mut Criterion) {
+    let mut group = c.benchmark_group("module");
+    for engines in [8, 64, 512] {
+        // Four requests open an engine, as on a busy day, and no more than a front has sessions for.
+        let (brain, now) = module(engines, u64::from(engines * 4).min(640));
+        let saved = rmp_serde::to_vec_named(&brain).expect("saved");
+        let later = now + Micros(1_000);
+        let mut out = Vec::new();
+        group.bench_function(BenchmarkId::new("arrived and ended", engines), |b| {
+            let mut brain = copy(&saved);
+            let mut id = 1 << 32;
+            b.iter(|| {
+                id += 1;
+                out.clear();
+                brain.handle(later, arrival(id), &mut out);
+                let ended = Event::Ended {
+                    id: RequestId(id),
+                    attempt: 0,
+                    outcome: Outcome::Delivered,
+                    latency: Micros(200_000),
+                    complete: true,
+                    bill: Some(Bill { work: 0.25, memory_mb: 180.0 }),
+                    report: Report { in_hand: Some(6.0), ..Report::default() },
+                };
+                brain.handle(later, ended, &mut out);
+            });
+        });
+        group.bench_function(BenchmarkId::new("timer", engines), |b| {
+            b.iter_batched_ref(
+                || copy(&saved),
+                |brain| {
+                    out.clear();
+                    brain.handle(later, Event::Timer { token: 0 }, &mut out);
+                },
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, events);
+criterion_main!(benches);
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -142,7 +142,7 @@
 const FULL_REST: Micros = Micros(100_000);
 
 /// The decision module of one gateway.
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Brain {
     set: Settings,
--- a/crates/policy/src/brain/view.rs
+++ b/crates/policy/src/brain/view.rs
@@ -102,6 +102,13 @@
         self.listened = on;
     }
 
+    /// About how many bytes a copy of it takes: for bounds on queues, not for accounts.
+    pub fn footprint(&self) -> u64 {
+        let engine = size_of::<Engine>() + 256;
+        let request = size_of::<Request>() + 64;
+        (size_of::<Brain>() + self.engines.len() * engine + self.requests.len() * request) as u64
+    }
+
     /// What it was set up with.
     pub fn settings(&self) -> &Settings {
         &self.set
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -14,7 +14,7 @@
     pub(crate) fresh: bool,
 }
 
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct ClassBook {
     pub(crate) levels: [LevelBook; 4],
@@ -45,7 +45,7 @@
     }
 }
 
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct Engine {
     pub(crate) listed: bool,
@@ -86,7 +86,7 @@
     pub(crate) warm: VecDeque<u64>,
 }
 
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub(crate) engine: EngineId,
     pub(crate) number: u32,
@@ -99,7 +99,7 @@
     pub(crate) overdue: f64,
 }
 
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Request {
     pub(crate) class: usize,
     pub(crate) seq: u64,
@@ -126,7 +126,7 @@
     pub(crate) answered: bool,
 }
 
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct KeyLine {
     pub(crate) turns: VecDeque<RequestId>,
@@ -193,7 +193,7 @@
 }
 
 /// A seeded generator (splitmix64); the same seed gives the same numbers everywhere.
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Seeded(pub(crate) u64);
 
 impl Seeded {
@@ -211,7 +211,7 @@
 }
 
 /// A bucket of tokens.
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Bucket {
     level: f64,
     at: Micros,
@@ -231,7 +231,7 @@
 }
 
 /// Times of what happened of late, kept for one window.
-#[derive(Default, Serialize, Deserialize)]
+#[derive(Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Window(VecDeque<Micros>);
 
 impl Window {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 //! that speaks raw bytes. Everything is on loopback, on ports that the kernel chooses.
 #![allow(dead_code)]
 
+pub mod paced;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -294,6 +296,18 @@
         operator: Option<&str>,
         memory_mb: usize,
         sockets: usize,
+    ) -> Program {
+        Program::launch(engines, feed, operator, (memory_mb, sockets), SETTINGS, &[])
+    }
+
+    /// The same with other settings and further arguments.
+    pub fn launch(
+        engines: &[(&str, SocketAddr)],
+        feed: Option<&Feed>,
+        operator: Option<&str>,
+        (memory_mb, sockets): (usize, usize),
+        settings: &str,
+        more: &[&str],
     ) -> Program {
         let dir = scratch();
         let ready: Vec<_> = engines.iter().map(|(id, at)| (*id, *at, "ready")).collect();
@@ -301,12 +315,12 @@
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"00000000000000aa",{feed}
              "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},
-             "known":{{"n":1,"events":[{}]}},"settings":{SETTINGS}}}"#,
+             "known":{{"n":1,"events":[{}]}},"settings":{settings}}}"#,
             list(1, true, &ready)
         );
         std::fs::write(dir.join("config.json"), config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sprucelink"));
-        command.arg("serve").arg("--config").arg(dir.join("config.json"));
+        command.arg("serve").arg("--config").arg(dir.join("config.json")).args(more);
         if let Some(text) = operator {
             std::fs::write(dir.join("operator.json"), text).expect("written");
             command.arg("--operator").arg(dir.join("operator.json"));
@@ -325,9 +339,14 @@
         }
         let any = "127.0.0.1:0".parse().expect("an address");
         let mut program = Program { child, lines, platform: any, second: None, dir };
-        let at = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
-        program.platform = at(program.wait_line(" serving on "));
-        program.second = operator.map(|_| at(program.wait_line(" second front on ")));
+        let at = |line: String| {
+            let json: Option<serde_json::Value> =
+                serde_json::from_str(&line).ok().filter(serde_json::Value::is_object);
+            let line = json.map_or(line, |j| j["message"].as_str().unwrap_or_default().to_owned());
+            line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+        };
+        program.platform = at(program.wait_line("serving on "));
+        program.second = operator.map(|_| at(program.wait_line("second front on ")));
         program
     }
 
@@ -364,6 +383,17 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
 
+    /// Ends it as a crash would.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("waited");
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits for its end: the exit status.
     pub fn ended(&mut self) -> Option<i32> {
         until(|| self.child.try_wait().expect("waited")).code()
