--- a/src/bin/sprucelink-simhost.rs
+++ b/src/bin/sprucelink-simhost.rs
@@ -1,19 +1,24 @@
 //! The drill adapter: hosts many instances of the decision module on the drill wire.
 //!
 //! Instances share nothing. It reads batches on standard input and answers each on standard
-//! output; it decides nothing.
+//! output; it decides nothing. With `--capture DIR` it records each instance's module into a folder of its own
+//! below DIR.
 #![forbid(unsafe_code)]
 
 use sprucelink::wire::{parse_line, print_action, Line, PoolEntry, WireError};
+use sprucelink_capture::recorder::Recorder;
+use sprucelink_capture::settings::Settings as Capture;
 use sprucelink_policy::brain::Brain;
 use sprucelink_policy::interface::{Action, EngineId, Event, ListKind, Micros};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::PathBuf;
 
 /// One instance, with the engine names it has seen, in order of first sight.
 struct Instance {
     brain: Brain,
+    recorder: Option<Recorder>,
     names: Vec<String>,
     numbers: BTreeMap<String, EngineId>,
 }
@@ -43,16 +48,39 @@
     pools: BTreeMap<usize, Vec<PoolEntry>>,
     filling: Option<(usize, usize)>,
     reply: String,
+    capture: Option<PathBuf>,
 }
 
+/// Simulated time runs a hundred times as fast as the writer's, so the rate is no bound here and the queue is large.
+const QUEUE_KB: u64 = 65_536;
+const RATE_KB_S: u64 = 1_000_000;
+
 impl Host {
+    /// A recorder for an instance that starts now, if there is to be one.
+    fn recorder(&self, who: &str, seed: u64) -> Option<Recorder> {
+        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
+        let dir = self.capture.as_ref()?.join(who.chars().map(plain).collect::<String>());
+        let set =
+            Capture { queue_kb: QUEUE_KB, rate_kb_s: RATE_KB_S, ring_mb: 1_000, ..Capture::in_dir(dir) };
+        let recorder = Recorder::start(&set, seed, self.now);
+        recorder.map_err(|e| eprintln!("sprucelink-simhost: not recording {who}: {e}")).ok()
+    }
+
     /// Gives one event to an instance and prints what it wants done.
     fn give(&mut self, who: &str, event: Event) {
         let Some(inst) = self.instances.get_mut(who) else { return };
         let mut actions: Vec<Action> = Vec::new();
+        if let Some(r) = &mut inst.recorder {
+            let names = &inst.names;
+            let engines = || names.iter().zip(0..).map(|(name, n)| (name.as_str(), n)).collect();
+            r.asked(self.now, &inst.brain, &event, engines);
+        }
         let (now, brain) = (self.now, &mut inst.brain);
         match catch_unwind(AssertUnwindSafe(|| brain.handle(now, event, &mut actions))) {
             Ok(()) => {
+                if let Some(r) = &mut inst.recorder {
+                    r.answered(&actions);
+                }
                 let names = &inst.names;
                 for action in &actions {
                     print_action(&mut self.reply, who, action, |e| {
@@ -95,7 +123,8 @@
                 let now = self.now;
                 match catch_unwind(AssertUnwindSafe(|| Brain::new(*settings, seed, now))) {
                     Ok(brain) => {
-                        let inst = Instance { brain, names: Vec::new(), numbers: BTreeMap::new() };
+                        let recorder = self.recorder(&who, seed);
+                        let inst = Instance { brain, recorder, names: Vec::new(), numbers: BTreeMap::new() };
                         self.instances.insert(who, inst);
                     }
                     Err(cause) => self.give_in(&who, cause),
@@ -131,8 +160,21 @@
     }
 }
 
+/// The arguments: `--capture DIR`, or none.
+fn capture() -> Result<Option<PathBuf>, lexopt::Error> {
+    let (mut parser, mut dir) = (lexopt::Parser::from_env(), None);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("capture") => dir = Some(parser.value()?.into()),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(dir)
+}
+
 fn run() -> Result<(), String> {
-    let mut host = Host::default();
+    let capture = capture().map_err(|e| e.to_string())?;
+    let mut host = Host { capture, ..Host::default() };
     let mut out = io::stdout().lock();
     for (i, line) in io::stdin().lock().lines().enumerate() {
         let line = line.map_err(|e| format!("line {}: {e}", i + 1))?;
--- a/tests/record_cases.rs
+++ b/tests/record_cases.rs
@@ -148,6 +148,21 @@
     run.end();
 }
 
+/// Every engine's connections break again and again: many more further attempts are wanted than the ration has.
+#[test]
+#[ignore = "records a run in real time"]
+fn connections_break() {
+    let run = Run::start("connections-break", 4);
+    run.load(100, 5.5);
+    run.moment("connections begin to break");
+    for n in 0..24 {
+        run.load(100, 0.25);
+        run.engines[n % 4].cut();
+    }
+    run.load(100, 2.0);
+    run.end();
+}
+
 /// Four times what the engines can do comes for three seconds.
 #[test]
 #[ignore = "records a run in real time"]
--- a/tests/support/paced.rs
+++ b/tests/support/paced.rs
@@ -61,6 +61,11 @@
     /// Ends every connection, and each new one, as a process that died would.
     pub fn die(&self) {
         self.shared.dead.store(true, Ordering::SeqCst);
+        self.cut();
+    }
+
+    /// Ends every connection; new ones are taken.
+    pub fn cut(&self) {
         for stream in self.shared.open.lock().expect("unpoisoned").drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
