One lexer: the fronts' tokens come from the shapes crate

Need: proto/tables.rs and crates/shapes each lexed comments, quotes and dollar quotes by code of their own.

Change: tables::token maps the shapes lexer's tokens; some 70 lines go. Space that ASCII does not know parts words now, as the fingerprint has it.

--- a/src/proto/tables.rs
+++ b/src/proto/tables.rs
@@ -3,6 +3,7 @@
 
 use super::Malformed;
 use sprucelink_shapes::facts::data_set;
+use sprucelink_shapes::lex::{self, Kind};
 
 /// What a word in a statement is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,7 +14,7 @@
     Opaque,
     /// `$1` and the like.
     Parameter,
-    /// Any other single character.
+    /// A number, an operator, or any other single character.
     Mark,
     /// White space.
     Space,
@@ -21,70 +22,16 @@
 
 /// The first token of a statement and its length in bytes; `None` at the end.
 pub fn token(text: &str) -> Option<(Token, usize)> {
-    let b = text.as_bytes();
-    let first = *b.first()?;
-    let until =
-        |from: usize, stop: &str| text[from..].find(stop).map_or(text.len(), |n| from + n + stop.len());
-    let name = |c: &u8| c.is_ascii_alphanumeric() || *c == b'_' || *c >= 0x80;
-    Some(match first {
-        b'-' if b.get(1) == Some(&b'-') => (Token::Opaque, until(2, "\n")),
-        b'/' if b.get(1) == Some(&b'*') => (Token::Opaque, comment(b)),
-        b'\'' => (Token::Opaque, quoted(b, 0, false)),
-        b'e' | b'E' if b.get(1) == Some(&b'\'') => (Token::Opaque, quoted(b, 1, true)),
-        b'b' | b'B' | b'x' | b'X' | b'n' | b'N' if b.get(1) == Some(&b'\'') => {
-            (Token::Opaque, quoted(b, 1, false))
-        }
-        b'"' => (Token::Name, quoted(b, 0, false)),
-        b'$' => {
-            let digits = b[1..].iter().take_while(|c| c.is_ascii_digit()).count();
-            let tag = b[1..].iter().take_while(|c| name(c)).count();
-            match b.get(1 + tag) {
-                _ if digits > 0 => (Token::Parameter, 1 + digits),
-                Some(b'$') => (Token::Opaque, until(2 + tag, &text[..2 + tag])),
-                _ => (Token::Mark, 1),
-            }
-        }
-        c if c.is_ascii_whitespace() => {
-            (Token::Space, b.iter().take_while(|c| c.is_ascii_whitespace()).count())
-        }
-        c if c.is_ascii_digit() => {
-            (Token::Mark, b.iter().take_while(|c| c.is_ascii_alphanumeric() || **c == b'_').count())
-        }
-        c if name(&c) => (Token::Name, b.iter().take_while(|c| name(c) || **c == b'$').count()),
-        _ => (Token::Mark, 1),
-    })
-}
-
-/// Block comments nest.
-fn comment(b: &[u8]) -> usize {
-    let (mut depth, mut i) = (0usize, 0);
-    while i < b.len() {
-        match b.get(i..i + 2) {
-            Some(b"/*") => (depth, i) = (depth + 1, i + 2),
-            Some(b"*/") => (depth, i) = (depth - 1, i + 2),
-            _ => i += 1,
-        }
-        if depth == 0 {
-            break;
-        }
-    }
-    i
-}
-
-/// From the opening quote at `at` to behind the closing one; doubled quotes stay inside.
-fn quoted(b: &[u8], at: usize, escapes: bool) -> usize {
-    let (quote, mut i) = (b[at], at + 1);
-    while i < b.len() {
-        let escaped = escapes && b[i] == b'\\';
-        if escaped || b[i] == quote && b.get(i + 1) == Some(&quote) {
-            i += 2;
-        } else if b[i] == quote {
-            return i + 1;
-        } else {
-            i += 1;
-        }
-    }
-    b.len()
+    let t = lex::token(text, 0)?;
+    let kind = match t.kind {
+        Kind::Word | Kind::Quoted => Token::Name,
+        Kind::Text => Token::Opaque,
+        Kind::Blank if text.starts_with(['-', '/']) => Token::Opaque,
+        Kind::Blank => Token::Space,
+        Kind::Parameter => Token::Parameter,
+        Kind::Number | Kind::Operator | Kind::Mark => Token::Mark,
+    };
+    Some((kind, t.end))
 }
 
 /// Words after which a table is named.
