--- a/crates/shapes/src/known.rs
+++ b/crates/shapes/src/known.rs
@@ -171,4 +171,32 @@
         assert!(after.entries <= bounds.entries && after.bytes <= bounds.bytes);
         assert!(after.hits - before.hits >= 1_990, "{} of 2,000", after.hits - before.hits);
     }
+
+    /// A skewed stream of 100,000 with a fifth of one-off statements: of the repeatable ones over 99% are hits, but
+    /// for each one's first.
+    #[test]
+    fn a_skewed_stream_with_a_fifth_of_one_off_statements_hits() {
+        let mut shapes = Shapes::new(Bounds { entries: 1_024, bytes: 4 << 20 });
+        let (mut dice, mut repeatable, mut hits, mut seen) =
+            (7_u64, 0_u32, 0_u32, std::collections::BTreeSet::new());
+        for n in 0..100_000_u32 {
+            dice = dice.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let unit = (dice >> 11) as f64 / (1_u64 << 53) as f64;
+            if n % 5 == 0 {
+                shapes.shape(&format!("SELECT once{n} FROM x_1.t"));
+                continue;
+            }
+            // Five hundred forms, the first of them asked for most: Zipf's law, about.
+            let form = (500.0_f64.powf(unit) - 1.0) as u32;
+            let before = shapes.counters().hits;
+            shapes.shape(&format!("SELECT a{form} FROM x_1.t WHERE b = {n}"));
+            if seen.insert(form) {
+                continue;
+            }
+            repeatable += 1;
+            hits += u32::from(shapes.counters().hits > before);
+        }
+        let rate = f64::from(hits) / f64::from(repeatable);
+        assert!(rate > 0.99, "{rate}");
+    }
 }
