--- a/crates/capture/src/cut.rs
+++ b/crates/capture/src/cut.rs
@@ -31,25 +31,19 @@
         first.or_else(|| segments.iter().position(|s| s.at <= what.around && s.until() >= what.around));
     let first = first.ok_or("no segment holds that moment")?;
     let seg = &segments[first];
-    let (mut state, mut at, mut next) = (None, seg.at, 0);
+    // What was told before it makes the state to begin with.
+    let next = seg.records.iter().position(|r| r.at >= from).unwrap_or(seg.records.len());
+    let (mut state, mut failed) = (None, None);
     let mut engines = seg.engines.clone();
-    let mut kept: Vec<Record> = Vec::new();
-    let mut failed = None;
-    let mut hear = |step: crate::replay::Step| {
-        if step.record.at < from {
-            (at, next) = (step.record.at, step.number + 1);
-            number(&mut engines, &step.record.told);
-        }
-    };
-    let before = Play { until: Some(from - Micros(1)), ..Play::default() };
-    // A first pass finds where to begin; a second takes the state there.
-    segment(seg, &before, &mut hear)?;
+    seg.records[..next].iter().for_each(|r| number(&mut engines, &r.told));
+    let at = next.checked_sub(1).map_or(seg.at, |last| seg.records[last].at);
     if next > 0 {
         let mut hear = |step: crate::replay::Step| {
             if step.number + 1 == next {
                 state = rmp_serde::to_vec_named(step.module).map_err(|e| failed = Some(e.to_string())).ok();
             }
         };
+        let before = Play { until: Some(from - Micros(1)), ..Play::default() };
         let seen = segment(seg, &before, &mut hear)?;
         if let Some(first) = seen.first {
             let told = "the module parts from the record before that moment, at record";
@@ -60,6 +54,7 @@
         return Err(format!("the module's state cannot be written: {why}"));
     }
     let mut last = first;
+    let mut kept: Vec<Record> = Vec::new();
     kept.extend(seg.records[next..].iter().filter(|r| r.at <= until).cloned());
     // On into the segments behind, as long as nothing was lost between.
     while segments[last].until() <= until {
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,8 +3,8 @@
 #![deny(missing_docs)]
 
 use sprucelink::run::args::{self, Command, Files};
+use sprucelink::run::serve::Start;
 use sprucelink::run::{config, logging, operator, serve, tools};
-use sprucelink_capture::settings::Settings as Recorder;
 
 fn text(path: &str) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
@@ -20,13 +20,6 @@
     Ok(config)
 }
 
-/// Everything that a start reads.
-struct Start {
-    config: config::Config,
-    operator: Option<operator::Operator>,
-    recorder: Option<Recorder>,
-}
-
 fn read(files: &Files) -> Result<Start, String> {
     let config = read_config(files)?;
     let operator = files
@@ -60,9 +53,9 @@
             }
         }
         Command::Serve(files) => {
-            let Start { config, operator, recorder } = read(&files).map_err(unusable)?;
+            let start = read(&files).map_err(unusable)?;
             logging::start(files.logging);
-            serve::serve(config, operator, recorder, files, read_config).map_err(|e| (e, 1))?;
+            serve::serve(start, files, read_config).map_err(|e| (e, 1))?;
         }
         Command::Replay(ask) => return tools::replay(&ask).map_err(unusable),
         Command::Explain { file, question, json } => {
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -27,21 +27,25 @@
 
 type Opened = (Rc<Front>, JoinHandle<()>);
 
+/// Everything that a start reads.
+pub struct Start {
+    /// The configuration.
+    pub config: Config,
+    /// The second front; without it that is off.
+    pub operator: Option<Operator>,
+    /// The recorder; without it nothing is recorded.
+    pub recorder: Option<Settings>,
+}
+
 /// Reads the configuration's file anew.
 pub type Reread = fn(&Files) -> Result<Config, String>;
 
 /// Serves until SIGTERM or SIGINT; an error is one of the start. At SIGHUP the configuration is read
 /// anew from `files` by `reread`.
-pub fn serve(
-    config: Config,
-    operator: Option<Operator>,
-    recorder: Option<Settings>,
-    files: Files,
-    reread: Reread,
-) -> Result<(), String> {
+pub fn serve(start: Start, files: Files, reread: Reread) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config, operator, recorder, files, reread))
+    LocalSet::new().block_on(&runtime, run(start, files, reread))
 }
 
 /// Reads the configuration anew at every SIGHUP, one after the other. Only where the control feed is
@@ -68,13 +72,8 @@
     }
 }
 
-async fn run(
-    config: Config,
-    operator: Option<Operator>,
-    recorder: Option<Settings>,
-    files: Files,
-    reread: Reread,
-) -> Result<(), String> {
+async fn run(start: Start, files: Files, reread: Reread) -> Result<(), String> {
+    let Start { config, operator, recorder } = start;
     // Before anything is awaited: a signal without its handler would end the program.
     let hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
