Cap a manager's own threads by its share where no fresh report tells

From 17 to 27 s every engine of the zone that was left held 60 to 145 threads on 12 cores and served 0 to 10 requests in 5 s, while the cold ones held 8. No manager saw it: an engine that is jammed answers nothing, so it reports nothing, so it counts as average (`load`), and the average comes from those that do answer. Ruled out: refused dials (333 in all, none after 15 s), descriptors (70 of 384), processor time (0.01 s in the worst second), engines' limits ('full' 0). Lines at fault: `has_room` and `load` in brain.rs. Change: own threads on warm, trusted engines may pass FILL times the share by a root of it; past that only engines with a report of under a second or so have room. Few managers hear of all engines all the time and are not bound by it. The test of a gateway told 'full' has its queries answered now: ten at once are over a share of 0.12 cores.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -38,6 +38,10 @@
 const ANSWER_MARGIN: Micros = Micros(50_000);
 /// Threads a core up to which a level may fill an engine: above one, as part of the work waits for disks.
 const FILL: [f64; LEVELS] = [1.5, 1.7, 1.9, 2.1];
+/// Own threads may pass the even part of what fills the engines by so many roots of this share.
+const OVERHANG: f64 = 1.0;
+/// A report weighs at least this where it, not this gateway's share, says whether an engine has room.
+const HEARD: f64 = 0.8;
 /// Seconds of each class counted into the threads of a query in hand before outcomes tell.
 const MIX_PRIOR: f64 = 2.0;
 /// Share of busy cores from which a report no longer tells how many threads wait.
@@ -491,6 +495,16 @@
         self.load(e) / (e.cores * self.warmth(e)).max(1e-3)
     }
 
+    /// Whether own threads on warm engines that answer fill this gateway's share of them. Guards against many
+    /// gateways of which each sees too little of an engine to know that all of them together have jammed it.
+    fn crowded(&self, r: &Request) -> bool {
+        let sound = |e: &&Engine| e.listed && !e.distrusted && self.warmth(e) >= 1.0;
+        let warm = || self.engines.iter().filter(sound);
+        let share = warm().map(|e| e.cores).sum::<f64>() / f64::from(self.set.gateways);
+        let own = warm().map(|e| e.threads).sum::<f64>();
+        own > 0.0 && own + self.set.classes[r.class].threads > FILL[r.level] * share + OVERHANG * share.sqrt()
+    }
+
     fn has_room(&self, r: &Request, i: usize) -> bool {
         // Only one thread finds room anywhere while nothing is out; what may be asked is not guessed.
         let alone = self.own <= 0.0 && self.set.classes[r.class].threads <= 1.0;
@@ -517,7 +531,10 @@
         if r.errors > 0 && among.iter().any(elsewhere) {
             among.retain(elsewhere);
         }
-        among.retain(|i| (!room || self.has_room(r, *i)) && (r.few.is_empty() || r.few.contains(i)));
+        let crowded = room && self.crowded(r);
+        let unheard = |e: &Engine| self.warmth(e) >= 1.0 && self.trust(e) < HEARD;
+        let full = |i: usize| !self.has_room(r, i) || crowded && unheard(&self.engines[i]);
+        among.retain(|i| !(room && full(*i)) && (r.few.is_empty() || r.few.contains(i)));
         let drawn: Vec<f64> = among.iter().map(|i| self.weight(r, *i)).collect();
         let mut at = dice * drawn.iter().sum::<f64>();
         let hit = drawn.iter().position(|w| {
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -231,14 +231,35 @@
     let (id, out) = b.arrive(0, 0.1, None);
     let full = sent(&out)[0].1;
     let mut out = b.end(id, 0, Outcome::Shed);
+    b.end(id, 1, Outcome::Delivered);
     b.pass(0.2);
     for _ in 0..10 {
-        out.extend(b.arrive(0, 0.1, None).1);
+        let (id, actions) = b.arrive(0, 0.1, None);
+        out.extend(actions);
+        b.end(id, 0, Outcome::Delivered);
     }
     assert_eq!(sent(&out).len(), 11);
     assert!(sent(&out).iter().all(|s| s.1 != full), "{full:?} has four threads a core");
 }
 
+/// Seen on a fleet of 100 managers and 30 engines: each had thirteen threads out where its share was 3.6 cores,
+/// none of them knew that 100 threads stood on an engine of 12 cores, and nothing came back for ten seconds.
+#[test]
+fn gateways_that_hear_nothing_of_engines_do_not_jam_them_together() {
+    let set = Settings { gateways: 100, reports_load: true, ..settings(vec![class(Effect::Safe)]) };
+    let (mut b, mut out) = (Bench::new(set, 30), Vec::new());
+    for _ in 0..40 {
+        out.extend(b.arrive(0, 0.1, None).1);
+    }
+    let (n, threads) = (sent(&out).len(), 100.0 * sent(&out).len() as f64);
+    assert!((3..=8).contains(&n), "{n} out");
+    assert!(threads <= 4.0 * 30.0 * 8.0, "{threads} of all gateways on 240 cores");
+    // What one engine told just now counts for more than the share.
+    let (first, engine) = sent(&out)[0];
+    let further: Vec<EngineId> = sent(&b.served(first, 0.0)).iter().map(|s| s.1).collect();
+    assert!(further.len() > 1 && further[1..].iter().all(|e| *e == engine), "{further:?}");
+}
+
 /// What was heard of an engine once neither repels nor draws for good.
 #[test]
 fn old_news_of_a_full_engine_fades() {
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -147,6 +147,21 @@
         let Some(out) = self.open.get_mut(&id).and_then(|e| e.out.take()) else { return Vec::new() };
         out.link.release(id, end != End::Served);
         let latency = now() - out.sent;
+        if let Some(e) = self.open.get(&id) {
+            let (request, number, ms) = (format!("{id:016x}"), out.link.engine, latency.0 / 1000);
+            debug!(
+                request,
+                number,
+                attempt = out.attempt,
+                class = e.class,
+                level = e.level,
+                left_ms = (e.deadline - now()).0 / 1000,
+                answered = e.answer.is_none(),
+                inflight = out.stats.inflight,
+                ms,
+                "attempt ended as {end:?} after {ms} ms"
+            );
+        }
         let orders = self.tell_end(id, out.attempt, end, latency, out.bill, out.stats);
         // One that was given up before has nobody to answer.
         if end == End::Served && self.open.get(&id).is_some_and(|e| e.answer.is_some()) {
