Take a zone for cut off by two mute engines, and overdue attempts for news of load

Checked: an engine that is merely jammed still sends its notes each 0.4 s, so silence can be told from a jam. And an engine that answers nothing reports nothing, so `load` takes it for average while its attempts grow overdue. Lines at fault: `judge_engines` and `load` in brain.rs. Change: attempts without a word for a note and a half, and dials that never came up, count against their zone unless an engine there has spoken since they left; two such engines cut it off, any word or a fresh start in the list ends that, and a cut zone gets one trickle in all. An overdue attempt sets its engine's load to that of a full one if the last report is over a second old.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -42,6 +42,11 @@
 const OVERHANG: f64 = 1.0;
 /// A report weighs at least this where it, not this gateway's share, says whether an engine has room.
 const HEARD: f64 = 0.8;
+/// A report older than this is outweighed by an attempt that is overdue.
+const OLD_NEWS: Micros = Micros(1_000_000);
+/// Notes missed after which an attempt's engine counts as mute; so many mute ones tell of a zone cut off.
+const NOTES_MISSED: f64 = 1.5;
+const MUTE: usize = 2;
 /// Seconds of each class counted into the threads of a query in hand before outcomes tell.
 const MIX_PRIOR: f64 = 2.0;
 /// Share of busy cores from which a report no longer tells how many threads wait.
@@ -162,6 +167,7 @@
     next_tolls: Micros,
     ask_again: Option<Micros>,
     engines: Vec<Engine>,
+    zones: BTreeMap<u32, ZoneBook>,
     /// Own threads in flight; told cores of the engines that take work.
     own: f64,
     cores: f64,
@@ -516,7 +522,10 @@
     fn usable(&self, r: &Request, i: usize) -> bool {
         let (e, c) = (&self.engines[i], &self.set.classes[r.class]);
         let light = c.effect == Effect::Safe && c.threads <= 1.0;
-        let trickle = light && e.flying == 0 && self.now >= e.next_trickle;
+        let zone = self.zones.get(&e.zone).filter(|z| z.cut);
+        let trickle = light
+            && e.flying == 0
+            && self.now >= e.next_trickle.max(zone.map_or(Micros(0), |z| z.next_trickle));
         self.now >= e.down_until && (!e.distrusted || trickle)
     }
 
@@ -573,6 +582,7 @@
                 *e = Engine { threads: e.threads, flying: e.flying, gone: e.gone, ..Engine::default() };
             }
             if entry.since > e.started {
+                self.zones.entry(entry.zone).or_default().word(self.now);
                 // A fresh start: what was known of the old process is void.
                 (e.slow, e.slow_samples, e.failures, e.bad) = (0.0, 0, 0, 0.0);
                 (e.down_until, e.distrusted, e.silent) = (self.now, false, false);
@@ -591,7 +601,9 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.out.as_mut().filter(|a| a.number == attempt && !a.cancelled) else { return };
         a.heard = self.now;
-        self.engines[a.engine.0 as usize].last_word = self.now;
+        let e = &mut self.engines[a.engine.0 as usize];
+        e.last_word = self.now;
+        self.zones.entry(e.zone).or_default().word(self.now);
         let (age, expected) = ((self.now - a.sent).secs(), a.expected);
         let (class, r) = (r.class, &*r);
         match (note, r.memory) {
@@ -663,6 +675,12 @@
         if !outcome.never_ran() {
             r.may_have_run.get_or_insert((a.sent, at));
         }
+        let zone = self.zones.entry(self.engines[i].zone).or_default();
+        match outcome {
+            Outcome::Delivered | Outcome::Error | Outcome::Shed => zone.word(self.now),
+            Outcome::DialFailed => zone.missed(&a, MUTE),
+            _ => {}
+        }
         r.errors += u32::from(outcome == Outcome::Error);
         r.answered |= complete;
         let (key, answered, in_all) = (r.key.clone(), r.answered, (self.now - r.arrived).secs());
@@ -818,14 +836,23 @@
     /// was expected, whatever the cause. May catch one with nothing but bad plans; the trickle lets it back.
     fn judge_engines(&mut self, out: &mut Vec<Action>) {
         self.engines.iter_mut().for_each(|e| e.overdue = 0);
+        let unheard_for = NOTES_MISSED * self.set.progress_pace.secs();
         for r in self.requests.values_mut() {
             let Some(a) = &mut r.out else { continue };
             let e = &mut self.engines[a.engine.0 as usize];
+            if unheard_for > 0.0 && (self.now - a.heard).secs() > unheard_for {
+                self.zones.entry(e.zone).or_default().missed(a, MUTE);
+            }
             let ratio = (self.now - a.sent).secs() / a.expected;
             e.overdue += u32::from(ratio > OVERDUE);
             if ratio > a.overdue {
                 a.overdue *= 2.0;
                 learn_slowness(e, ratio);
+                // Guards against engines that answer nothing any more and so report nothing: unheard they
+                // count as average, and each of many gateways goes on feeding them.
+                if e.heard.is_none_or(|t| self.now - t > OLD_NEWS) {
+                    (e.others, e.heard) = (e.others.max(BRIMFUL * e.cores), Some(self.now));
+                }
             }
         }
         let known = |e: &&Engine| e.listed && e.slow_samples >= CRAWL_SAMPLES;
@@ -838,7 +865,8 @@
             e.silent |= over >= 2 && over * 2 >= e.flying && quiet;
             let (crawl, faulty) =
                 if e.distrusted { (CRAWL * RELENT, FAULTY * RELENT) } else { (CRAWL, FAULTY) };
-            let bad = e.silent || slowness > crawl || e.bad > faulty || self.now < e.down_until;
+            let cut = self.zones.get(&e.zone).is_some_and(|z| z.cut);
+            let bad = e.silent || cut || slowness > crawl || e.bad > faulty || self.now < e.down_until;
             if bad != e.distrusted {
                 e.distrusted = bad;
                 let (state, silent, failing) = (if bad { "distrusted" } else { "trusted" }, e.silent, e.bad);
@@ -944,6 +972,7 @@
         e.took(self.now, threads, charge, tables);
         e.forget(self.now, self.set.fall_span, WARM_GROUPS);
         e.next_trickle = self.now + TRICKLE;
+        self.zones.entry(e.zone).or_default().next_trickle = self.now + TRICKLE;
         let Some(r) = self.requests.get_mut(&id) else { return false };
         if r.attempts > 0 {
             self.extra.add(self.now, self.set.attempt_budget.map_or(Micros(0), |b| b.span + TICK));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -86,6 +86,20 @@
     pub(crate) warm: VecDeque<u64>,
 }
 
+/// What is heard of a zone's engines as one.
+#[derive(Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct ZoneBook {
+    /// When an engine there last said anything.
+    pub(crate) heard: Micros,
+    /// Engines that kept silent on what was sent there since.
+    pub(crate) mute: BTreeSet<u32>,
+    /// All of it is taken to be cut off.
+    pub(crate) cut: bool,
+    /// The next query of its trickle.
+    pub(crate) next_trickle: Micros,
+}
+
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub(crate) engine: EngineId,
@@ -160,6 +174,22 @@
     }
 }
 
+impl ZoneBook {
+    /// An engine there said something.
+    pub(crate) fn word(&mut self, now: Micros) {
+        self.heard = now;
+        self.cut = false;
+        self.mute.clear();
+    }
+    /// An attempt there met silence; it counts where nobody there has spoken since it left.
+    pub(crate) fn missed(&mut self, a: &Attempt, enough: usize) {
+        if a.sent > self.heard {
+            self.mute.insert(a.engine.0);
+            self.cut |= self.mute.len() >= enough;
+        }
+    }
+}
+
 impl Attempt {
     pub(crate) fn new(engine: EngineId, number: u32, now: Micros, expected: f64, overdue: f64) -> Attempt {
         Attempt { engine, number, sent: now, heard: now, expected, cancelled: false, overdue }
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -260,6 +260,72 @@
     assert!(further.len() > 1 && further[1..].iter().all(|e| *e == engine), "{further:?}");
 }
 
+/// Seen on a fleet of 100 managers: engines that were jammed answered nothing, so reported nothing, and each
+/// manager went on taking them for average ones.
+#[test]
+fn an_overdue_attempt_is_news_of_load_where_none_was_heard_of_late() {
+    let set = settings(vec![class(Effect::Unsafe)]);
+    let set = Settings { gateways: 100, reports_load: true, kind_cores: vec![800.0], ..set };
+    let mut b = Bench::new(set, 3);
+    let (_, out) = b.arrive(0, 0.1, None);
+    let jammed = sent(&out)[0].1;
+    let before = b.brain.engine(jammed).expect("it is known").utilisation;
+    b.pass(1.0);
+    let after = b.brain.engine(jammed).expect("it is known").utilisation;
+    assert!(before < 1.0 && after > 3.0, "{before} threads a core, then {after}");
+    let (quick, out) = b.arrive(0, 0.1, None);
+    let other = sent(&out)[0].1;
+    assert_ne!(other, jammed);
+    // An engine that told of itself just now is believed, whatever its last attempt takes.
+    b.served(quick, 0.0);
+    let told = b.brain.engine(other).expect("it is known").utilisation;
+    assert!(told < 1.0, "{told}");
+}
+
+/// A zone of three engines (0 to 2) that says nothing and another (3 to 5) that serves: the queries of 0.1 s
+/// that come for `secs`, one every 50 ms, and where they go.
+fn with_a_mute_zone(b: &mut Bench, secs: f64) -> Vec<(Micros, u32)> {
+    let (mut went, end) = (Vec::new(), b.now + Micros::from_secs(secs));
+    while b.now < end {
+        let mut out = b.arrive(0, 0.1, None).1;
+        out.extend(b.pass(0.06));
+        while let Some((id, to)) = sent(&out).first().copied() {
+            let number = out.iter().filter(|a| matches!(a, Action::Send { id: i, .. } if *i == id)).count();
+            assert_eq!(number, 1);
+            went.push((b.now, to.0));
+            out.retain(|a| !matches!(a, Action::Send { id: i, .. } if *i == id));
+            if to.0 >= 3 {
+                out.extend(b.served(id, 1.0));
+            }
+        }
+    }
+    went
+}
+
+/// Seen when a zone was lost under 61 managers: each learned engine by engine, for five seconds, at the price
+/// of an attempt or two for every one of seventeen.
+#[test]
+fn two_mute_engines_and_no_word_tell_of_a_zone_cut_off() {
+    let mut set = settings(vec![class(Effect::Unsafe)]);
+    (set.gateways, set.reports_load, set.progress_pace) = (100, true, Micros::from_secs(0.4));
+    let mut b = Bench::new(Settings { kind_cores: vec![800.0], ..set }, 0);
+    let zoned = |n: u32| EngineEntry { zone: n / 3, ..entry(n) };
+    b.list(ListKind::Remembered, (0..6).map(zoned).collect());
+    let went = with_a_mute_zone(&mut b, 3.0);
+    let start = went[0].0;
+    let mute = |from: f64| went.iter().filter(|w| w.1 < 3 && (w.0 - start).secs() >= from).count();
+    assert!(mute(0.0) >= 2, "two attempts told of it");
+    assert!(mute(1.5) <= 2, "{} after it was known, one a second in the whole zone", mute(1.5));
+    let distrusted = |b: &Bench| (0..3).filter(|n| b.brain.engine(EngineId(*n)).unwrap().distrusted).count();
+    assert_eq!(distrusted(&b), 3, "the one that got nothing, too");
+    // One that is back, by the list, is enough to try the zone again.
+    b.now = b.now + Micros(20_000);
+    let since = Some(b.now);
+    b.list(ListKind::Changes, vec![EngineEntry { since, ..zoned(0) }]);
+    b.pass(0.02);
+    assert!(!b.brain.engine(EngineId(0)).unwrap().distrusted);
+}
+
 /// What was heard of an engine once neither repels nor draws for good.
 #[test]
 fn old_news_of_a_full_engine_fades() {
