--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -200,6 +200,14 @@
     pub attempt_budget: Option<AttemptBudget>,
     /// Price of one probe for each query.
     pub probe_price: f64,
+    /// This gateway's zone, by number; `None` where it is not told.
+    pub zone: Option<u32>,
+    /// Price of one attempt in another zone for each query.
+    pub cross_zone_price: f64,
+    /// Price of one new connection for each query.
+    pub handshake_price: f64,
+    /// A connection that carries nothing is closed after this.
+    pub idle: Micros,
 }
 
 impl Default for Settings {
@@ -235,6 +243,10 @@
             order_settle: Micros(0),
             attempt_budget: None,
             probe_price: 0.0,
+            zone: None,
+            cross_zone_price: 0.0,
+            handshake_price: 0.0,
+            idle: Micros(0),
         }
     }
 }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -68,6 +68,8 @@
     /// Own threads of late, to set against reports that lag.
     pub(crate) smooth_threads: f64,
     pub(crate) last_word: Micros,
+    /// When it was last sent something.
+    pub(crate) last_sent: Option<Micros>,
     pub(crate) next_trickle: Micros,
     pub(crate) down_until: Micros,
     pub(crate) failures: u32,
@@ -153,6 +155,7 @@
         if self.flying == 0 {
             self.last_word = now;
         }
+        self.last_sent = Some(now);
         self.threads += threads;
         self.flying += 1;
         self.charges.push_back((now, charge));
--- a/crates/policy/tests/failures.rs
+++ b/crates/policy/tests/failures.rs
@@ -326,6 +326,55 @@
     assert!(!b.brain.engine(EngineId(0)).unwrap().distrusted);
 }
 
+/// Sends of 200 light queries, each served before the next: how many go to zone 0, and to how many engines.
+fn spread(set: Settings, in_hand: f64) -> (usize, usize) {
+    let mut b = Bench::new(Settings { gateways: 2, reports_load: true, ..set }, 0);
+    let zoned = |n: u32| EngineEntry { zone: n % 2, ..entry(n) };
+    b.list(ListKind::Remembered, (0..20).map(zoned).collect());
+    let mut went = Vec::new();
+    for _ in 0..200 {
+        let (id, out) = b.arrive(0, 0.05, None);
+        went.push(sent(&out)[0].1 .0);
+        let home = went.last().is_some_and(|n| n % 2 == 0);
+        b.served(id, if home { in_hand } else { 0.0 });
+        b.now = b.now + Micros(1_000);
+    }
+    let home = went.iter().filter(|n| **n % 2 == 0).count();
+    went.sort_unstable();
+    went.dedup();
+    (home, went.len())
+}
+
+/// Seen on a fleet of 100 managers: half of all sends crossed zones and each manager had a connection to every
+/// engine, at 0.02 and 0.03 of the service, though the settings told what both cost.
+#[test]
+fn the_draw_weighs_what_other_zones_and_new_connections_cost() {
+    let told = settings(vec![class(Effect::Safe)]);
+    let told = Settings { zone: Some(0), idle: Micros::from_secs(15.0), ..told };
+    let (home, engines) = spread(told.clone(), 0.0);
+    assert!((70..130).contains(&home) && engines == 20, "no price: {home} at home on {engines}");
+    let crossing = Settings { cross_zone_price: 0.04, ..told.clone() };
+    assert!(spread(crossing.clone(), 0.0).0 > 140, "{:?}", spread(crossing.clone(), 0.0));
+    let linking = Settings { handshake_price: 0.08, ..told };
+    assert!(spread(linking.clone(), 0.0).1 < 16, "{:?}", spread(linking, 0.0));
+    // Load outweighs the price: five queries in hand on an engine of eight cores.
+    assert!(spread(crossing.clone(), 5.0).0 < 120, "{:?}", spread(crossing, 5.0));
+}
+
+/// A manager of hundreds, with an eighth of a core to its share: what is heavier than that still goes out, one
+/// at a time, and what is light after it.
+#[test]
+fn a_share_under_one_thread_serves_one_query_at_a_time() {
+    let heavy = ClassSettings { threads: 3.0, ..class(Effect::Safe) };
+    let set = Settings { gateways: 200, ..settings(vec![class(Effect::Safe), heavy]) };
+    let mut b = Bench::new(set, 3);
+    let (first, out) = b.arrive(1, 0.3, None);
+    assert_eq!(sent(&out).len(), 1);
+    let (second, out) = b.arrive(0, 0.05, None);
+    assert!(sent(&out).is_empty() && !refused(&out, second));
+    assert_eq!(sent(&b.end(first, 0, Outcome::Delivered))[0].0, second);
+}
+
 /// What was heard of an engine once neither repels nor draws for good.
 #[test]
 fn old_news_of_a_full_engine_fades() {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -356,6 +356,10 @@
         order_settle: p.span("invariants.orderSettle")?,
         attempt_budget: budget,
         probe_price: p.num("prices.probe", 0.0)?,
+        zone: p.text("az").and_then(|z| z.parse().ok()),
+        cross_zone_price: p.num("prices.crossZone", 0.0)?,
+        handshake_price: p.num("prices.handshake", 0.0)?,
+        idle: p.span("limits.connIdle")?,
     })
 }
 
