Weigh told prices by the square of what a manager does not see of its fleet

Of three managers one or two fill the engines of their zone, and news of load must weigh more there; a manager of a hundred hardly moves its zone. Line at fault: the price in `weight`, brain.rs.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -47,8 +47,9 @@
 /// Notes missed after which an attempt's engine counts as mute; so many mute ones tell of a zone cut off.
 const NOTES_MISSED: f64 = 1.5;
 const MUTE: usize = 2;
-/// Threads a core that a price of a whole query's worth weighs as much as, in the draw.
-const PRICE_LOAD: f64 = 5.0;
+/// Threads a core that a price of a query's worth weighs as much as in the draw, times the square of what is
+/// not seen of the fleet: of few gateways one or two fill their zone, and load must weigh more.
+const PRICE_LOAD: f64 = 17.0;
 /// Seconds of each class counted into the threads of a query in hand before outcomes tell.
 const MIX_PRIOR: f64 = 2.0;
 /// Share of busy cores from which a report no longer tells how many threads wait.
@@ -561,7 +562,9 @@
         let linked = e.flying > 0 || e.last_sent.is_some_and(|t| self.now - t < self.set.idle);
         let price = self.set.cross_zone_price * f64::from(u8::from(away))
             + self.set.handshake_price * f64::from(u8::from(!linked));
-        let busy = self.utilisation(i) + c.threads / e.cores.max(1.0) + PRICE_LOAD * price;
+        let busy = self.utilisation(i)
+            + c.threads / e.cores.max(1.0)
+            + PRICE_LOAD * (1.0 - self.sees()).powi(2) * price;
         let sound = (1.0 - e.bad).max(0.01) / slowness(e, self.middle).max(1.0);
         let holds = |o: &Request| o.tables == r.tables && self.set.classes[o.class].load;
         let at = |o: &Request| o.out.as_ref().is_some_and(|a| a.engine == here);
