Write a request's id for the log only when that line is asked for

Seen on reading the whole change: the debug line on an attempt's end made its text for every attempt, whether the level was on or not (attempts.rs, end). Change: the text is made inside the line. Behaviour as before; core and platform tests pass.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -148,10 +148,10 @@
         out.link.release(id, end != End::Served);
         let latency = now() - out.sent;
         if let Some(e) = self.open.get(&id) {
-            let (request, number, ms) = (format!("{id:016x}"), out.link.engine, latency.0 / 1000);
+            let ms = latency.0 / 1000;
             debug!(
-                request,
-                number,
+                request = format!("{id:016x}"),
+                number = out.link.engine,
                 attempt = out.attempt,
                 class = e.class,
                 level = e.level,
