Cold start's deciding half: list calls by budget and backoff, staged dials, readiness

Change: crates/coldstart, pure, time as argument, seeded: gRPC connection backoff; ListCalls (first call by full jitter over fleet / fleet_rate, at most 1 s; a token bucket of fleet_rate / fleet; breaks rest 20 ms doubling, refusals by 1 s x1.6 jitter 0.2; no rest after an answered or failed call passes 1 s, for drains); DialStager (a slot from a hash of manager and engine in a 100 ms stage during the first 10 s, a cell-rate bucket); a stated readiness.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -41,6 +41,9 @@
     fn terms(&self) -> &Terms {
         self.terms()
     }
+    fn on_link_up(self: &Rc<Self>) {
+        self.linked();
+    }
     /// An engine answered. Only what is said of an attempt on this link is read: second copies, and answers
     /// under ids that never were here, are passed over whatever they hold.
     fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed> {
@@ -86,8 +89,9 @@
         self.tally.attempts += 1;
         let left = entry.deadline - now();
         let links = self.engines.iter().map(|e| e.links.len()).sum::<usize>();
+        let dials = self.cold.as_mut().map(|c| &mut c.dials);
         let link = match self.engines.get_mut(engine) {
-            Some(e) => link_for(e, core, id, engine, links < core.terms().most_links),
+            Some(e) => link_for(e, dials, core, id, engine, links < core.terms().most_links),
             None => Err(End::Unreachable),
         };
         let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -6,6 +6,7 @@
 use super::now;
 use super::requests::{Core, Inner};
 use crate::proto::events::{ListEvent, Phase};
+use sprucelink_coldstart::dials::DialStager;
 use sprucelink_policy::interface::Micros;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +14,8 @@
 
 #[derive(Default)]
 pub(super) struct Engine {
+    /// Its id in the list: what the cold start's slots hang on, for numbers differ between managers.
+    pub(super) id: String,
     pub(super) address: Option<SocketAddr>,
     pub(super) since: i64,
     pub(super) links: Vec<Rc<Link>>,
@@ -40,6 +43,7 @@
                 engine.links.iter().for_each(|l| l.retire());
             }
             (engine.address, engine.since) = (address, member.up_since_ms);
+            engine.id.clone_from(&member.id);
             engine.gone = (member.phase == Phase::Gone).then(now);
             if engine.gone.is_some() {
                 engine.links.iter().for_each(|l| l.retire());
@@ -54,6 +58,10 @@
             let (id, phase, address) = (&member.id, member.phase, &member.address);
             info!(engine = %id, number = i, "engine {id} is {phase:?} at {address}, number {i}");
         }
+        let listed = inner.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count();
+        if let Some(cold) = &mut inner.cold {
+            cold.ready.listed(listed);
+        }
         inner.work(self, orders);
         self.wake.notify_one();
     }
@@ -109,6 +117,7 @@
 /// A link of an engine with room for a request: the fullest, so that others fall idle; or a new one.
 pub(super) fn link_for(
     e: &mut Engine,
+    dials: Option<&mut DialStager>,
     core: &Rc<Core>,
     id: u64,
     engine: usize,
@@ -124,6 +133,10 @@
         return Err(End::NotRun);
     }
     let link = Link::new(engine, address);
+    if let Some(dials) = dials {
+        // Guards the engines against managers that start together and dial in step.
+        link.dial_at(dials.dial_at(now(), &e.id));
+    }
     e.links.push(Rc::clone(&link));
     tokio::task::spawn_local(links::run(Rc::clone(core), Rc::clone(&link)));
     Ok(link)
--- a/src/core/feed.rs
+++ b/src/core/feed.rs
@@ -1,7 +1,9 @@
 //! Follows the control feed: reconnects where it left off, and backs off while it fails.
 
 use super::requests::Core;
+use super::{now, span};
 use crate::proto::{events, sse};
+use sprucelink_coldstart::lists::{Ended, ListCalls};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -41,10 +43,24 @@
 }
 
 /// Follows the feed for good, one call at a time, at whatever address it has: a new one is called at
-/// once and the call to the old one dropped, whatever it still had to say.
-pub async fn follow(core: Rc<Core>, mut address: watch::Receiver<Option<String>>) {
+/// once and the call to the old one dropped, whatever it still had to say. With the cold start's
+/// schedule (`calls`), calls wait for their turn in it, and rests are its own.
+pub async fn follow(
+    core: Rc<Core>,
+    mut address: watch::Receiver<Option<String>>,
+    mut calls: Option<ListCalls>,
+) {
     let (mut rest, mut unread) = (REST[0], Unread::default());
     loop {
+        if let Some(calls) = &mut calls {
+            if let Some(due) = calls.due().filter(|due| *due > now()) {
+                tokio::select! {
+                    () = sleep(span(due - now())) => {}
+                    Ok(()) = address.changed() => {}
+                }
+            }
+            calls.start(now());
+        }
         let at = address.borrow_and_update().clone();
         let mut reader = sse::Reader::default();
         let why = tokio::select! {
@@ -60,10 +76,33 @@
         };
         let Some(why) = why else {
             rest = REST[0];
+            // A feed that has moved is called at once: the old one tells nothing more.
+            if let Some(calls) = &mut calls {
+                calls.ended(now(), Ended::Answered);
+                calls.start(now());
+            }
             continue;
         };
         warn!("feed lost: {why}");
         rest = next_rest(rest, reader.open());
+        if let Some(calls) = &mut calls {
+            let how = if reader.refused() {
+                Ended::Refused
+            } else if reader.open() {
+                Ended::Answered
+            } else {
+                Ended::Failed
+            };
+            let next = calls.ended(now(), how);
+            rest = span(next - now());
+            if how == Ended::Refused {
+                warn!(
+                    rest_ms = rest.as_millis() as u64,
+                    "feed refused the call: next in {} ms",
+                    rest.as_millis()
+                );
+            }
+        }
         tokio::select! {
             () = sleep(rest) => {}
             Ok(()) = address.changed() => rest = REST[0],
@@ -99,9 +138,13 @@
             Ok(Err(e)) => return e.to_string(),
             Err(_) => return "silent".into(),
         };
+        let was_open = reader.open();
         if let Err(e) = reader.take(&bytes[..n], &mut sent) {
             return e.to_string();
         }
+        if reader.open() && !was_open {
+            core.fed();
+        }
         for event in sent.drain(..) {
             match events::parse(&event.data) {
                 Ok(Some(list)) => core.on_list(&list, false),
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -75,6 +75,8 @@
     riders: RefCell<BTreeMap<u64, Rider>>,
     undone: RefCell<BTreeSet<u64>>,
     heard: Cell<Micros>,
+    /// Not dialled before this: the cold start's slot.
+    dial_at: Cell<Micros>,
     wake: Notify,
 }
 
@@ -92,6 +94,7 @@
             riders: RefCell::default(),
             undone: RefCell::default(),
             heard: Cell::new(now()),
+            dial_at: Cell::new(Micros(0)),
             wake: Notify::new(),
         })
     }
@@ -110,6 +113,11 @@
             && !self.undone.borrow().contains(&id)
     }
 
+    /// It is not to be dialled before `at`; what is sent on it meanwhile waits for the connection.
+    pub fn dial_at(&self, at: Micros) {
+        self.dial_at.set(at);
+    }
+
     /// Nothing new goes out on it: its engine has started anew, or moved.
     pub fn retire(&self) {
         self.stale.set(true);
@@ -225,6 +233,8 @@
     fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed>;
     /// A link has ended; `ours` if this side gave up on it.
     fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool);
+    /// A link has come up.
+    fn on_link_up(self: &Rc<Self>) {}
 }
 
 /// Why a link ended: in words, and whether this side gave up on it.
@@ -241,6 +251,10 @@
 
 /// Dials a link and serves it until it ends.
 pub async fn run<O: Owner>(core: Rc<O>, link: Rc<Link>) {
+    let wait = link.dial_at.get() - now();
+    if wait > Micros(0) {
+        tokio::time::sleep(span(wait)).await;
+    }
     let why = match timeout(span(core.terms().dial), TcpStream::connect(link.address)).await {
         Ok(Ok(stream)) if link.state.get() == State::Dialing => serve(&core, &link, stream).await,
         Ok(Ok(_)) => theirs("not wanted any more"),
@@ -255,6 +269,7 @@
         return theirs(e);
     }
     link.state.set(State::Up);
+    core.on_link_up();
     let (reader, writer) = stream.into_split();
     tokio::select! {
         why = read(core, link, reader) => why,
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -9,6 +9,9 @@
 use super::results::ResultSet;
 use super::{now, span};
 use sprucelink_capture::recorder::Recorder;
+use sprucelink_coldstart::dials::DialStager;
+use sprucelink_coldstart::ready::Readiness;
+use sprucelink_coldstart::settings::ColdStart;
 use sprucelink_policy::interface::{Micros, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -138,6 +141,14 @@
     pub(super) seed: u64,
     /// Events that the recorder had lost when that was last said.
     pub(super) capture_lost: u64,
+    /// The cold start's dials and readiness, where it is on.
+    pub(super) cold: Option<Cold>,
+}
+
+/// What the cold start decides in the core: when new connections may be dialled, and when it is ready.
+pub(super) struct Cold {
+    pub(super) dials: DialStager,
+    pub(super) ready: Readiness,
 }
 
 /// The core: what both fronts stand on.
@@ -190,10 +201,57 @@
             past: Past::default(),
             seed,
             capture_lost: 0,
+            cold: None,
         };
         Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new() })
     }
 
+    /// Switches the cold start on for dials and readiness: `name` is this manager's, as told.
+    pub fn cold_start(&self, set: &ColdStart, name: &str) {
+        let (dials, ready) = (DialStager::new(set.dials, name, now()), Readiness::new(set.ready, now()));
+        let mut inner = self.inner.borrow_mut();
+        let mut cold = Cold { dials, ready };
+        cold.ready.listed(inner.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count());
+        inner.cold = Some(cold);
+        drop(inner);
+        self.wake.notify_one();
+    }
+
+    /// The feed answered a call.
+    pub fn fed(&self) {
+        if let Some(cold) = &mut self.inner.borrow_mut().cold {
+            cold.ready.fed();
+        }
+    }
+
+    /// A connection to an engine came up.
+    pub fn linked(&self) {
+        if let Some(cold) = &mut self.inner.borrow_mut().cold {
+            cold.ready.linked();
+        }
+    }
+
+    /// Says once, when it is so, that this manager is ready; when to look again.
+    fn look_ready(&self) -> Option<Micros> {
+        let mut inner = self.inner.borrow_mut();
+        let cold = inner.cold.as_mut()?;
+        if let Some(r) = cold.ready.look(now()) {
+            let (after, staged) = (r.after.secs(), cold.dials.staged());
+            info!(
+                after,
+                feed = r.feed,
+                link = r.link,
+                engines = r.engines,
+                staged,
+                "ready after {after:.3} s: feed {}, link {}, {} engines, {staged} dials staged",
+                if r.feed { "answered" } else { "not yet" },
+                if r.link { "up" } else { "not yet" },
+                r.engines
+            );
+        }
+        cold.ready.next_look()
+    }
+
     /// The pool of buffers.
     pub fn pool(&self) -> &Pool {
         &self.pool
@@ -280,7 +338,12 @@
     /// Wakes what is due, for good.
     pub async fn run(self: Rc<Self>) {
         loop {
+            let ready = self.look_ready();
             let next = self.inner.borrow_mut().due();
+            let next = match (next, ready) {
+                (Some(a), Some(b)) => Some(a.min(b)),
+                (a, b) => a.or(b),
+            };
             let rest = next.map_or(std::time::Duration::from_secs(1), |t| span(t - now()));
             tokio::select! {
                 () = tokio::time::sleep(rest) => {}
--- a/src/main.rs
+++ b/src/main.rs
@@ -27,7 +27,11 @@
         .as_ref()
         .map(|path| operator::parse(&text(path)?, &config.setup).map_err(|e| format!("{path}: {e}")));
     let recorder = tools::recorder(files.capture.as_deref(), files.recorder.as_deref())?;
-    Ok(Start { config, operator: operator.transpose()?, recorder })
+    let cold_start = files.cold_start.as_ref().map(|path| {
+        let set = sprucelink_coldstart::settings::ColdStart::parse(&text(path)?);
+        set.map_err(|e| format!("{path}: {e}"))
+    });
+    Ok(Start { config, operator: operator.transpose()?, recorder, cold_start: cold_start.transpose()? })
 }
 
 /// Runs a command: its exit status, or an error and the exit status.
@@ -51,6 +55,14 @@
                 }
                 None => println!("no recorder's settings: nothing is recorded"),
             }
+            match start.cold_start {
+                Some(c) if c.enabled => println!(
+                    "the cold start's settings will do: lists at {} a second for the fleet, dials staged over {} ms",
+                    c.lists.fleet_rate, c.dials.stage_ms
+                ),
+                Some(_) => println!("the cold start's settings will do; they are not enabled"),
+                None => println!("no cold start's settings: the start is as it always was"),
+            }
         }
         Command::Serve(files) => {
             let start = read(&files).map_err(unusable)?;
--- a/src/proto/sse.rs
+++ b/src/proto/sse.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Default)]
 pub struct Reader {
     stage: Stage,
+    status: Option<u16>,
     chunked: bool,
     line: Vec<u8>,
     text: Vec<u8>,
@@ -82,6 +83,16 @@
         self.stage == Stage::Over
     }
 
+    /// The status code of the response's head, once it was read and could be.
+    pub fn status(&self) -> Option<u16> {
+        self.status
+    }
+
+    /// Whether the service said that it would not serve now: 429 (too many requests) or 503 (unavailable).
+    pub fn refused(&self) -> bool {
+        matches!(self.status, Some(429 | 503))
+    }
+
     /// Whether the call was answered: the head of the response was read and is a good one.
     pub fn open(&self) -> bool {
         !matches!(self.stage, Stage::Status | Stage::Headers)
@@ -90,6 +101,7 @@
     fn head(&mut self, line: &str) -> Result<(), Malformed> {
         match self.stage {
             Stage::Status => {
+                self.status = line.split(' ').nth(1).and_then(|code| code.parse().ok());
                 if !line.starts_with("HTTP/1.") || line.split(' ').nth(1) != Some("200") {
                     return Err(Malformed(format!("field status is not 200: {line:.60}")));
                 }
--- a/src/run/args.rs
+++ b/src/run/args.rs
@@ -69,6 +69,8 @@
     pub capture: Option<String>,
     /// The recorder's settings, JSON5.
     pub recorder: Option<String>,
+    /// The cold start's settings, JSON5; without them the program starts as it always did.
+    pub cold_start: Option<String>,
     /// How log lines are written.
     pub logging: Logging,
 }
@@ -152,7 +154,7 @@
     Sub {
         name: "serve",
         usage: "[--config FILE] [--listen ADDRESS] [--operator FILE] [--capture DIR] [--recorder FILE]\n\
-                [--log-format text|json] [--log-level LEVEL]",
+                [--cold-start FILE] [--log-format text|json] [--log-level LEVEL]",
         help: "\
 Serves clients until SIGTERM or SIGINT.
 
@@ -161,13 +163,15 @@
   --operator FILE     sets up the second front (PostgreSQL with extended queries); without it that is off
   --capture DIR       records what the deciding part is told and answers, in a ring of files in DIR
   --recorder FILE     the recorder's limits (JSON5, such as deploy/capture.json5); --capture goes before its dir
+  --cold-start FILE   how a start spares the list service and the engines (JSON5, such as deploy/cold-start.json5)
   --log-format FORMAT text lines (the default) or json, one object a line
   --log-level LEVEL   error, warn, info (the default), debug or trace
 ",
     },
     Sub {
         name: "check",
-        usage: "[--config FILE] [--listen ADDRESS] [--operator FILE] [--capture DIR] [--recorder FILE]",
+        usage: "[--config FILE] [--listen ADDRESS] [--operator FILE] [--capture DIR] [--recorder FILE]\n\
+                [--cold-start FILE]",
         help: "\
 Reads the files that `serve` would and says whether they will do. Options as for `serve`.
 ",
@@ -316,6 +320,7 @@
         "operator" => g.files.operator = Some(value()?),
         "capture" => g.files.capture = Some(value()?),
         "recorder" => g.files.recorder = Some(value()?),
+        "cold-start" => g.files.cold_start = Some(value()?),
         "log-format" => g.files.logging.format = value()?.parse()?,
         "log-level" => g.files.logging.level = logging::level(&value()?)?,
         "times" => {
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -18,6 +18,8 @@
 
 /// Everything that a start needs.
 pub struct Config {
+    /// This manager's name, the same after a restart; empty where none is told.
+    pub name: String,
     /// Where clients connect.
     pub listen: String,
     /// Where the control feed is.
@@ -69,6 +71,7 @@
         .parse::<std::net::SocketAddr>()
         .map_err(|_| format!("configuration: listen: {listen:?} is no address"))?;
     Ok(Config {
+        name: json["name"].as_str().unwrap_or_default().to_owned(),
         listen,
         feed: json["feed"].as_str().map(str::to_owned),
         known: (json["known"]["n"].as_u64().unwrap_or(0), known.into_iter().flatten().collect()),
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -10,6 +10,8 @@
 use crate::front::{Front, Setup};
 use sprucelink_capture::recorder::Recorder;
 use sprucelink_capture::settings::Settings;
+use sprucelink_coldstart::lists::ListCalls;
+use sprucelink_coldstart::settings::ColdStart;
 use sprucelink_policy::interface::Micros;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +37,8 @@
     pub operator: Option<Operator>,
     /// The recorder; without it nothing is recorded.
     pub recorder: Option<Settings>,
+    /// The cold start; without it, or not enabled, the start is as it always was.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Reads the configuration's file anew.
@@ -73,12 +77,14 @@
 }
 
 async fn run(start: Start, files: Files, reread: Reread) -> Result<(), String> {
-    let Start { config, operator, recorder } = start;
+    let Start { config, operator, recorder, cold_start } = start;
+    let cold_start = cold_start.filter(|c| c.enabled);
     // Before anything is awaited: a signal without its handler would end the program.
     let hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut int = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(0));
+    let fleet = config.settings.gateways;
     let seed = config.seed;
     let core = Core::new(config.settings, seed, config.names, config.terms, Pool::new(config.buffers));
     if let Some(set) = recorder {
@@ -96,9 +102,17 @@
         core.on_list(event, i == 0);
     }
     core.passed_event(config.known.0);
+    let calls = cold_start.map(|c| {
+        core.cold_start(&c, &config.name);
+        ListCalls::new(c.lists, fleet, seed, now())
+    });
+    if let Some(calls) = &calls {
+        let window = calls.window().secs();
+        info!(window, fleet, "cold start: first call for lists within {window:.3} s, of {fleet} managers");
+    }
     let mut ticking = spawn_local(Rc::clone(&core).run());
     let (moved, address) = watch::channel(config.feed);
-    spawn_local(feed::follow(Rc::clone(&core), address));
+    spawn_local(feed::follow(Rc::clone(&core), address, calls));
     spawn_local(reload(hup, files, reread, moved));
     let mut fronts = vec![open("serving", &core, &config.listen, config.setup).await?];
     if let Some(operator) = operator {
--- /dev/null
+++ b/tests/cold_start.rs
@@ -0,0 +1,113 @@
+//! The cold start on sockets: a list service that refuses is not called in step, a start says when it is
+//! ready, and its settings are checked.
+mod support;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// A list service that answers every call with 503 and notes when it came.
+fn refusing_feed() -> (std::net::SocketAddr, Arc<Mutex<Vec<Instant>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let log = Arc::clone(&calls);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let input = BufReader::new(stream.try_clone().expect("a second handle"));
+            for _ in input.lines().map_while(Result::ok).take_while(|l| !l.is_empty()) {}
+            log.lock().expect("unpoisoned").push(Instant::now());
+            let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    (address, calls)
+}
+
+fn cold_file(text: &str) -> String {
+    let path = scratch().join("cold-start.json5");
+    std::fs::write(&path, text).expect("written");
+    path.display().to_string()
+}
+
+/// Calls that a refusing service gets in `span` after the program is moved to it.
+fn calls_while_refused(more: &[&str], span: Duration) -> usize {
+    let engine = Engine::echo();
+    let program = Program::launch(&[("s-1", engine.address)], None, None, (192, 1024), SETTINGS, more);
+    let (address, calls) = refusing_feed();
+    program.reload(&program.config_with_feed(address));
+    until(|| (!calls.lock().expect("unpoisoned").is_empty()).then_some(()));
+    let first = calls.lock().expect("unpoisoned")[0];
+    thread::sleep(span.saturating_sub(first.elapsed()));
+    let n = calls.lock().expect("unpoisoned").iter().filter(|t| t.duration_since(first) < span).count();
+    n
+}
+
+/// Guards the list service against a fleet that hammers it while it refuses: with the cold start, calls
+/// that were refused back off by gRPC's figures (1 s, then 1.6 s); without, they come every 20 to 250 ms.
+#[test]
+fn a_refusing_list_service_is_called_by_backoff_not_in_a_stream() {
+    let span = Duration::from_millis(2_500);
+    let path = cold_file("{ enabled: true }");
+    let cold = calls_while_refused(&["--cold-start", &path], span);
+    assert!((1..=3).contains(&cold), "{cold} calls in 2.5 s with the cold start");
+    let plain = calls_while_refused(&[], span);
+    eprintln!("calls in 2.5 s of refusals: {cold} with the cold start, {plain} without");
+    assert!(plain >= 8, "{plain} calls in 2.5 s without it: the comparison has no ground");
+}
+
+/// A start with the cold start says once that it is ready, and why.
+#[test]
+fn a_cold_start_says_when_it_is_ready() {
+    let engine = Engine::echo();
+    let feed = Feed::start();
+    let path = cold_file("{ enabled: true, ready: { link_wait_ms: 300 } }");
+    let program = Program::launch(
+        &[("s-1", engine.address)],
+        Some(&feed),
+        None,
+        (192, 1024),
+        SETTINGS,
+        &["--cold-start", &path],
+    );
+    let line = program.wait_line("ready after ");
+    assert!(line.contains("feed answered") || line.contains("feed not yet"), "{line}");
+    assert!(line.contains("1 engines"), "{line}");
+    let mut raw = Raw::connect(program.platform);
+    let got = raw.ask(
+        "/* kind=lane-rate,req=0000000000000001,timeout=20000,owner=sud */ SELECT a FROM sales_17.orders",
+    );
+    assert_eq!(rows(&got).len(), 1, "served after the cold start");
+    assert_eq!(program.lines().iter().filter(|l| l.contains("ready after ")).count(), 1);
+}
+
+/// Settings that cannot be meant are refused at the start, by name, with exit status 2.
+#[test]
+fn the_cold_starts_settings_are_checked_by_name() {
+    let engine = Engine::echo();
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let config = scratch().join("config.json");
+    std::fs::write(&config, program.config_with_feed("127.0.0.1:9".parse().expect("an address")))
+        .expect("written");
+    let check = |text: &str| {
+        let path = cold_file(text);
+        Command::new(env!("CARGO_BIN_EXE_sprucelink"))
+            .args(["check", "--config", &config.display().to_string(), "--cold-start", &path])
+            .output()
+            .expect("ran")
+    };
+    let good = check(&std::fs::read_to_string("deploy/cold-start.json5").expect("the deploy file"));
+    assert_eq!(good.status.code(), Some(0), "{}", String::from_utf8_lossy(&good.stderr));
+    assert!(String::from_utf8_lossy(&good.stdout).contains("cold start's settings will do"));
+    for (text, named) in
+        [("{ dials: { stage_ms: 9000 } }", "dials.stage_ms"), ("{ enabled: true, lits: {} }", "lits")]
+    {
+        let bad = check(text);
+        assert_eq!(bad.status.code(), Some(2));
+        let said = String::from_utf8_lossy(&bad.stderr);
+        assert!(said.contains(named), "{said}");
+    }
+}
