Fleet rig: the peak's windows are half open, and its test says so

Cause: the rig's unit test asked for two events in a window of 10 ms where they were 10 ms apart; the sliding peak counts half-open windows, so one is right.

Change: the test asks 1 at 10 ms and 2 at 11 ms.

--- a/crates/fleetrig/src/lib.rs
+++ b/crates/fleetrig/src/lib.rs
@@ -91,7 +91,9 @@
     fn the_peak_slides_over_every_window() {
         let c = Counted { at: [0, 90, 110, 120, 500].iter().map(|ms| Duration::from_millis(*ms)).collect() };
         assert_eq!(c.peak(Duration::from_millis(100)), 3);
-        assert_eq!(c.peak(Duration::from_millis(10)), 2);
+        // Windows are half open: 110 and 120 ms are apart by a whole window of 10 ms.
+        assert_eq!(c.peak(Duration::from_millis(10)), 1);
+        assert_eq!(c.peak(Duration::from_millis(11)), 2);
         assert_eq!(c.buckets(Duration::from_millis(100)), [2, 2, 0, 0, 0, 1]);
     }
 }
