--- a/crates/coldstart/src/lists.rs
+++ b/crates/coldstart/src/lists.rs
@@ -10,10 +10,11 @@
 //!   `fleet_rate / fleet` a second, and holds `burst` tokens;
 //! - a call that could not be made or was cut rests by backoff from `failed` (short: most breaks pass);
 //!   one that the service refused (HTTP 429 or 503) rests by backoff from `refused` (gRPC's figures);
-//! - no rest after a call that was answered, or that failed, lasts longer than `rest_most_ms`, whatever the
-//!   budget says: what the feed holds counts as told a short time after a break, and a drain must be
-//!   heeded within 500 ms of that. Only an explicit refusal may rest longer, for the service is there and
-//!   says that it cannot answer.
+//! - no first call waits longer than `window_most_ms`, and no rest after a call that was answered, or that
+//!   failed, lasts longer than `rest_most_ms`, whatever the budget says: both at most 250 ms. An event counts
+//!   as told when it would have come had the manager been calling, and a drain must be heeded within 500 ms
+//!   of that (seen: with both bounds at 1 s, herd+mass broke the drain rule 14 times, journal d6e5453d).
+//!   Only an explicit refusal may rest longer, for the service is there and says that it cannot answer.
 //!
 //! The list last held stays in force meanwhile; [`ListCalls::unanswered_for`] says for how long no call was
 //! answered, for logs and counters.
@@ -24,6 +25,10 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
+/// Longest first wait and rest, in milliseconds: half the drain grace of 500 ms, so that a manager that
+/// learns of a drain at the end of a rest still stops sending within the grace.
+pub const DRAIN_BOUND_MS: f64 = 250.0;
+
 /// How a call for lists ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -43,9 +48,9 @@
     pub fleet_rate: f64,
     /// Tokens a manager may hold: calls in a row without waiting for the budget; 1 to 100.
     pub burst: f64,
-    /// Longest window over which first calls are spread, in milliseconds; 0 to 2,000 (drains).
+    /// Longest window over which first calls are spread, in milliseconds; 0 to 250 (drains).
     pub window_most_ms: f64,
-    /// Longest rest after an answered or failed call, in milliseconds; 20 to 2,000 (drains).
+    /// Longest rest after an answered or failed call, in milliseconds; 20 to 250 (drains).
     pub rest_most_ms: f64,
     /// Least rest after an answered call, before jitter, in milliseconds; 0 to `rest_most_ms`.
     pub again_least_ms: f64,
@@ -60,10 +65,10 @@
         ListTerms {
             fleet_rate: 200.0,
             burst: 3.0,
-            window_most_ms: 1_000.0,
-            rest_most_ms: 1_000.0,
+            window_most_ms: 200.0,
+            rest_most_ms: 250.0,
             again_least_ms: 20.0,
-            failed: BackoffTerms { initial_ms: 20.0, multiplier: 2.0, jitter: 0.5, max_ms: 1_000.0 },
+            failed: BackoffTerms { initial_ms: 20.0, multiplier: 2.0, jitter: 0.5, max_ms: 250.0 },
             refused: BackoffTerms::GRPC,
         }
     }
@@ -81,8 +86,8 @@
         };
         within("fleet_rate", self.fleet_rate, 1.0, 100_000.0)?;
         within("burst", self.burst, 1.0, 100.0)?;
-        within("window_most_ms", self.window_most_ms, 0.0, 2_000.0)?;
-        within("rest_most_ms", self.rest_most_ms, 20.0, 2_000.0)?;
+        within("window_most_ms", self.window_most_ms, 0.0, DRAIN_BOUND_MS)?;
+        within("rest_most_ms", self.rest_most_ms, 20.0, DRAIN_BOUND_MS)?;
         within("again_least_ms", self.again_least_ms, 0.0, self.rest_most_ms)?;
         self.failed.check().map_err(|e| format!("failed.{e}"))?;
         self.refused.check().map_err(|e| format!("refused.{e}"))
@@ -226,10 +231,10 @@
         let terms = ListTerms::default();
         let starts: Vec<i64> =
             (0..300).map(|m| ListCalls::new(terms, 300, m, Micros(0)).due().unwrap().0).collect();
-        // 300 managers at 200 calls a second: over 1 s at most.
-        assert!(starts.iter().all(|t| (0..=S).contains(t)));
+        // 300 managers at 200 calls a second: over 1.5 s, bounded to 200 ms for drains.
+        assert!(starts.iter().all(|t| (0..=S / 5).contains(t)));
         let mut per_tenth = [0; 10];
-        starts.iter().for_each(|t| per_tenth[((t * 10 / S) as usize).min(9)] += 1);
+        starts.iter().for_each(|t| per_tenth[((t * 50 / S) as usize).min(9)] += 1);
         assert!(per_tenth.iter().all(|n| *n <= 50), "{per_tenth:?}");
         // Alone, a manager calls at once.
         assert_eq!(ListCalls::new(terms, 1, 5, Micros(0)).window(), Micros(5_000));
@@ -250,7 +255,7 @@
         assert!(rests[0] >= 800_000, "{rests:?}");
         assert!(calls.start(now));
         let next = calls.ended(now, Ended::Answered);
-        assert!((next - now).0 <= S, "after an answer the next call is at most a second away");
+        assert!((next - now).0 <= S / 4, "after an answer the next call is at most 250 ms away");
         assert_eq!(calls.misses(), 0);
     }
 
@@ -264,15 +269,15 @@
             assert!(calls.start(now), "call {i}");
             let how = if i % 2 == 0 { Ended::Failed } else { Ended::Answered };
             let next = calls.ended(now, how);
-            assert!((next - now).0 <= S, "rest {} at call {i}", (next - now).0);
+            assert!((next - now).0 <= S / 4, "rest {} at call {i}", (next - now).0);
             now = next;
         }
     }
 
     #[test]
     fn the_budget_holds_the_fleet_to_its_rate_where_the_bound_allows() {
-        // 10 managers at 20 calls a second: each may call twice a second; the feed ends answers at once.
-        let terms = ListTerms { fleet_rate: 20.0, burst: 1.0, ..ListTerms::default() };
+        // 10 managers at 50 calls a second: each may call 5 times a second; the feed ends answers at once.
+        let terms = ListTerms { fleet_rate: 50.0, burst: 1.0, ..ListTerms::default() };
         let mut calls = ListCalls::new(terms, 10, 1, Micros(0));
         let mut now = calls.due().unwrap();
         let first = now;
@@ -280,8 +285,8 @@
             assert!(calls.start(now));
             now = calls.ended(now, Ended::Answered);
         }
-        assert!(calls.calls() <= 2 * 10 + 2, "{} calls in 10 s", calls.calls());
-        assert!(calls.calls() >= 15, "{} calls in 10 s", calls.calls());
+        assert!(calls.calls() <= 5 * 10 + 2, "{} calls in 10 s", calls.calls());
+        assert!(calls.calls() >= 35, "{} calls in 10 s", calls.calls());
     }
 
     #[test]
@@ -297,7 +302,7 @@
 
     #[test]
     fn figures_out_of_range_are_named() {
-        let bad = ListTerms { window_most_ms: 5_000.0, ..ListTerms::default() };
+        let bad = ListTerms { window_most_ms: 1_000.0, ..ListTerms::default() };
         assert!(bad.check().unwrap_err().starts_with("window_most_ms"));
         let bad =
             ListTerms { refused: BackoffTerms { jitter: 2.0, ..BackoffTerms::GRPC }, ..ListTerms::default() };
