One range check for the cold start's settings, one number reader for the rig's options

Found reading the change again: the same range check written four times in crates/coldstart (dials, lists, ready, backoff), four bounded number options written out one by one in sprucelink-fleet, a refusing list service written again in tests/cold_start.rs beside the rig's own (Mood::Refusing), and the count of listed engines for readiness written in two places of the core.

Change: coldstart::within, used by every check; a number() reader in the rig's command; the test uses the rig's ListService; Inner::listed(). Same bounds, same messages by field (the backoff's now say the figure too), same assertions.

--- a/crates/coldstart/src/backoff.rs
+++ b/crates/coldstart/src/backoff.rs
@@ -2,7 +2,7 @@
 //! a first rest, multiplied after each failure up to a longest, each rest spread by a share either way
 //! so that clients that failed together do not come back together.
 
-use crate::Micros;
+use crate::{within, Micros};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -28,24 +28,10 @@
 
     /// What is wrong with the figures, if anything: the path's last part and the rule.
     pub fn check(&self) -> Result<(), String> {
-        let finite =
-            [self.initial_ms, self.multiplier, self.jitter, self.max_ms].iter().all(|v| v.is_finite());
-        if !finite {
-            return Err("a figure is not a finite number".into());
-        }
-        if !(1.0..=3_600_000.0).contains(&self.initial_ms) {
-            return Err("initial_ms: must lie within 1 and 3,600,000".into());
-        }
-        if !(1.0..=10.0).contains(&self.multiplier) {
-            return Err("multiplier: must lie within 1 and 10".into());
-        }
-        if !(0.0..=1.0).contains(&self.jitter) {
-            return Err("jitter: must lie within 0 and 1".into());
-        }
-        if self.max_ms < self.initial_ms || self.max_ms > 3_600_000.0 {
-            return Err("max_ms: must lie within initial_ms and 3,600,000".into());
-        }
-        Ok(())
+        within("initial_ms", self.initial_ms, 1.0, 3_600_000.0)?;
+        within("multiplier", self.multiplier, 1.0, 10.0)?;
+        within("jitter", self.jitter, 0.0, 1.0)?;
+        within("max_ms", self.max_ms, self.initial_ms, 3_600_000.0)
     }
 }
 
--- a/crates/coldstart/src/dials.rs
+++ b/crates/coldstart/src/dials.rs
@@ -7,7 +7,7 @@
 //! the stage and those of one manager spread over its engines. After the warm-up, and at all times, a
 //! bucket bounds new connections a second; a dial never waits longer than one stage and one token.
 
-use crate::{stable_hash, unit, Micros};
+use crate::{stable_hash, unit, within, Micros};
 use serde::{Deserialize, Serialize};
 
 /// The figures of dials.
@@ -33,13 +33,6 @@
 impl DialTerms {
     /// What is wrong with the figures, if anything: the field and the rule.
     pub fn check(&self) -> Result<(), String> {
-        let within = |name: &str, v: f64, low: f64, high: f64| {
-            if v.is_finite() && (low..=high).contains(&v) {
-                Ok(())
-            } else {
-                Err(format!("{name}: must lie within {low} and {high}, is {v}"))
-            }
-        };
         within("stage_ms", self.stage_ms, 0.0, 500.0)?;
         within("warm_ms", self.warm_ms, 0.0, 120_000.0)?;
         within("rate", self.rate, 1.0, 10_000.0)?;
--- a/crates/coldstart/src/lib.rs
+++ b/crates/coldstart/src/lib.rs
@@ -39,6 +39,16 @@
     h ^ (h >> 31)
 }
 
+/// Whether a figure is finite and lies within `low` and `high`, both included; the error names the field,
+/// the rule and the figure. Every settings check of this crate goes through it.
+pub fn within(name: &str, v: f64, low: f64, high: f64) -> Result<(), String> {
+    if v.is_finite() && (low..=high).contains(&v) {
+        Ok(())
+    } else {
+        Err(format!("{name}: must lie within {low} and {high}, is {v}"))
+    }
+}
+
 /// A hash as a share, in [0, 1).
 pub fn unit(hash: u64) -> f64 {
     (hash >> 11) as f64 / (1u64 << 53) as f64
--- a/crates/coldstart/src/lists.rs
+++ b/crates/coldstart/src/lists.rs
@@ -20,7 +20,7 @@
 //! answered, for logs and counters.
 
 use crate::backoff::{Backoff, BackoffTerms};
-use crate::Micros;
+use crate::{within, Micros};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -77,13 +77,6 @@
 impl ListTerms {
     /// What is wrong with the figures, if anything: the field and the rule.
     pub fn check(&self) -> Result<(), String> {
-        let within = |name: &str, v: f64, low: f64, high: f64| {
-            if v.is_finite() && (low..=high).contains(&v) {
-                Ok(())
-            } else {
-                Err(format!("{name}: must lie within {low} and {high}, is {v}"))
-            }
-        };
         within("fleet_rate", self.fleet_rate, 1.0, 100_000.0)?;
         within("burst", self.burst, 1.0, 100.0)?;
         within("window_most_ms", self.window_most_ms, 0.0, DRAIN_BOUND_MS)?;
--- a/crates/coldstart/src/ready.rs
+++ b/crates/coldstart/src/ready.rs
@@ -5,7 +5,7 @@
 //! keep a manager out of service: the list it was started with is the last one held); and either one
 //! connection to an engine is up or `link_wait_ms` has passed. It is said once, with its reasons.
 
-use crate::Micros;
+use crate::{within, Micros};
 use serde::{Deserialize, Serialize};
 
 /// The figures of readiness.
@@ -27,12 +27,8 @@
 impl ReadyTerms {
     /// What is wrong with the figures, if anything.
     pub fn check(&self) -> Result<(), String> {
-        for (name, v) in [("feed_wait_ms", self.feed_wait_ms), ("link_wait_ms", self.link_wait_ms)] {
-            if !(v.is_finite() && (0.0..=30_000.0).contains(&v)) {
-                return Err(format!("{name}: must lie within 0 and 30000, is {v}"));
-            }
-        }
-        Ok(())
+        within("feed_wait_ms", self.feed_wait_ms, 0.0, 30_000.0)?;
+        within("link_wait_ms", self.link_wait_ms, 0.0, 30_000.0)
     }
 }
 
--- a/crates/fleetrig/src/bin/sprucelink-fleet.rs
+++ b/crates/fleetrig/src/bin/sprucelink-fleet.rs
@@ -34,6 +34,17 @@
     p.value().map_err(|e| e.to_string())?.string().map_err(|e| format!("{e:?}"))
 }
 
+/// The option's value as a number within `low` and `high`; the error names the option and its range.
+fn number<T: std::str::FromStr + PartialOrd + std::fmt::Display>(
+    p: &mut lexopt::Parser,
+    name: &str,
+    low: T,
+    high: T,
+) -> Result<T, String> {
+    let v = value(p)?.parse::<T>().ok().filter(|v| *v >= low && *v <= high);
+    v.ok_or_else(|| format!("--{name}: {low} to {high}"))
+}
+
 fn parse() -> Result<Ask, String> {
     let mut p = lexopt::Parser::from_env();
     let mut ask = Ask {
@@ -48,34 +59,10 @@
     let mut command = None;
     while let Some(arg) = p.next().map_err(|e| e.to_string())? {
         match arg {
-            Long("managers") => {
-                ask.managers = value(&mut p)?
-                    .parse()
-                    .ok()
-                    .filter(|n| (1..=MOST_MANAGERS).contains(n))
-                    .ok_or("--managers: 1 to 1000")?
-            }
-            Long("engines") => {
-                ask.engines = value(&mut p)?
-                    .parse()
-                    .ok()
-                    .filter(|n| (1..=100).contains(n))
-                    .ok_or("--engines: 1 to 100")?
-            }
-            Long("seconds") => {
-                ask.seconds = value(&mut p)?
-                    .parse()
-                    .ok()
-                    .filter(|s| (0.5..=120.0).contains(s))
-                    .ok_or("--seconds: 0.5 to 120")?
-            }
-            Long("refuse-for") => {
-                ask.refuse_for = value(&mut p)?
-                    .parse()
-                    .ok()
-                    .filter(|s| (0.0..=120.0).contains(s))
-                    .ok_or("--refuse-for: 0 to 120")?
-            }
+            Long("managers") => ask.managers = number(&mut p, "managers", 1, MOST_MANAGERS)?,
+            Long("engines") => ask.engines = number(&mut p, "engines", 1, 100)?,
+            Long("seconds") => ask.seconds = number(&mut p, "seconds", 0.5, 120.0)?,
+            Long("refuse-for") => ask.refuse_for = number(&mut p, "refuse-for", 0.0, 120.0)?,
             Long("cold-start") => ask.cold_start = Some(value(&mut p)?),
             Long("program") => ask.program = PathBuf::from(value(&mut p)?),
             Long("dir") => ask.dir = PathBuf::from(value(&mut p)?),
--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -58,7 +58,7 @@
             let (id, phase, address) = (&member.id, member.phase, &member.address);
             info!(engine = %id, number = i, "engine {id} is {phase:?} at {address}, number {i}");
         }
-        let listed = inner.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count();
+        let listed = inner.listed();
         if let Some(cold) = &mut inner.cold {
             cold.ready.listed(listed);
         }
@@ -68,6 +68,11 @@
 }
 
 impl Inner {
+    /// Engines of the list held that have an address and are not gone.
+    pub(super) fn listed(&self) -> usize {
+        self.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count()
+    }
+
     /// Forgets the engines that have been gone for long enough and have no connection left.
     pub(super) fn forget_gone(&mut self, list: &ListEvent) {
         let at = now();
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -211,7 +211,7 @@
         let (dials, ready) = (DialStager::new(set.dials, name, now()), Readiness::new(set.ready, now()));
         let mut inner = self.inner.borrow_mut();
         let mut cold = Cold { dials, ready };
-        cold.ready.listed(inner.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count());
+        cold.ready.listed(inner.listed());
         inner.cold = Some(cold);
         drop(inner);
         self.wake.notify_one();
--- a/tests/cold_start.rs
+++ b/tests/cold_start.rs
@@ -2,29 +2,17 @@
 //! ready, and its settings are checked.
 mod support;
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::TcpListener;
+use sprucelink_fleetrig::lists::{ListService, Mood};
 use std::process::Command;
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
 
-/// A list service that answers every call with 503 and notes when it came.
-fn refusing_feed() -> (std::net::SocketAddr, Arc<Mutex<Vec<Instant>>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let calls: Arc<Mutex<Vec<Instant>>> = Arc::default();
-    let log = Arc::clone(&calls);
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let input = BufReader::new(stream.try_clone().expect("a second handle"));
-            for _ in input.lines().map_while(Result::ok).take_while(|l| !l.is_empty()) {}
-            log.lock().expect("unpoisoned").push(Instant::now());
-            let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-        }
-    });
-    (address, calls)
+/// The rig's list service, answering every call with 503 and noting when it came.
+fn refusing_feed() -> ListService {
+    let feed = ListService::start(String::new(), Instant::now()).expect("a list service");
+    feed.set_mood(Mood::Refusing);
+    feed
 }
 
 fn cold_file(text: &str) -> String {
@@ -37,13 +25,12 @@
 fn calls_while_refused(more: &[&str], span: Duration) -> usize {
     let engine = Engine::echo();
     let program = Program::launch(&[("s-1", engine.address)], None, None, (192, 1024), SETTINGS, more);
-    let (address, calls) = refusing_feed();
-    program.reload(&program.config_with_feed(address));
-    until(|| (!calls.lock().expect("unpoisoned").is_empty()).then_some(()));
-    let first = calls.lock().expect("unpoisoned")[0];
-    thread::sleep(span.saturating_sub(first.elapsed()));
-    let n = calls.lock().expect("unpoisoned").iter().filter(|t| t.duration_since(first) < span).count();
-    n
+    let feed = refusing_feed();
+    program.reload(&program.config_with_feed(feed.address));
+    let calls = || feed.calls.lock().expect("unpoisoned").at.clone();
+    let first = until(|| calls().first().copied());
+    thread::sleep(span);
+    calls().iter().filter(|t| **t - first < span).count()
 }
 
 /// Guards the list service against a fleet that hammers it while it refuses: with the cold start, calls
