--- a/crates/fleetrig/src/bin/sprucelink-fleet.rs
+++ b/crates/fleetrig/src/bin/sprucelink-fleet.rs
@@ -66,7 +66,7 @@
             Long("cold-start") => ask.cold_start = Some(value(&mut p)?),
             Long("program") => ask.program = PathBuf::from(value(&mut p)?),
             Long("dir") => ask.dir = PathBuf::from(value(&mut p)?),
-            Long("help") | Short('h') => return Err(String::new()),
+            Long("help") | Short('h') => return Err("help".into()),
             Value(v) if command.is_none() => command = Some(v.string().map_err(|e| format!("{e:?}"))?),
             other => return Err(other.unexpected().to_string()),
         }
@@ -80,6 +80,7 @@
 fn main() {
     let ask = match parse() {
         Ok(ask) => ask,
+        Err(e) if e == "help" => return print!("{USAGE}"),
         Err(e) => {
             eprint!("{}{USAGE}", if e.is_empty() { String::new() } else { format!("{e}\n\n") });
             std::process::exit(2);
