Cold start decides first load, warming admission and what an older list may change

Change: crates/coldstart gets first_load (the share rises evenly; the module carries it out as Settings::cold_ramp, None keeps the old step bit for bit), admission (requests in hand bounded by slow start, advice with jitter) and held (an older list drains but brings nothing back, twice-named engines count as the cautious word, an older list that stays is believed).

--- /dev/null
+++ b/crates/coldstart/src/admission.rs
@@ -0,0 +1,190 @@
+//! Admission that warms: how many requests a manager that has just started takes in hand.
+//!
+//! A manager that starts knows no engine's pace, no class's true cost and no price; what it takes at once
+//! rests on first guesses, and hundreds that start together guess alike. Here a starting manager takes at
+//! most `first` requests in hand; every request served raises the bound by `gain` (with a gain of 1 it doubles
+//! about once a round of answers, as TCP's slow start does, RFC 5681 section 3.1), and every sign that engines are full cuts it
+//! (multiplicative decrease). After `warm_ms`, or once the bound has reached `open_at`, nothing is bounded
+//! here any more: the decision module's tolls decide alone, from beliefs it has learned.
+//!
+//! What is over the bound is refused at once and told when to come back: the time in which the requests in
+//! hand drain at the mean latency seen, jittered by half either way so that clients refused together do not
+//! return together.
+
+use crate::{within, Micros};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+/// Latency taken for the mean before an answer tells, and the weight of one answer in it.
+const FIRST_LATENCY: Micros = Micros(200_000);
+const LATENCY_STEP: f64 = 0.2;
+/// Bounds of the advice to come back: under the first a client meets the same moment, over the second the
+/// warm-up has moved on.
+const COME_BACK: [Micros; 2] = [Micros(100_000), Micros(2_000_000)];
+/// The bound never falls under this: one request in hand at least finds out whether things are better.
+const LEAST: f64 = 1.0;
+
+/// The figures of the warming admission.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdmissionTerms {
+    /// Requests in hand that a start takes at first; 1 to 10,000.
+    pub first: f64,
+    /// Rise of the bound for each request served; 0.01 to 10.
+    pub gain: f64,
+    /// The bound is multiplied by this when an engine turns an attempt away as full or fails it; 0.1 to 1.
+    pub cut: f64,
+    /// The bound binds for so long after the start at most, in milliseconds; 0 (off) to 120,000.
+    pub warm_ms: f64,
+    /// At this bound the warm-up is over; `first` to 100,000.
+    pub open_at: f64,
+}
+
+impl Default for AdmissionTerms {
+    fn default() -> AdmissionTerms {
+        AdmissionTerms { first: 16.0, gain: 1.0, cut: 0.7, warm_ms: 5_000.0, open_at: 128.0 }
+    }
+}
+
+impl AdmissionTerms {
+    /// What is wrong with the figures, if anything: the field and the rule.
+    pub fn check(&self) -> Result<(), String> {
+        within("first", self.first, 1.0, 10_000.0)?;
+        within("gain", self.gain, 0.01, 10.0)?;
+        within("cut", self.cut, 0.1, 1.0)?;
+        within("warm_ms", self.warm_ms, 0.0, 120_000.0)?;
+        within("open_at", self.open_at, self.first, 100_000.0)
+    }
+}
+
+/// One manager's admission in its warm-up.
+#[derive(Clone, Debug)]
+pub struct WarmAdmission {
+    terms: AdmissionTerms,
+    rng: ChaCha8Rng,
+    until: Micros,
+    bound: f64,
+    latency: f64,
+    over: bool,
+    refused: u64,
+}
+
+impl WarmAdmission {
+    /// The admission of a manager that starts now; `seed` for the jitter of its advice.
+    pub fn new(terms: AdmissionTerms, seed: u64, now: Micros) -> WarmAdmission {
+        WarmAdmission {
+            until: now + Micros::from_secs(terms.warm_ms / 1_000.0),
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0xad31_5510),
+            bound: terms.first,
+            latency: FIRST_LATENCY.secs(),
+            over: terms.warm_ms <= 0.0,
+            refused: 0,
+            terms,
+        }
+    }
+
+    /// A request came while `in_hand` others are open: `Ok` if it may be taken, else when to come back.
+    pub fn admit(&mut self, now: Micros, in_hand: usize) -> Result<(), Micros> {
+        self.over |= now >= self.until;
+        if self.over || (in_hand as f64) < self.bound {
+            return Ok(());
+        }
+        self.refused += 1;
+        let rounds = in_hand as f64 / self.bound;
+        let wait = self.latency * rounds * self.rng.gen_range(0.5..=1.5);
+        Err(Micros::from_secs(wait).max(COME_BACK[0]).min(COME_BACK[1]))
+    }
+
+    /// A request was served `latency` after it came.
+    pub fn served(&mut self, latency: Micros) {
+        self.latency += LATENCY_STEP * (latency.secs().max(0.0) - self.latency);
+        self.bound = (self.bound + self.terms.gain).min(self.terms.open_at);
+        self.over |= self.bound >= self.terms.open_at;
+    }
+
+    /// An engine turned an attempt away as full, or failed it.
+    pub fn pushed_back(&mut self) {
+        self.bound = (self.bound * self.terms.cut).max(LEAST);
+    }
+
+    /// Whether the warm-up is over: nothing is refused here any more.
+    pub fn over(&self) -> bool {
+        self.over
+    }
+
+    /// Requests refused here so far.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
+    /// Requests in hand that are taken now.
+    pub fn bound(&self) -> f64 {
+        self.bound
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: i64 = 1_000;
+
+    #[test]
+    fn the_bound_doubles_by_the_round_and_opens() {
+        let mut a = WarmAdmission::new(AdmissionTerms::default(), 1, Micros(0));
+        assert!(a.admit(Micros(0), 15).is_ok());
+        let wait = a.admit(Micros(0), 16).expect_err("over the bound");
+        assert!(wait >= COME_BACK[0] && wait <= COME_BACK[1], "{wait:?}");
+        (0..16).for_each(|_| a.served(Micros(50 * MS)));
+        assert!(a.admit(Micros(MS), 31).is_ok() && a.admit(Micros(MS), 32).is_err());
+        (0..96).for_each(|_| a.served(Micros(50 * MS)));
+        assert!(a.over() && a.admit(Micros(2 * MS), 5_000).is_ok());
+        assert_eq!(a.refused(), 2);
+    }
+
+    #[test]
+    fn what_pushes_back_cuts_the_bound_and_never_to_nothing() {
+        let mut a = WarmAdmission::new(AdmissionTerms::default(), 1, Micros(0));
+        a.pushed_back();
+        assert!((a.bound() - 11.2).abs() < 1e-9);
+        (0..100).for_each(|_| a.pushed_back());
+        assert!(a.admit(Micros(0), 0).is_ok(), "one in hand is always taken");
+        assert!(a.admit(Micros(0), 1).is_err());
+    }
+
+    #[test]
+    fn time_ends_the_warm_up_for_good_and_zero_is_off() {
+        let mut a = WarmAdmission::new(AdmissionTerms::default(), 1, Micros(0));
+        assert!(a.admit(Micros(4_999 * MS), 500).is_err());
+        assert!(a.admit(Micros(5_000 * MS), 500).is_ok());
+        assert!(
+            a.over() && a.admit(Micros(0), 500).is_ok(),
+            "a clock that steps back does not begin it anew"
+        );
+        let off = AdmissionTerms { warm_ms: 0.0, ..AdmissionTerms::default() };
+        assert!(WarmAdmission::new(off, 1, Micros(0)).admit(Micros(0), 500).is_ok());
+    }
+
+    /// Clients that are refused together come back spread out, and the same seed gives the same advice.
+    #[test]
+    fn advice_is_spread() {
+        let waits = |seed| -> Vec<i64> {
+            let mut a = WarmAdmission::new(AdmissionTerms::default(), seed, Micros(0));
+            (0..50).map(|_| a.admit(Micros(0), 40).expect_err("over").0).collect()
+        };
+        let mut seen = waits(7);
+        assert_eq!(seen, waits(7));
+        seen.sort_unstable();
+        seen.dedup();
+        assert!(seen.len() > 40, "{} distinct waits of 50", seen.len());
+    }
+
+    #[test]
+    fn figures_out_of_range_are_named() {
+        let bad = AdmissionTerms { open_at: 3.0, ..AdmissionTerms::default() };
+        assert!(bad.check().unwrap_err().starts_with("open_at"));
+        assert!(AdmissionTerms { first: 0.0, ..AdmissionTerms::default() }.check().is_err());
+        assert!(AdmissionTerms::default().check().is_ok());
+    }
+}
--- a/crates/coldstart/src/settings.rs
+++ b/crates/coldstart/src/settings.rs
@@ -3,7 +3,10 @@
 //! Every field has a default; a field that is not known is refused by name, and so is a figure out of its
 //! range, so that a typing error never passes as a setting.
 
+use crate::admission::AdmissionTerms;
 use crate::dials::DialTerms;
+use crate::first_load::FirstLoadTerms;
+use crate::held::HeldTerms;
 use crate::lists::ListTerms;
 use crate::ready::ReadyTerms;
 use serde::{Deserialize, Serialize};
@@ -18,6 +21,12 @@
     pub lists: ListTerms,
     /// New connections to engines.
     pub dials: DialTerms,
+    /// First load on cold engines.
+    pub first_load: FirstLoadTerms,
+    /// Requests taken in hand while a start warms.
+    pub admission: AdmissionTerms,
+    /// Lists that are older than the one held.
+    pub held: HeldTerms,
     /// When a manager says that it is ready.
     pub ready: ReadyTerms,
 }
@@ -34,6 +43,9 @@
     pub fn check(&self) -> Result<(), String> {
         self.lists.check().map_err(|e| format!("cold start: lists.{e}"))?;
         self.dials.check().map_err(|e| format!("cold start: dials.{e}"))?;
+        self.first_load.check().map_err(|e| format!("cold start: first_load.{e}"))?;
+        self.admission.check().map_err(|e| format!("cold start: admission.{e}"))?;
+        self.held.check().map_err(|e| format!("cold start: held.{e}"))?;
         self.ready.check().map_err(|e| format!("cold start: ready.{e}"))
     }
 }
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -923,8 +923,10 @@
     /// This gateway's even part of what a cold engine may be sent in one span.
     fn cold_budget(&self, e: &Engine) -> f64 {
         let share = self.set.fall_multiple * self.warmth(e) * self.set.fall_span.secs();
-        // A gateway that just started has forgotten its sends: half counts as spent.
-        let newborn = if self.now - self.born < self.set.fall_span { 0.5 } else { 1.0 };
+        // A gateway that just started has forgotten its sends: half counts as spent, or what the ramp says.
+        let age = self.now - self.born;
+        let step = if age < self.set.fall_span { 0.5 } else { 1.0 };
+        let newborn = self.set.cold_ramp.map_or(step, |(from, over)| (from + age.secs() / over).min(1.0));
         share * e.cores * COLD_CAPACITY * newborn / f64::from(self.set.gateways)
     }
 
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -194,6 +194,9 @@
     pub start_share: f64,
     /// An engine is warm after this at the latest.
     pub cold_for: Micros,
+    /// A gateway that just started uses this share of its part of a cold engine's budget, rising evenly to all
+    /// of it in so many seconds; `None`: half of it for one `fall_span`.
+    pub cold_ramp: Option<(f64, f64)>,
     /// How long a key rests after an attempt that may still run.
     pub order_settle: Micros,
     /// The further-attempt budget, if one is set.
@@ -240,6 +243,7 @@
             fall_span: Micros(0),
             start_share: 1.0,
             cold_for: Micros(0),
+            cold_ramp: None,
             order_settle: Micros(0),
             attempt_budget: None,
             probe_price: 0.0,
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -93,6 +93,33 @@
     assert!(count(0.0) < count(2.0));
 }
 
+/// Guards cold engines against a fleet of which most starts at once: the part of a gateway rises from its
+/// first share to the whole, where the setting says so, instead of by one step.
+#[test]
+fn a_starting_gateways_part_of_a_cold_engine_rises_by_the_ramp() {
+    let count = |ramp: Option<(f64, f64)>, wait: f64| {
+        let set = Settings { cold_ramp: ramp, ..settings(vec![class(Effect::Safe)]) };
+        let mut b = Bench::new(set, 0);
+        b.pass(wait);
+        let since = Some(b.now);
+        b.list(ListKind::Whole, vec![EngineEntry { since, ..entry(0) }]);
+        let mut sends = 0;
+        for _ in 0..400 {
+            let (id, out) = b.arrive(0, 0.02, None);
+            if !sent(&out).is_empty() {
+                sends += 1;
+                b.end(id, 0, Outcome::Delivered);
+            }
+        }
+        sends
+    };
+    let ramp = Some((0.25, 4.0));
+    let sends = [0.0, 1.0, 2.0, 3.1].map(|wait| count(ramp, wait));
+    assert!(sends.windows(2).all(|w| w[0] < w[1]), "{sends:?}");
+    assert_eq!(sends[3], count(None, 3.1), "at its end it is the whole part");
+    assert!(sends[0] < count(None, 0.0), "it begins lower than the step: {sends:?}");
+}
+
 #[test]
 fn requests_of_one_key_run_in_turn_and_the_key_rests() {
     let in_turn = ClassSettings { in_turn: true, ..class(Effect::Unsafe) };
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -141,6 +141,9 @@
         entry.last = Some(end);
         let complete = end == End::Served || entry.answer.is_none();
         let news = News::Ended { id: (id, attempt), end, latency, complete, bill, stats };
+        if let Some(cold) = self.cold.as_mut().filter(|_| matches!(end, End::Overload | End::Crashed)) {
+            cold.admission.pushed_back();
+        }
         let orders = self.facade.report(now(), news);
         self.tidy(id);
         orders
--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -7,10 +7,11 @@
 use super::requests::{Core, Inner};
 use crate::proto::events::{ListEvent, Phase};
 use sprucelink_coldstart::dials::DialStager;
+use sprucelink_coldstart::held::Says;
 use sprucelink_policy::interface::Micros;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tracing::info;
+use tracing::{info, warn};
 
 #[derive(Default)]
 pub(super) struct Engine {
@@ -31,6 +32,8 @@
             return;
         }
         inner.last_event = list.n;
+        let guarded = inner.guarded(list);
+        let list = guarded.as_ref().unwrap_or(list);
         inner.forget_gone(list);
         let mut orders = inner.facade.report(now(), News::List(list, remembered));
         for member in &list.members {
@@ -68,6 +71,33 @@
 }
 
 impl Inner {
+    /// What the cold start's guard leaves of a list that is older than the one held, or contradicts itself;
+    /// `None`: all of it.
+    fn guarded(&mut self, list: &ListEvent) -> Option<ListEvent> {
+        let cold = self.cold.as_mut()?;
+        let says = |phase| match phase {
+            Phase::Ready => Says::Ready,
+            Phase::Draining => Says::Draining,
+            Phase::Gone => Says::Gone,
+        };
+        let said: Vec<(&str, Says)> = list.members.iter().map(|m| (m.id.as_str(), says(m.phase))).collect();
+        let verdict = cold.held.judge(now(), list.revision, list.complete, &said);
+        if !verdict.older && verdict.contradicted == 0 {
+            return None;
+        }
+        let (n, revision, held) = (list.n, list.revision, cold.held.revision());
+        let (taken, of, twice) = (verdict.take.len(), list.members.len(), verdict.contradicted);
+        warn!(
+            n,
+            revision,
+            held,
+            taken,
+            "list {n} of revision {revision}, {held} held: {taken} of {of} entries taken, {twice} contradicted"
+        );
+        let members = verdict.take.iter().map(|i| list.members[*i].clone()).collect();
+        Some(ListEvent { n, revision, complete: verdict.whole, members })
+    }
+
     /// Engines of the list held that have an address and are not gone.
     pub(super) fn listed(&self) -> usize {
         self.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count()
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -9,7 +9,9 @@
 use super::results::ResultSet;
 use super::{now, span};
 use sprucelink_capture::recorder::Recorder;
+use sprucelink_coldstart::admission::WarmAdmission;
 use sprucelink_coldstart::dials::DialStager;
+use sprucelink_coldstart::held::HeldList;
 use sprucelink_coldstart::ready::Readiness;
 use sprucelink_coldstart::settings::ColdStart;
 use sprucelink_policy::interface::{Micros, Settings};
@@ -75,6 +77,7 @@
     pub(super) class: String,
     pub(super) once: Option<String>,
     pub(super) statement: Buf,
+    pub(super) taken: Micros,
     pub(super) deadline: Micros,
     pub(super) grant_mb: Option<f64>,
     pub(super) level: u8,
@@ -145,9 +148,12 @@
     pub(super) cold: Option<Cold>,
 }
 
-/// What the cold start decides in the core: when new connections may be dialled, and when it is ready.
+/// What the cold start decides in the core: when new connections may be dialled, what is taken in hand while it
+/// warms, what a list may change of the one held, and when it is ready.
 pub(super) struct Cold {
     pub(super) dials: DialStager,
+    pub(super) admission: WarmAdmission,
+    pub(super) held: HeldList,
     pub(super) ready: Readiness,
 }
 
@@ -206,11 +212,16 @@
         Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new() })
     }
 
-    /// Switches the cold start on for dials and readiness: `name` is this manager's, as told.
+    /// Switches the cold start on for dials, admission, lists and readiness: `name` is this manager's, as told.
+    /// To be called before the first list, so that what is held is known from the start.
     pub fn cold_start(&self, set: &ColdStart, name: &str) {
-        let (dials, ready) = (DialStager::new(set.dials, name, now()), Readiness::new(set.ready, now()));
         let mut inner = self.inner.borrow_mut();
-        let mut cold = Cold { dials, ready };
+        let mut cold = Cold {
+            dials: DialStager::new(set.dials, name, now()),
+            admission: WarmAdmission::new(set.admission, inner.seed, now()),
+            held: HeldList::new(set.held),
+            ready: Readiness::new(set.ready, now()),
+        };
         cold.ready.listed(inner.listed());
         inner.cold = Some(cold);
         drop(inner);
@@ -237,13 +248,15 @@
         let cold = inner.cold.as_mut()?;
         if let Some(r) = cold.ready.look(now()) {
             let (after, staged) = (r.after.secs(), cold.dials.staged());
+            let turned_away = cold.admission.refused();
             info!(
                 after,
                 feed = r.feed,
                 link = r.link,
                 engines = r.engines,
                 staged,
-                "ready after {after:.3} s: feed {}, link {}, {} engines, {staged} dials staged",
+                turned_away,
+                "ready after {after:.3} s: feed {}, link {}, {} engines, {staged} dials staged, {turned_away} turned away",
                 if r.feed { "answered" } else { "not yet" },
                 if r.link { "up" } else { "not yet" },
                 r.engines
@@ -308,6 +321,7 @@
             class: request.class,
             once: request.once,
             statement: request.statement,
+            taken: at,
             deadline,
             grant_mb: None,
             level: 1,
@@ -316,9 +330,16 @@
             last: None,
             answer: Some(sender),
         };
+        let in_hand = inner.open.len();
         inner.open.insert(id, entry);
         inner.tally.taken += 1;
-        let orders = inner.facade.pick(at, &request.asked);
+        // What a start does not take in hand yet is refused before the module hears of it: it is told of none
+        // that it does not decide on.
+        let over = inner.cold.as_mut().and_then(|c| c.admission.admit(at, in_hand).err());
+        let orders = match over {
+            Some(wait) => vec![Order::Refuse(id, wait)],
+            None => inner.facade.pick(at, &request.asked),
+        };
         inner.work(self, orders);
         self.wake.notify_one();
         Some(Ticket { core: Rc::clone(self), id, answer })
@@ -460,7 +481,12 @@
         match entry.answer.take() {
             Some(sender) => {
                 match answer {
-                    Final::Served(_) => self.tally.served += 1,
+                    Final::Served(_) => {
+                        self.tally.served += 1;
+                        if let Some(cold) = &mut self.cold {
+                            cold.admission.served(now() - entry.taken);
+                        }
+                    }
                     Final::Refused(..) => self.tally.refused += 1,
                     Final::Failed(..) => self.tally.failed += 1,
                 }
@@ -542,7 +568,7 @@
             members.push(Member { id, address, zone, kind, cell, phase, up_since_ms });
             listeners.push(listener);
         }
-        core.on_list(&ListEvent { n: 1, complete: true, members }, true);
+        core.on_list(&ListEvent { n: 1, revision: 0, complete: true, members }, true);
         (core, listeners)
     }
 
@@ -639,13 +665,13 @@
             };
             for n in 2..500 {
                 let members = vec![member(n - 1, Phase::Gone), member(n, Phase::Ready)];
-                core.on_list(&ListEvent { n, complete: false, members }, false);
+                core.on_list(&ListEvent { n, revision: 0, complete: false, members }, false);
                 tokio::time::sleep(Duration::from_micros(10)).await;
             }
             assert!(core.inner.borrow().engines.len() < 10, "{}", core.inner.borrow().engines.len());
             // A whole list that names one only: the others go, and what it names is used.
             let members = vec![member(499, Phase::Ready)];
-            core.on_list(&ListEvent { n: 500, complete: true, members }, false);
+            core.on_list(&ListEvent { n: 500, revision: 0, complete: true, members }, false);
             let _ticket = core.take(request(&core, 1)).expect("taken");
             let mut inner = core.inner.borrow_mut();
             let number = inner.facade.engine("e-499");
@@ -707,11 +733,11 @@
                 phase: Phase::Draining,
                 up_since_ms: 0,
             };
-            core.on_list(&ListEvent { n: 2, complete: false, members: vec![member] }, false);
+            core.on_list(&ListEvent { n: 2, revision: 0, complete: false, members: vec![member] }, false);
             assert_eq!(engine(&core), 1 - first);
             assert_eq!(core.inner.borrow().open[&1].sends, 2);
             // The event comes again after a reconnect: it is passed over.
-            let again = ListEvent { n: 2, complete: true, members: Vec::new() };
+            let again = ListEvent { n: 2, revision: 0, complete: true, members: Vec::new() };
             core.on_list(&again, false);
             assert_eq!(engine(&core), 1 - first);
         });
--- a/src/proto/events.rs
+++ b/src/proto/events.rs
@@ -38,6 +38,8 @@
 pub struct ListEvent {
     /// Its number, from 1 at each start.
     pub n: u64,
+    /// The revision of the list that it leads to; 0 where none is told.
+    pub revision: u64,
     /// The whole list, or only what changed.
     pub complete: bool,
     /// The engines it names.
@@ -58,7 +60,8 @@
     let rows =
         list["members"].as_array().ok_or_else(|| Malformed::field("members", "is missing or no list"))?;
     let members = rows.iter().map(member).collect::<Result<Vec<_>, _>>()?;
-    Ok(Some(ListEvent { n, complete: list["complete"].as_bool().unwrap_or(false), members }))
+    let (revision, complete) = (list["revision"].as_u64().unwrap_or(0), list["complete"].as_bool());
+    Ok(Some(ListEvent { n, revision, complete: complete.unwrap_or(false), members }))
 }
 
 fn member(row: &Value) -> Result<Member, Malformed> {
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -86,7 +86,13 @@
     let longest = config.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(0));
     let fleet = config.settings.gateways;
     let seed = config.seed;
-    let core = Core::new(config.settings, seed, config.names, config.terms, Pool::new(config.buffers));
+    let mut settings = config.settings;
+    settings.cold_ramp = cold_start.and_then(|c| c.first_load.ramp());
+    let core = Core::new(settings, seed, config.names, config.terms, Pool::new(config.buffers));
+    if let Some(cold) = &cold_start {
+        // Before the first list: what is held is known from the start.
+        core.cold_start(cold, &config.name);
+    }
     if let Some(set) = recorder {
         match Recorder::start(&set, seed, now()) {
             Ok(recorder) => {
@@ -102,10 +108,7 @@
         core.on_list(event, i == 0);
     }
     core.passed_event(config.known.0);
-    let calls = cold_start.map(|c| {
-        core.cold_start(&c, &config.name);
-        ListCalls::new(c.lists, fleet, seed, now())
-    });
+    let calls = cold_start.map(|c| ListCalls::new(c.lists, fleet, seed, now()));
     if let Some(calls) = &calls {
         let window = calls.window().secs();
         info!(window, fleet, "cold start: first call for lists within {window:.3} s, of {fleet} managers");
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -353,6 +353,8 @@
         fall_span: p.span("invariants.overloadFor")?,
         start_share: p.num("invariants.startCapacity", 1.0)?,
         cold_for: p.span("invariants.cold")?,
+        // Told by no message: the cold start's own setting.
+        cold_ramp: None,
         order_settle: p.span("invariants.orderSettle")?,
         attempt_budget: budget,
         probe_price: p.num("prices.probe", 0.0)?,
