--- a/crates/fleetrig/src/bin/sprucelink-fleet.rs
+++ b/crates/fleetrig/src/bin/sprucelink-fleet.rs
@@ -1,36 +1,49 @@
-//! `sprucelink-fleet start-up`: starts many managers at once against a counting list service and counting
-//! engines, and prints what the fleet did to them in its first seconds, as one CSV line under its head.
+//! `sprucelink-fleet`: carries out scenarios of many processes of the program failing together, and gives the
+//! figures as a table and the course as a chart.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 use lexopt::prelude::*;
-use sprucelink_fleetrig::engines::CountingEngine;
-use sprucelink_fleetrig::lists::{ListService, Mood};
-use sprucelink_fleetrig::procs::{self, Fleet, MOST_MANAGERS};
-use std::path::PathBuf;
-use std::time::{Duration, Instant};
+use sprucelink_fleetrig::report::{chart, Report, Series};
+use sprucelink_fleetrig::run::{self, Outcome, Program};
+use sprucelink_fleetrig::scenario::Scenario;
+use std::path::{Path, PathBuf};
 
 const USAGE: &str = "\
-usage: sprucelink-fleet start-up [--managers N] [--engines N] [--seconds S] [--refuse-for S]
-                                 [--cold-start FILE] [--program PATH] [--dir DIR]
+usage: sprucelink-fleet run SCENARIO.json5 [--cold-start FILE] [--pair FILE] [--managers N] [--rate R]
+                        [--seed N] [--repeat N] [--out DIR] [--format csv|json] [--program PATH]
+                        [--keep-logs DIR]
+       sprucelink-fleet check SCENARIO.json5...
 
-Starts N managers (1 to 1000, default 50) of PATH (default target/release/sprucelink) at once against a
-stand-in list service and E counting engines (default 8), sends each one request, waits S seconds (default 4),
-and prints one CSV line: list calls, the most in 100 ms and in 1 s, dials to engines and their peaks, and
-how many managers served. --refuse-for makes the list service answer 503 for its first S seconds.
+run    Starts the managers, stand-ins and clients of a scenario, does its steps, and prints one line of figures.
+       --cold-start FILE  managers run with these settings of the cold start
+       --pair FILE        two runs: without a cold start, and with these settings
+       --managers N, --rate R, --seed N   instead of what the scenario says (R: requests a second in all)
+       --repeat N         so many runs (or pairs), with seeds counted up (1 to 50)
+       --out DIR          a chart of each run, DIR/NAME-N-on.svg and -off.svg
+       --format           the figures as csv (the default) or one JSON object a line
+       --program PATH     instead of target/release/sprucelink
+       --keep-logs DIR    the managers' last logs are left there
+check  Reads scenarios and says whether they will do.
+
+Exit status: 0 done, 1 a run could not be carried out, 2 a bad command line or scenario.
 ";
 
 struct Ask {
-    managers: usize,
-    engines: usize,
-    seconds: f64,
-    refuse_for: f64,
-    cold_start: Option<String>,
+    files: Vec<PathBuf>,
+    settings: Vec<Option<String>>,
+    managers: Option<usize>,
+    rate: Option<f64>,
+    seed: Option<u64>,
+    repeat: u64,
+    out: Option<PathBuf>,
+    json: bool,
     program: PathBuf,
-    dir: PathBuf,
+    logs: Option<PathBuf>,
+    only_check: bool,
 }
 
-fn value(p: &mut lexopt::Parser) -> Result<String, String> {
+fn text(p: &mut lexopt::Parser) -> Result<String, String> {
     p.value().map_err(|e| e.to_string())?.string().map_err(|e| format!("{e:?}"))
 }
 
@@ -41,114 +54,135 @@
     low: T,
     high: T,
 ) -> Result<T, String> {
-    let v = value(p)?.parse::<T>().ok().filter(|v| *v >= low && *v <= high);
+    let v = text(p)?.parse::<T>().ok().filter(|v| *v >= low && *v <= high);
     v.ok_or_else(|| format!("--{name}: {low} to {high}"))
 }
 
 fn parse() -> Result<Ask, String> {
     let mut p = lexopt::Parser::from_env();
     let mut ask = Ask {
-        managers: 50,
-        engines: 8,
-        seconds: 4.0,
-        refuse_for: 0.0,
-        cold_start: None,
+        files: Vec::new(),
+        settings: vec![None],
+        managers: None,
+        rate: None,
+        seed: None,
+        repeat: 1,
+        out: None,
+        json: false,
         program: PathBuf::from("target/release/sprucelink"),
-        dir: std::env::temp_dir().join(format!("sprucelink-fleet-{}", std::process::id())),
+        logs: None,
+        only_check: false,
     };
-    let mut command = None;
+    let mut command: Option<String> = None;
     while let Some(arg) = p.next().map_err(|e| e.to_string())? {
         match arg {
-            Long("managers") => ask.managers = number(&mut p, "managers", 1, MOST_MANAGERS)?,
-            Long("engines") => ask.engines = number(&mut p, "engines", 1, 100)?,
-            Long("seconds") => ask.seconds = number(&mut p, "seconds", 0.5, 120.0)?,
-            Long("refuse-for") => ask.refuse_for = number(&mut p, "refuse-for", 0.0, 120.0)?,
-            Long("cold-start") => ask.cold_start = Some(value(&mut p)?),
-            Long("program") => ask.program = PathBuf::from(value(&mut p)?),
-            Long("dir") => ask.dir = PathBuf::from(value(&mut p)?),
+            Long("cold-start") => ask.settings = vec![Some(text(&mut p)?)],
+            Long("pair") => ask.settings = vec![None, Some(text(&mut p)?)],
+            Long("managers") => ask.managers = Some(number(&mut p, "managers", 1, 1_000)?),
+            Long("rate") => ask.rate = Some(number(&mut p, "rate", 0.0, 5_000.0)?),
+            Long("seed") => ask.seed = Some(number(&mut p, "seed", 0, u64::MAX)?),
+            Long("repeat") => ask.repeat = number(&mut p, "repeat", 1, 50)?,
+            Long("out") => ask.out = Some(text(&mut p)?.into()),
+            Long("format") => match text(&mut p)?.as_str() {
+                "csv" => ask.json = false,
+                "json" => ask.json = true,
+                other => return Err(format!("--format: csv or json, not {other:?}")),
+            },
+            Long("program") => ask.program = text(&mut p)?.into(),
+            Long("keep-logs") => ask.logs = Some(text(&mut p)?.into()),
             Long("help") | Short('h') => return Err("help".into()),
             Value(v) if command.is_none() => command = Some(v.string().map_err(|e| format!("{e:?}"))?),
+            Value(v) => ask.files.push(v.into()),
             other => return Err(other.unexpected().to_string()),
         }
     }
     match command.as_deref() {
-        Some("start-up") => Ok(ask),
-        _ => Err(String::new()),
+        Some("run") if ask.files.len() == 1 => Ok(ask),
+        Some("check") if !ask.files.is_empty() => Ok(Ask { only_check: true, ..ask }),
+        Some("run" | "check") => Err("which SCENARIO.json5?".into()),
+        Some(other) => Err(format!("no command {other:?}")),
+        None => Err("which command?".into()),
     }
 }
 
+fn read(path: &Path) -> Result<Scenario, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Scenario::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn main() {
     let ask = match parse() {
         Ok(ask) => ask,
         Err(e) if e == "help" => return print!("{USAGE}"),
-        Err(e) => {
-            eprint!("{}{USAGE}", if e.is_empty() { String::new() } else { format!("{e}\n\n") });
-            std::process::exit(2);
-        }
+        Err(e) => bad(&format!("{e}\n\n{USAGE}")),
     };
-    if let Err(e) = run(&ask) {
+    let scenarios: Vec<Scenario> =
+        ask.files.iter().map(|f| read(f)).map(|s| s.unwrap_or_else(|e| bad(&e))).collect();
+    if ask.only_check {
+        for s in &scenarios {
+            println!(
+                "{} will do: {} managers, {} engines, {} s",
+                s.name, s.managers, s.engines.count, s.seconds
+            );
+        }
+        return;
+    }
+    let mut scenario = scenarios[0].clone();
+    scenario.managers = ask.managers.unwrap_or(scenario.managers);
+    scenario.load.rate = ask.rate.unwrap_or(scenario.load.rate);
+    scenario.seed = ask.seed.unwrap_or(scenario.seed);
+    scenario.check().unwrap_or_else(|e| bad(&e));
+    if let Err(e) = carry_out(&ask, &scenario) {
         eprintln!("sprucelink-fleet: {e}");
         std::process::exit(1);
     }
 }
 
-fn run(ask: &Ask) -> Result<(), String> {
-    let start = Instant::now();
-    let engines: Vec<CountingEngine> = (0..ask.engines)
-        .map(|_| CountingEngine::start(start))
-        .collect::<Result<_, _>>()
-        .map_err(|e| e.to_string())?;
-    let named: Vec<(String, std::net::SocketAddr)> =
-        engines.iter().enumerate().map(|(i, e)| (format!("s-{i:04}"), e.address)).collect();
-    let list = procs::list(&named);
-    let service = ListService::start(list.clone(), start).map_err(|e| e.to_string())?;
-    if ask.refuse_for > 0.0 {
-        service.set_mood(Mood::Refusing);
-    }
-    let settings = procs::settings(ask.managers);
-    let args: Vec<String> =
-        ask.cold_start.iter().flat_map(|f| ["--cold-start".to_owned(), f.clone()]).collect();
-    let mut fleet = Fleet::new(&ask.program, &ask.dir).map_err(|e| e.to_string())?;
-    for i in 0..ask.managers {
-        let name = format!("n{i}");
-        let config = procs::config(&name, 0x5eed_0000 + i as u64, service.address, &list, &settings);
-        fleet.start(&name, &config, &args).map_err(|e| format!("{name}: {e}"))?;
-    }
-    let up = fleet.wait_all("serving on ", Duration::from_secs(30));
-    let asked: Vec<_> = (0..ask.managers)
-        .filter_map(|i| fleet.serving(i).map(|at| (i, at)))
-        .map(|(i, at)| {
-            std::thread::spawn(move || sprucelink_fleetrig::ask_once(at, 1 + i as u64).unwrap_or(false))
-        })
-        .collect();
-    let served = asked.into_iter().map(|h| h.join()).filter(|r| matches!(r, Ok(true))).count();
-    let end = start + Duration::from_secs_f64(ask.seconds);
-    if ask.refuse_for > 0.0 {
-        std::thread::sleep(
-            (start + Duration::from_secs_f64(ask.refuse_for)).saturating_duration_since(Instant::now()),
-        );
-        service.set_mood(Mood::Serving);
+fn bad(why: &str) -> ! {
+    eprintln!("sprucelink-fleet: {why}");
+    std::process::exit(2)
+}
+
+fn carry_out(ask: &Ask, scenario: &Scenario) -> Result<(), String> {
+    if !ask.json {
+        println!("{},seed", Report::head());
     }
-    std::thread::sleep(end.saturating_duration_since(Instant::now()));
-    fleet.end_all();
-    let calls = service.calls.lock().map_err(|_| "poisoned")?.clone();
-    let mut dials = sprucelink_fleetrig::Counted::default();
-    for e in &engines {
-        dials.at.extend(e.dials.lock().map_err(|_| "poisoned")?.at.iter().copied());
+    for k in 0..ask.repeat {
+        let scenario = Scenario { seed: scenario.seed + k, ..scenario.clone() };
+        for settings in &ask.settings {
+            let args = settings.iter().flat_map(|f| ["--cold-start".to_owned(), f.clone()]).collect();
+            let dir = ask.logs.clone().unwrap_or_else(|| run::scratch(&scenario.name));
+            let program = Program { path: ask.program.clone(), args, dir: dir.clone() };
+            let got = run::run(&scenario, &program);
+            if ask.logs.is_none() {
+                run::clear(&dir);
+            }
+            let got = got?;
+            match ask.json {
+                true => println!("{}", got.report.json()),
+                false => println!("{},{}", got.report.line(), scenario.seed),
+            }
+            if let Some(out) = &ask.out {
+                std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+                let how = if settings.is_some() { "on" } else { "off" };
+                let file = out.join(format!("{}-{}-{how}.svg", scenario.name, scenario.managers));
+                draw(&file, &scenario, how, &got)?;
+            }
+        }
     }
-    let (ms100, s1) = (Duration::from_millis(100), Duration::from_secs(1));
-    println!("managers,cold_start,up,served,list_calls,calls_peak_100ms,calls_peak_1s,dials,dials_peak_100ms,dials_peak_1s");
-    println!(
-        "{},{},{up},{served},{},{},{},{},{},{}",
-        ask.managers,
-        ask.cold_start.is_some(),
-        calls.at.len(),
-        calls.peak(ms100),
-        calls.peak(s1),
-        dials.at.len(),
-        dials.peak(ms100),
-        dials.peak(s1)
-    );
-    let _ = std::fs::remove_dir_all(&ask.dir);
     Ok(())
 }
+
+fn draw(file: &Path, scenario: &Scenario, how: &str, got: &Outcome) -> Result<(), String> {
+    let line = |name, values: &[u32]| Series { name, values: values.iter().map(|v| f64::from(*v)).collect() };
+    let r = &got.requests;
+    let requests = vec![
+        line("asked", &r.asked),
+        line("served", &r.served),
+        line("refused", &r.refused),
+        line("failed, lost", &r.bad),
+    ];
+    let sums = vec![line("list calls", &got.calls), line("dials", &got.dials)];
+    let title = format!("{}: {} managers, cold start {how}", scenario.name, scenario.managers);
+    chart(file, &title, &[("requests in 250 ms", requests), ("calls and dials in 250 ms", sums)])
+}
--- /dev/null
+++ b/crates/fleetrig/src/client.rs
@@ -0,0 +1,125 @@
+//! Clients of the platform's front: PostgreSQL 3.0, simple queries, one request on one connection each, sent
+//! when it is due whether earlier ones were answered or not (open loop).
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest message that is read.
+const MOST_MESSAGE: usize = 1 << 20;
+/// An answer that comes later than this after the request's time is lost.
+const LATE: Duration = Duration::from_millis(500);
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Became {
+    /// All rows came.
+    Served,
+    /// An error that says a repeat is harmless.
+    Refused,
+    /// Any other error.
+    Failed,
+    /// No connection came up: nobody took it.
+    NotTaken,
+    /// The connection ended, or the time and half a second more ran out, without a whole answer.
+    Lost,
+}
+
+/// A request as a client words it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Its id, new with every request.
+    pub id: u64,
+    /// A load of two threads, or a light query.
+    pub heavy: bool,
+    /// Its key, for loads.
+    pub key: u64,
+    /// How long the client waits.
+    pub timeout: Duration,
+}
+
+fn words(ask: &Ask) -> Vec<u8> {
+    let mut startup = Vec::new();
+    for part in [&b"user"[..], b"app", b"database", b"core", b""] {
+        startup.extend_from_slice(part);
+        startup.push(0);
+    }
+    let mut message = ((startup.len() + 8) as u32).to_be_bytes().to_vec();
+    message.extend_from_slice(&196_608u32.to_be_bytes());
+    message.extend_from_slice(&startup);
+    let (id, ms, key) = (ask.id, ask.timeout.as_millis(), ask.key);
+    let sql = if ask.heavy {
+        format!("/* kind=tariff-load,req={id:016x},timeout={ms},owner=sud,opkey={key:032x} */ INSERT INTO rates_3.lanes VALUES (1)\0")
+    } else {
+        format!("/* kind=lane-rate,req={id:016x},timeout={ms},owner=sud */ SELECT a FROM sales_17.orders\0")
+    };
+    message.push(b'Q');
+    message.extend_from_slice(&((sql.len() + 4) as u32).to_be_bytes());
+    message.extend_from_slice(sql.as_bytes());
+    message
+}
+
+/// The SQLSTATE in an ErrorResponse's body.
+fn sqlstate(body: &[u8]) -> Option<&str> {
+    let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'C'))?;
+    std::str::from_utf8(&field[1..]).ok()
+}
+
+async fn answer(stream: &mut TcpStream) -> Option<Became> {
+    let (mut rows, mut became, mut ready) = (false, None, 0);
+    // Two ReadyForQuery: one after the start-up, one after the answer.
+    while ready < 2 {
+        let mut head = [0u8; 5];
+        stream.read_exact(&mut head).await.ok()?;
+        let len = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        let mut body = vec![0; len.checked_sub(4).filter(|l| *l <= MOST_MESSAGE)?];
+        stream.read_exact(&mut body).await.ok()?;
+        match head[0] {
+            b'D' => rows = true,
+            b'C' if rows => became = Some(Became::Served),
+            b'C' => became = Some(Became::Failed),
+            b'E' => {
+                let state = sqlstate(&body).unwrap_or("");
+                let harmless = state.starts_with("53") || state == "57P03";
+                became = Some(if harmless { Became::Refused } else { Became::Failed });
+                // A front that refuses a connection says so and closes it.
+                if ready == 0 {
+                    return became;
+                }
+            }
+            b'Z' => ready += 1,
+            _ => {}
+        }
+    }
+    became
+}
+
+/// Sends one request to a manager and waits for its end: what became of it, and how long that took.
+pub async fn ask(at: SocketAddr, ask: Ask) -> (Became, Duration) {
+    let begun = Instant::now();
+    let asked = async {
+        let Ok(mut stream) = TcpStream::connect(at).await else { return Became::NotTaken };
+        let _ = stream.set_nodelay(true);
+        if stream.write_all(&words(&ask)).await.is_err() {
+            return Became::NotTaken;
+        }
+        answer(&mut stream).await.unwrap_or(Became::Lost)
+    };
+    let became = timeout(ask.timeout + LATE, asked).await.unwrap_or(Became::Lost);
+    (became, begun.elapsed())
+}
+
+/// Sends one light query and says whether it was served, from outside the rig's tasks. It waits five seconds.
+///
+/// # Errors
+/// Where no connection came up, or it ended without a whole answer.
+pub fn ask_once(at: SocketAddr, id: u64) -> std::io::Result<bool> {
+    let one = Ask { id, heavy: false, key: 0, timeout: Duration::from_secs(5) };
+    match crate::runtime().block_on(ask(at, one)).0 {
+        Became::NotTaken => Err(std::io::Error::other("no connection came up")),
+        Became::Lost => Err(std::io::Error::other("no whole answer came")),
+        became => Ok(became == Became::Served),
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/counted.rs
@@ -0,0 +1,110 @@
+//! Events counted by when they came, shared between the stand-ins and whoever reads the figures.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Events kept at most: a run of ten minutes at 10,000 a second fits; beyond it events are counted, not dated.
+const MOST_EVENTS: usize = 6_000_000;
+
+/// Events by when they came, counted from a start.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    /// When each event came, since the start.
+    pub at: Vec<Duration>,
+    /// Events that came when no more were dated.
+    pub undated: u64,
+}
+
+impl Counted {
+    /// Notes one event that came at `t`, counted from `start`.
+    pub fn note(&mut self, start: Instant, t: Instant) {
+        if self.at.len() < MOST_EVENTS {
+            self.at.push(t.saturating_duration_since(start));
+        } else {
+            self.undated += 1;
+        }
+    }
+
+    /// The most events in any window of `width`, sliding event by event; windows are half open.
+    pub fn peak(&self, width: Duration) -> usize {
+        let mut at = self.at.clone();
+        at.sort_unstable();
+        let (mut most, mut from) = (0, 0);
+        for to in 0..at.len() {
+            while at[to] - at[from] >= width {
+                from += 1;
+            }
+            most = most.max(to + 1 - from);
+        }
+        most
+    }
+
+    /// Events from `from` up to `to`, without its end.
+    pub fn within(&self, from: Duration, to: Duration) -> usize {
+        self.at.iter().filter(|t| (from..to).contains(*t)).count()
+    }
+
+    /// Events in `n` buckets of `width` from the start; what came later is in the last.
+    pub fn buckets(&self, width: Duration, n: usize) -> Vec<u32> {
+        let mut out = vec![0; n.max(1)];
+        for t in &self.at {
+            let i = (t.as_micros() / width.as_micros().max(1)) as usize;
+            out[i.min(n.max(1) - 1)] += 1;
+        }
+        out
+    }
+
+    /// Takes in the events of another count.
+    pub fn add(&mut self, other: &Counted) {
+        self.at.extend_from_slice(&other.at);
+        self.undated += other.undated;
+    }
+}
+
+/// A count that many tasks note in. A panic of one does not stop the others from counting.
+#[derive(Clone, Debug, Default)]
+pub struct Tally(Arc<Mutex<Counted>>);
+
+impl Tally {
+    /// Notes one event that comes now.
+    pub fn note(&self, start: Instant) {
+        self.lock(|c| c.note(start, Instant::now()));
+    }
+
+    /// The events so far.
+    pub fn read(&self) -> Counted {
+        self.lock(|c| c.clone())
+    }
+
+    /// Events so far.
+    pub fn len(&self) -> usize {
+        self.lock(|c| c.at.len())
+    }
+
+    /// Whether none came yet.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn lock<T>(&self, f: impl FnOnce(&mut Counted) -> T) -> T {
+        f(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_peak_slides_over_every_window() {
+        let at = [0, 90, 110, 120, 500].iter().map(|ms| Duration::from_millis(*ms)).collect();
+        let c = Counted { at, undated: 0 };
+        assert_eq!(c.peak(Duration::from_millis(100)), 3);
+        // Windows are half open: 110 and 120 ms are apart by a whole window of 10 ms.
+        assert_eq!(c.peak(Duration::from_millis(10)), 1);
+        assert_eq!(c.peak(Duration::from_millis(11)), 2);
+        assert_eq!(c.buckets(Duration::from_millis(100), 6), [2, 2, 0, 0, 0, 1]);
+        assert_eq!(c.buckets(Duration::from_millis(100), 3), [2, 2, 1], "the last takes what is later");
+        assert_eq!(c.within(Duration::from_millis(90), Duration::from_millis(120)), 2);
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/ledger.rs
@@ -0,0 +1,112 @@
+//! What passed on the engines' wires, held against the operators' rules: at most one attempt out, drains
+//! heeded, cold engines not pushed over. Engines write in it; the run reads it at its end.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A send may reach a draining engine for so long after the drain was told (the settings' grace of 500 ms,
+/// and the protocol's 50 ms).
+pub const DRAIN_GRACE: Duration = Duration::from_millis(550);
+/// Requests open at once that the ledger follows at most, and ids it knows again.
+const MOST_OPEN: usize = 200_000;
+const MOST_SEEN: usize = 3_000_000;
+
+/// Counts of what broke a rule, and of what is priced.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Breaches {
+    /// Attempts that reached an engine while another attempt of the same request was out.
+    pub second_attempts: u64,
+    /// Attempts that reached an engine later than the grace after its drain was told.
+    pub after_drain: u64,
+    /// Cold engines that fell over.
+    pub pushed_over: u64,
+    /// Attempts that reached an engine in all.
+    pub attempts: u64,
+    /// Of these, further attempts of a request.
+    pub further: u64,
+}
+
+#[derive(Default)]
+struct Inner {
+    out: HashMap<u64, (usize, u64)>,
+    seen: HashSet<u64>,
+    draining: HashMap<usize, Instant>,
+    counts: Breaches,
+}
+
+/// The ledger, shared by all engines of a rig.
+#[derive(Clone, Default)]
+pub struct Ledger(Arc<Mutex<Inner>>);
+
+impl Ledger {
+    fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
+        f(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// A drain of `engine` was told.
+    pub fn drained(&self, engine: usize, at: Instant) {
+        self.with(|l| _ = l.draining.entry(engine).or_insert(at));
+    }
+
+    /// A request reached `engine` on one of its connections.
+    pub fn reached(&self, request: u64, engine: usize, connection: u64, at: Instant) {
+        self.with(|l| {
+            l.counts.attempts += 1;
+            let first = l.seen.len() >= MOST_SEEN || l.seen.insert(request);
+            l.counts.further += u64::from(!first);
+            l.counts.second_attempts += u64::from(l.out.contains_key(&request));
+            let late =
+                l.draining.get(&engine).is_some_and(|told| at.saturating_duration_since(*told) > DRAIN_GRACE);
+            l.counts.after_drain += u64::from(late);
+            if l.out.len() < MOST_OPEN {
+                l.out.insert(request, (engine, connection));
+            }
+        });
+    }
+
+    /// The attempt of a request on a connection is over there: answered, called off, or its connection ended.
+    pub fn over(&self, request: u64, engine: usize, connection: u64) {
+        self.with(|l| {
+            if l.out.get(&request) == Some(&(engine, connection)) {
+                l.out.remove(&request);
+            }
+        });
+    }
+
+    /// A cold engine fell over.
+    pub fn fell(&self) {
+        self.with(|l| l.counts.pushed_over += 1);
+    }
+
+    /// The counts so far.
+    pub fn read(&self) -> Breaches {
+        self.with(|l| l.counts)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The checker is tested by runs that break its rules.
+    #[test]
+    fn second_attempts_and_sends_after_a_drain_are_seen() {
+        let (l, t) = (Ledger::default(), Instant::now());
+        l.reached(1, 0, 1, t);
+        l.reached(1, 1, 9, t);
+        assert_eq!(l.read().second_attempts, 1);
+        l.over(1, 1, 9);
+        l.reached(1, 0, 2, t);
+        assert_eq!(l.read().second_attempts, 1, "one after the other is no second one");
+        l.over(1, 0, 1);
+        l.reached(1, 2, 3, t);
+        assert_eq!(l.read().second_attempts, 2, "an end on another connection ends nothing here");
+        l.drained(5, t);
+        l.reached(2, 5, 1, t + Duration::from_millis(500));
+        assert_eq!(l.read().after_drain, 0);
+        l.reached(3, 5, 1, t + Duration::from_millis(600));
+        let all = l.read();
+        assert_eq!((all.after_drain, all.attempts, all.further), (1, 6, 3));
+    }
+}
--- a/crates/fleetrig/src/lists.rs
+++ b/crates/fleetrig/src/lists.rs
@@ -1,93 +1,166 @@
-//! A stand-in list service: the control feed's wire (`GET /v1/events`, server-sent events), one whole list
-//! as its first event, a comment each second, every call counted. On command it refuses (503) or stalls
-//! (takes the call and says nothing).
+//! A stand-in list service: the control feed's wire (`GET /v1/events`, server-sent events), a comment each
+//! second, every call counted. It keeps every event told and sends a call those after its `Last-Event-ID`. On
+//! command it refuses (503) or stalls (takes the call and says nothing), and it tells whatever list it is given,
+//! older and contradictory ones too.
 
-use crate::Counted;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread;
+use crate::counted::Tally;
+use crate::runtime;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
-/// How the service answers new calls.
+/// Longest head of a call.
+const MOST_HEAD: usize = 16_384;
+/// Events kept at most.
+const MOST_EVENTS: usize = 10_000;
+/// A call lasts so long at most; the program then calls again.
+const LONGEST_CALL: Duration = Duration::from_secs(60);
+/// A stalled call is held for so long at most.
+const LONGEST_STALL: Duration = Duration::from_secs(30);
+
+/// How the service answers calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mood {
     /// It serves.
     Serving = 0,
-    /// It answers 503 at once.
+    /// It answers 503 at once, and ends the calls that are open.
     Refusing = 1,
-    /// It takes the call and says nothing.
+    /// It takes the call and says nothing; calls that are open fall silent.
     Stalling = 2,
 }
 
+/// What calls look at: the mood, and how many events there are.
+type State = (Mood, usize);
+
 /// The service, running on a port of its own until the process ends.
 pub struct ListService {
     /// Where it listens.
     pub address: SocketAddr,
     /// Every call, when it came.
-    pub calls: Arc<Mutex<Counted>>,
-    mood: Arc<AtomicU8>,
-    list: Arc<Mutex<String>>,
+    pub calls: Tally,
+    state: watch::Sender<State>,
+    events: Arc<Mutex<Vec<String>>>,
 }
 
 impl ListService {
-    /// Starts it on a loopback port the kernel chooses, with `list` (an event's JSON, numbered 1) to tell.
-    pub fn start(list: String, start: Instant) -> std::io::Result<ListService> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+    /// Starts it on a loopback port the kernel chooses, with `first` (an event's JSON, numbered 1) to tell.
+    /// Calls are counted from `start`.
+    ///
+    /// # Errors
+    /// Those of binding a loopback port.
+    pub fn start(first: String, start: Instant) -> std::io::Result<ListService> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let (calls, mood, list) =
-            (Arc::<Mutex<Counted>>::default(), Arc::new(AtomicU8::new(0)), Arc::new(Mutex::new(list)));
-        let (c, m, l) = (Arc::clone(&calls), Arc::clone(&mood), Arc::clone(&list));
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (c, m, l) = (Arc::clone(&c), Arc::clone(&m), Arc::clone(&l));
-                thread::spawn(move || serve(stream, start, &c, &m, &l));
+        let (state, look) = watch::channel((Mood::Serving, 1));
+        let (calls, events) = (Tally::default(), Arc::new(Mutex::new(vec![first])));
+        let (c, e) = (calls.clone(), Arc::clone(&events));
+        runtime().spawn(async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            while let Ok((stream, _)) = listener.accept().await {
+                let (c, e, look) = (c.clone(), Arc::clone(&e), look.clone());
+                tokio::spawn(async move {
+                    let _ = timeout(LONGEST_CALL, serve(stream, start, &c, look, &e)).await;
+                });
             }
         });
-        Ok(ListService { address, calls, mood, list })
+        Ok(ListService { address, calls, state, events })
     }
 
-    /// From now on new calls are answered so.
+    /// From now on calls are answered so.
     pub fn set_mood(&self, mood: Mood) {
-        self.mood.store(mood as u8, Ordering::SeqCst);
+        self.state.send_modify(|s| s.0 = mood);
     }
 
-    /// The list that new calls get.
-    pub fn set_list(&self, list: String) {
-        *self.list.lock().unwrap_or_else(|p| p.into_inner()) = list;
+    /// Tells one more event: `json` gets the event's number, the count of all events told so far.
+    ///
+    /// # Errors
+    /// Where the bound on events is reached.
+    pub fn tell(&self, json: impl FnOnce(u64) -> String) -> Result<u64, String> {
+        let n = {
+            let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+            if events.len() >= MOST_EVENTS {
+                return Err(format!("a list service tells at most {MOST_EVENTS} events"));
+            }
+            let n = events.len() as u64 + 1;
+            events.push(json(n));
+            n
+        };
+        self.state.send_modify(|s| s.1 = n as usize);
+        Ok(n)
+    }
+
+    /// All events told so far, as a manager's configuration words them (`known`).
+    pub fn known(&self) -> (u64, String) {
+        let events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        (events.len() as u64, events.join(","))
     }
 }
 
-fn serve(stream: TcpStream, start: Instant, calls: &Mutex<Counted>, mood: &AtomicU8, list: &Mutex<String>) {
-    let Ok(read) = stream.try_clone() else { return };
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
-    let mut head = 0;
-    for line in BufReader::new(read).lines().map_while(Result::ok) {
-        head += line.len();
-        if line.is_empty() || head > 16_384 {
-            break;
+async fn head(stream: &mut TcpStream) -> Option<String> {
+    let (mut head, mut bytes) = (Vec::new(), [0u8; 1024]);
+    while !head.windows(4).any(|w| w == b"\r\n\r\n") {
+        let n = stream.read(&mut bytes).await.ok().filter(|n| *n > 0)?;
+        head.extend_from_slice(&bytes[..n]);
+        if head.len() > MOST_HEAD {
+            return None;
         }
     }
-    calls.lock().unwrap_or_else(|p| p.into_inner()).note(start, Instant::now());
-    let mut stream = stream;
-    match mood.load(Ordering::SeqCst) {
-        1 => {
-            let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
-        }
-        2 => thread::sleep(Duration::from_secs(30)),
-        _ => {
-            let event = list.lock().unwrap_or_else(|p| p.into_inner()).clone();
-            let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-            let mut alive = write!(stream, "{head}id: 1\ndata: {event}\n\n").is_ok();
-            // Bounded: a call lasts a minute at most, then the program calls again.
-            for _ in 0..60 {
-                if !alive || mood.load(Ordering::SeqCst) != 0 {
-                    break;
-                }
-                thread::sleep(Duration::from_secs(1));
-                alive = stream.write_all(b": still here\n\n").is_ok();
+    Some(String::from_utf8_lossy(&head).into_owned())
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    start: Instant,
+    calls: &Tally,
+    mut look: watch::Receiver<State>,
+    events: &Mutex<Vec<String>>,
+) -> Option<()> {
+    let head = timeout(Duration::from_secs(5), head(&mut stream)).await.ok()??;
+    calls.note(start);
+    let field =
+        head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id:").map(str::to_owned));
+    let mut told: usize = field.and_then(|v| v.trim().parse().ok()).unwrap_or(0);
+    let mut opened = false;
+    loop {
+        let (mood, n) = *look.borrow_and_update();
+        match mood {
+            Mood::Refusing if opened => return None,
+            Mood::Refusing => {
+                let refusal =
+                    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+                return stream.write_all(refusal).await.ok();
+            }
+            Mood::Stalling => {
+                // Silent until its mood changes; a caller that gives up is noticed then.
+                timeout(LONGEST_STALL, look.changed()).await.ok()?.ok()?;
+                continue;
             }
+            Mood::Serving => {}
+        }
+        let mut out = String::new();
+        if !std::mem::replace(&mut opened, true) {
+            out.push_str("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+        }
+        let news: Vec<String> = {
+            let events = events.lock().unwrap_or_else(PoisonError::into_inner);
+            events.get(told..n).unwrap_or_default().to_vec()
+        };
+        for event in news {
+            told += 1;
+            out.push_str(&format!("id: {told}\ndata: {event}\n\n"));
+        }
+        if out.is_empty() {
+            out.push_str(": still here\n\n");
+        }
+        stream.write_all(out.as_bytes()).await.ok()?;
+        tokio::select! {
+            () = sleep(Duration::from_secs(1)) => {}
+            changed = look.changed() => changed.ok()?,
         }
     }
 }
--- a/crates/fleetrig/src/procs.rs
+++ b/crates/fleetrig/src/procs.rs
@@ -5,6 +5,7 @@
 use nix::unistd::Pid;
 use std::fs::File;
 use std::io::Read;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -12,6 +13,9 @@
 /// Managers one rig starts at most: each holds a process, its descriptors and a log.
 pub const MOST_MANAGERS: usize = 1_000;
 
+/// Bytes of a log that are read at most.
+const MOST_LOG: u64 = 4 << 20;
+
 /// The settings of the rig's deployment for `managers` managers: two classes, two tenants, engines of 8
 /// cores, as the platform words them.
 pub fn settings(managers: usize) -> String {
@@ -30,24 +34,54 @@
     )
 }
 
-/// The list event (number 1, whole) that names these engines, all ready, in hall-a.
-pub fn list(engines: &[(String, std::net::SocketAddr)]) -> String {
-    let rows: Vec<String> = engines
+/// One engine as a list event words it.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Its id.
+    pub id: String,
+    /// Where it is reached.
+    pub at: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// `ready`, `draining` or `gone`.
+    pub phase: &'static str,
+    /// Unix milliseconds of a late start, or 0.
+    pub since_ms: u128,
+}
+
+/// A list event: its number, its revision, whether it is whole, and what it names.
+pub fn event(n: u64, revision: u64, complete: bool, rows: &[Row]) -> String {
+    let rows: Vec<String> = rows
         .iter()
-        .map(|(id, at)| {
+        .map(|r| {
+            let Row { id, at, zone, phase, since_ms } = r;
             format!(
-                r#"{{"id":"{id}","host_port":"{at}","locality":"hall-a","flavor":"std","cell":0,"phase":"ready","size":8,"up_since_ms":0}}"#
+                r#"{{"id":"{id}","host_port":"{at}","locality":"{zone}","flavor":"std","cell":0,"phase":"{phase}","size":8,"up_since_ms":{since_ms}}}"#
             )
         })
         .collect();
-    format!(r#"{{"n":1,"members":{{"revision":1,"complete":true,"members":[{}]}}}}"#, rows.join(","))
+    let rows = rows.join(",");
+    format!(r#"{{"n":{n},"members":{{"revision":{revision},"complete":{complete},"members":[{rows}]}}}}"#)
 }
 
-/// A manager's configuration, as the platform gives it.
-pub fn config(name: &str, seed: u64, feed: std::net::SocketAddr, list: &str, settings: &str) -> String {
+/// The list event (number 1, whole) that names these engines, all ready, in hall-a.
+pub fn list(engines: &[(String, SocketAddr)]) -> String {
+    let row = |(id, at): &(String, SocketAddr)| Row {
+        id: id.clone(),
+        at: *at,
+        zone: "hall-a".into(),
+        phase: "ready",
+        since_ms: 0,
+    };
+    event(1, 1, true, &engines.iter().map(row).collect::<Vec<_>>())
+}
+
+/// A manager's configuration, as the platform gives it: `known` is the feed's events so far and how many.
+pub fn config(name: &str, seed: u64, feed: SocketAddr, known: &(u64, String), settings: &str) -> String {
+    let (n, events) = known;
     format!(
         r#"{{"name":"{name}","listen":"127.0.0.1:0","seed":"{seed:016x}","feed":"{feed}",
- "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{{"n":1,"events":[{list}]}},"settings":{settings}}}"#
+ "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{{"n":{n},"events":[{events}]}},"settings":{settings}}}"#
     )
 }
 
@@ -101,24 +135,50 @@
         }
     }
 
-    /// Kills manager `i` outright, if it runs, and starts it anew under its name.
-    pub fn restart(&mut self, i: usize) -> std::io::Result<()> {
+    /// Kills manager `i` outright, if it runs, and waits for its end.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(m) = self.managers.get_mut(i) {
+            end(m);
+        }
+    }
+
+    /// Kills manager `i` outright, if it runs, and starts it anew under its name with a configuration.
+    ///
+    /// # Errors
+    /// Those of writing its files and of starting it.
+    pub fn restart(&mut self, i: usize, config: &str) -> std::io::Result<()> {
         let Some(m) = self.managers.get_mut(i) else { return Ok(()) };
         end(m);
+        std::fs::write(&m.config, config)?;
         spawn(&self.program, m)
     }
 
+    /// How manager `i` ended, if it has by itself: its exit status (none where a signal ended it).
+    pub fn ended(&mut self, i: usize) -> Option<Option<i32>> {
+        let child = self.managers.get_mut(i)?.child.as_mut()?;
+        child.try_wait().ok().flatten().map(|s| s.code())
+    }
+
+    /// Whether manager `i` has a process of its own that this rig has not seen end.
+    pub fn runs(&self, i: usize) -> bool {
+        self.managers.get(i).is_some_and(|m| m.child.is_some())
+    }
+
+    /// Manager `i`'s log of this start, up to [`MOST_LOG`] bytes of it.
+    pub fn log(&self, i: usize) -> String {
+        let mut log = Vec::new();
+        let read = File::open(&self.managers[i].log).and_then(|f| f.take(MOST_LOG).read_to_end(&mut log));
+        read.map_or_else(|_| String::new(), |_| String::from_utf8_lossy(&log).into_owned())
+    }
+
     /// Whether manager `i`'s log of this start holds `text`.
     pub fn said(&self, i: usize, text: &str) -> bool {
-        let mut log = String::new();
-        let read = File::open(&self.managers[i].log).and_then(|mut f| f.read_to_string(&mut log));
-        read.is_ok() && log.contains(text)
+        self.log(i).contains(text)
     }
 
     /// Where manager `i` serves, once its log says so.
-    pub fn serving(&self, i: usize) -> Option<std::net::SocketAddr> {
-        let mut log = String::new();
-        File::open(&self.managers[i].log).and_then(|mut f| f.read_to_string(&mut log)).ok()?;
+    pub fn serving(&self, i: usize) -> Option<SocketAddr> {
+        let log = self.log(i);
         let line = log.lines().find(|l| l.contains("serving on "))?;
         line.rsplit(' ').next()?.parse().ok()
     }
--- /dev/null
+++ b/crates/fleetrig/src/report.rs
@@ -0,0 +1,248 @@
+//! What a run gives: one row of figures (CSV or JSON) and one chart (SVG) over its time.
+
+use crate::ledger::Breaches;
+use plotters::prelude::*;
+use std::path::Path;
+use std::time::Duration;
+
+/// Width of the chart's and the share's buckets.
+pub const BUCKET: Duration = Duration::from_millis(250);
+/// A start is over when this share of what is asked is served, and stays so.
+pub const SERVING: f64 = 0.95;
+
+/// Requests by what became of them, in buckets of when they were due.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outcomes {
+    /// Asked.
+    pub asked: Vec<u32>,
+    /// Served.
+    pub served: Vec<u32>,
+    /// Refused.
+    pub refused: Vec<u32>,
+    /// Failed, lost or not taken.
+    pub bad: Vec<u32>,
+}
+
+impl Outcomes {
+    /// Seconds from the start to the end of the last bucket in which less than [`SERVING`] was served of what was
+    /// asked; 0 if there was none. Buckets with fewer than `least` requests are joined with those that follow.
+    pub fn seconds_to_serving(&self, least: u32) -> f64 {
+        let (mut asked, mut served, mut late) = (0, 0, 0);
+        for i in 0..self.asked.len() {
+            asked += self.asked[i];
+            served += self.served[i];
+            if asked >= least.max(1) {
+                if f64::from(served) < SERVING * f64::from(asked) {
+                    late = i + 1;
+                }
+                (asked, served) = (0, 0);
+            }
+        }
+        late as f64 * BUCKET.as_secs_f64()
+    }
+}
+
+/// The figures of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The scenario's name.
+    pub scenario: String,
+    /// Whether the cold start was on.
+    pub cold_start: bool,
+    /// Managers.
+    pub managers: usize,
+    /// Managers that came up at least once.
+    pub up: usize,
+    /// Managers that ended by themselves without being asked to.
+    pub crashed: usize,
+    /// Requests by what became of them.
+    pub asked: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Taken and never answered whole, by a manager that was not killed.
+    pub lost: u64,
+    /// Open at a manager when it was killed or stopped.
+    pub died: u64,
+    /// No connection came up.
+    pub not_taken: u64,
+    /// Latency of what was served, in milliseconds: median and 99th percentile.
+    pub p50_ms: f64,
+    /// As above.
+    pub p99_ms: f64,
+    /// Seconds until 95% of what is asked is served, and stays so.
+    pub serving_s: f64,
+    /// Calls of the list service: all, most in 100 ms, most in 1 s, a second in the last third.
+    pub calls: usize,
+    /// As above.
+    pub calls_100ms: usize,
+    /// As above.
+    pub calls_1s: usize,
+    /// As above.
+    pub calls_steady: f64,
+    /// Connections to engines: all, most in 100 ms, most in 1 s, most to one engine in 100 ms.
+    pub dials: usize,
+    /// As above.
+    pub dials_100ms: usize,
+    /// As above.
+    pub dials_1s: usize,
+    /// As above.
+    pub dials_engine_100ms: usize,
+    /// Threads at work on one engine at most.
+    pub most_threads: f64,
+    /// What the engines saw.
+    pub breaches: Breaches,
+}
+
+impl Report {
+    /// The figures by name, in the table's order.
+    pub fn fields(&self) -> Vec<(&'static str, String)> {
+        let b = &self.breaches;
+        vec![
+            ("scenario", self.scenario.clone()),
+            ("cold_start", if self.cold_start { "on" } else { "off" }.to_owned()),
+            ("managers", self.managers.to_string()),
+            ("up", self.up.to_string()),
+            ("crashed", self.crashed.to_string()),
+            ("asked", self.asked.to_string()),
+            ("served", self.served.to_string()),
+            ("refused", self.refused.to_string()),
+            ("failed", self.failed.to_string()),
+            ("lost", self.lost.to_string()),
+            ("died", self.died.to_string()),
+            ("not_taken", self.not_taken.to_string()),
+            ("p50_ms", format!("{:.1}", self.p50_ms)),
+            ("p99_ms", format!("{:.1}", self.p99_ms)),
+            ("serving_s", format!("{:.2}", self.serving_s)),
+            ("calls", self.calls.to_string()),
+            ("calls_100ms", self.calls_100ms.to_string()),
+            ("calls_1s", self.calls_1s.to_string()),
+            ("calls_steady", format!("{:.1}", self.calls_steady)),
+            ("dials", self.dials.to_string()),
+            ("dials_100ms", self.dials_100ms.to_string()),
+            ("dials_1s", self.dials_1s.to_string()),
+            ("dials_engine_100ms", self.dials_engine_100ms.to_string()),
+            ("most_threads", format!("{:.0}", self.most_threads)),
+            ("attempts", b.attempts.to_string()),
+            ("further", b.further.to_string()),
+            ("second_attempts", b.second_attempts.to_string()),
+            ("after_drain", b.after_drain.to_string()),
+            ("pushed_over", b.pushed_over.to_string()),
+        ]
+    }
+
+    /// The table's head, for CSV.
+    pub fn head() -> String {
+        let names: Vec<&str> = Report::default().fields().iter().map(|f| f.0).collect();
+        names.join(",")
+    }
+
+    /// Its line, for CSV: names hold no commas.
+    pub fn line(&self) -> String {
+        let values: Vec<String> = self.fields().into_iter().map(|f| f.1).collect();
+        values.join(",")
+    }
+
+    /// As a JSON object: figures as numbers, names as strings.
+    pub fn json(&self) -> String {
+        let value =
+            |v: &str| v.parse::<f64>().map_or_else(|_| serde_json::Value::from(v), serde_json::Value::from);
+        let map: serde_json::Map<String, serde_json::Value> =
+            self.fields().iter().map(|(name, v)| ((*name).to_owned(), value(v))).collect();
+        serde_json::Value::from(map).to_string()
+    }
+}
+
+/// A line of a chart.
+pub struct Series<'a> {
+    /// What it shows.
+    pub name: &'a str,
+    /// By bucket.
+    pub values: Vec<f64>,
+}
+
+/// Draws lines over time in buckets of [`BUCKET`], one panel below the other.
+///
+/// # Errors
+/// In words, where the file cannot be written.
+pub fn chart(path: &Path, title: &str, panels: &[(&str, Vec<Series<'_>>)]) -> Result<(), String> {
+    draw(path, title, panels).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn draw(
+    path: &Path,
+    title: &str,
+    panels: &[(&str, Vec<Series<'_>>)],
+) -> Result<(), Box<dyn std::error::Error>> {
+    const COLOURS: [RGBColor; 6] = [
+        RGBColor(31, 119, 180),
+        RGBColor(214, 39, 40),
+        RGBColor(44, 160, 44),
+        RGBColor(255, 127, 14),
+        RGBColor(148, 103, 189),
+        RGBColor(90, 90, 90),
+    ];
+    let root = SVGBackend::new(path, (900, 40 + 240 * panels.len() as u32)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let root = root.titled(title, ("sans-serif", 18))?;
+    for (area, (name, lines)) in root.split_evenly((panels.len(), 1)).iter().zip(panels) {
+        let n = lines.iter().map(|l| l.values.len()).max().unwrap_or(1);
+        let top = lines.iter().flat_map(|l| &l.values).fold(1.0f64, |a, b| a.max(*b));
+        let seconds = n as f64 * BUCKET.as_secs_f64();
+        let mut chart = ChartBuilder::on(area)
+            .caption(*name, ("sans-serif", 14))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..seconds, 0.0..top * 1.05)?;
+        chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw()?;
+        for (line, colour) in lines.iter().zip(COLOURS) {
+            let points = line.values.iter().enumerate().map(|(i, v)| (i as f64 * BUCKET.as_secs_f64(), *v));
+            chart
+                .draw_series(LineSeries::new(points, colour.stroke_width(2)))?
+                .label(line.name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_row_fits_its_head_and_is_json_too() {
+        let r = Report { scenario: "x".into(), served: 7, ..Report::default() };
+        assert_eq!(Report::head().split(',').count(), r.line().split(',').count());
+        let v: serde_json::Value = serde_json::from_str(&r.json()).expect("json");
+        assert_eq!((v["scenario"].as_str(), v["served"].as_f64()), (Some("x"), Some(7.0)));
+    }
+
+    #[test]
+    fn a_start_is_over_after_the_last_bad_bucket() {
+        let o = Outcomes { asked: vec![10; 6], served: vec![0, 10, 5, 10, 10, 10], ..Outcomes::default() };
+        assert_eq!(o.seconds_to_serving(1), 0.75);
+        // Joined by three: 15 of 30, then 30 of 30.
+        assert_eq!(o.seconds_to_serving(30), 0.75);
+        let good = Outcomes { asked: vec![10; 3], served: vec![10; 3], ..Outcomes::default() };
+        assert_eq!(good.seconds_to_serving(1), 0.0);
+    }
+
+    #[test]
+    fn a_chart_is_an_svg_with_its_lines_named() {
+        let dir = std::env::temp_dir().join(format!("sprucelink-chart-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let path = dir.join("c.svg");
+        let lines = vec![Series { name: "served", values: vec![1.0, 2.0, 3.0] }];
+        chart(&path, "title", &[("requests", lines)]).expect("drawn");
+        let svg = std::fs::read_to_string(&path).expect("read");
+        assert!(svg.starts_with("<svg") && svg.contains("served") && svg.contains("polyline"));
+        std::fs::remove_dir_all(&dir).expect("removed");
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/run.rs
@@ -0,0 +1,572 @@
+//! Carries a scenario out: starts the stand-ins and the processes, does the steps when they are due, lets
+//! clients ask, and gathers what was counted. It ends every process it started, also when it fails half way.
+
+use crate::client::{self, Ask, Became};
+use crate::counted::Counted;
+use crate::engines::{CountingEngine, Spec};
+use crate::ledger::Ledger;
+use crate::lists::{ListService, Mood};
+use crate::middle::{self, Faults, TcpPath};
+use crate::procs::{self, Fleet, Row};
+use crate::report::{Outcomes, Report, BUCKET};
+use crate::runtime;
+use crate::scenario::{Act, Engines, Lists, Part, Scenario, GROUPS};
+use hdrhistogram::Histogram;
+use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::time::sleep_until;
+
+/// Between two looks at what is due.
+const LOOK: Duration = Duration::from_millis(5);
+/// Between two looks at the logs of managers that are coming up.
+const LOOK_LOGS: Duration = Duration::from_millis(25);
+/// A manager that is to end by SIGTERM gets no new requests from this long after it on: the platform's new
+/// connections go on for 0.2 to 0.4 s.
+const STILL_COMING: Duration = Duration::from_millis(300);
+/// One that has not ended so long after SIGTERM is killed: the longest deadline of the rig's settings and more.
+const LONGEST_END: Duration = Duration::from_secs(30);
+/// Requests of one manager that are open at once at most; more are not asked.
+const MOST_OPEN: usize = 2_000;
+
+/// What to run, besides the scenario.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The program.
+    pub path: PathBuf,
+    /// Further arguments of `serve`.
+    pub args: Vec<String>,
+    /// Folder for configurations and logs.
+    pub dir: PathBuf,
+}
+
+/// What a run gives.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The figures.
+    pub report: Report,
+    /// Requests over time.
+    pub requests: Outcomes,
+    /// Calls of the list service over time.
+    pub calls: Vec<u32>,
+    /// Connections to engines over time.
+    pub dials: Vec<u32>,
+    /// Logs of each manager's last start, where they were asked for.
+    pub logs: Vec<String>,
+}
+
+/// Where a manager is reached now, and when it was last ended or stopped by the rig.
+#[derive(Default)]
+struct Seat {
+    at: Option<SocketAddr>,
+    until: Option<Instant>,
+    struck: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Unborn,
+    Starting,
+    Up,
+    Ending(Instant),
+    Paused,
+    Dead,
+}
+
+struct Engine {
+    id: String,
+    run: Option<CountingEngine>,
+    /// Where each group reaches it.
+    at: Vec<SocketAddr>,
+    paths: Vec<TcpPath>,
+    phase: &'static str,
+    since_ms: u128,
+}
+
+/// One ended request: due, what became of it, how long it took.
+type Ended = (Duration, Became, bool, Duration);
+
+struct Rig<'a> {
+    scenario: &'a Scenario,
+    program: &'a Program,
+    start: Instant,
+    faults: Faults,
+    ledger: Ledger,
+    engines: Vec<Engine>,
+    lists: Vec<ListService>,
+    /// Keeps the ways to the list services open.
+    list_paths: Vec<TcpPath>,
+    feeds: Vec<SocketAddr>,
+    revision: u64,
+    fleet: Fleet,
+    lives: Vec<Life>,
+    seats: Vec<Arc<Mutex<Seat>>>,
+    up_once: Vec<bool>,
+    crashed: usize,
+    settings: String,
+    ended: Arc<Mutex<Vec<Ended>>>,
+}
+
+fn io(what: &str) -> impl Fn(std::io::Error) -> String + '_ {
+    move |e| format!("{what}: {e}")
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+}
+
+/// Carries a scenario out with a program.
+///
+/// # Errors
+/// In words, where a stand-in, a file or a process could not be started.
+pub fn run(scenario: &Scenario, program: &Program) -> Result<Outcome, String> {
+    scenario.check()?;
+    let mut rig = Rig::new(scenario, program)?;
+    let mut timeline = rig.timeline();
+    let load = rig.ask();
+    let done = rig.play(&mut timeline);
+    load.iter().for_each(|t| t.abort());
+    // What is asked has its end within its time; more is not waited for.
+    let last = Duration::from_secs_f64(scenario.load.timeout_ms / 1e3) + Duration::from_secs(1);
+    let until = Instant::now() + last;
+    while done.is_ok() && rig.open() > 0 && Instant::now() < until {
+        rig.look();
+        std::thread::sleep(LOOK);
+    }
+    let logs = (0..rig.fleet.managers.len()).map(|i| rig.fleet.log(i)).collect();
+    rig.fleet.end_all();
+    done?;
+    Ok(rig.outcome(logs))
+}
+
+impl<'a> Rig<'a> {
+    fn new(scenario: &'a Scenario, program: &'a Program) -> Result<Rig<'a>, String> {
+        let start = Instant::now();
+        let faults = Faults::new(scenario.seed);
+        let fleet = Fleet::new(&program.path, &program.dir).map_err(io("the rig's folder"))?;
+        let n = scenario.managers;
+        let mut rig = Rig {
+            scenario,
+            program,
+            start,
+            faults,
+            ledger: Ledger::default(),
+            engines: Vec::new(),
+            lists: Vec::new(),
+            list_paths: Vec::new(),
+            feeds: Vec::new(),
+            revision: 1,
+            fleet,
+            lives: vec![Life::Unborn; n],
+            seats: (0..n).map(|_| Arc::default()).collect(),
+            up_once: vec![false; n],
+            crashed: 0,
+            settings: procs::settings(n),
+            ended: Arc::default(),
+        };
+        let Engines { count, cold, missing, .. } = scenario.engines;
+        for i in 0..count {
+            rig.add_engine(i < cold)?;
+            if i + missing >= count {
+                rig.stop_engine(i);
+            }
+        }
+        for (group, name) in GROUPS.iter().enumerate().take(scenario.groups.len()) {
+            let first = procs::event(1, 1, true, &rig.rows(group));
+            let service = ListService::start(first, start).map_err(io("list service"))?;
+            let mut feed = service.address;
+            if scenario.through_middle() {
+                let path = middle::tcp(&rig.faults, name, "lists", feed).map_err(io("fault middle"))?;
+                feed = path.address;
+                rig.list_paths.push(path);
+            }
+            rig.lists.push(service);
+            rig.feeds.push(feed);
+        }
+        rig.set_lists(scenario.lists);
+        Ok(rig)
+    }
+
+    fn add_engine(&mut self, cold: bool) -> Result<(), String> {
+        let e = &self.scenario.engines;
+        let (light, heavy) = (e.light_ms / 1e3, e.heavy_ms / 1e3);
+        let cold_for = if cold { 15.0 } else { 0.0 };
+        let spec = Spec { cores: e.cores, light, heavy, cold_for, ..Spec::default() };
+        let number = self.engines.len();
+        let run =
+            CountingEngine::start_as(spec, number, self.ledger.clone(), self.start).map_err(io("engine"))?;
+        let (mut at, mut paths) = (vec![run.address; self.scenario.groups.len()], Vec::new());
+        if self.scenario.through_middle() {
+            for (group, at) in at.iter_mut().enumerate() {
+                let path = middle::tcp(&self.faults, GROUPS[group], "engines", run.address);
+                let path = path.map_err(io("fault middle"))?;
+                *at = path.address;
+                paths.push(path);
+            }
+        }
+        let since_ms = if cold { unix_ms() } else { 0 };
+        let id = format!("s-{number:04}");
+        self.engines.push(Engine { id, run: Some(run), at, paths, phase: "ready", since_ms });
+        Ok(())
+    }
+
+    fn stop_engine(&mut self, i: usize) {
+        let engine = &mut self.engines[i];
+        engine.paths.clear();
+        if let Some(run) = &engine.run {
+            run.stop();
+        }
+    }
+
+    /// The engines as a group's list names them.
+    fn rows(&self, group: usize) -> Vec<Row> {
+        (0..self.engines.len()).map(|i| self.row(group, i)).collect()
+    }
+
+    fn row(&self, group: usize, i: usize) -> Row {
+        let e = &self.engines[i];
+        let zone = if i.is_multiple_of(2) { "hall-a" } else { "hall-b" }.into();
+        Row { id: e.id.clone(), at: e.at[group], zone, phase: e.phase, since_ms: e.since_ms }
+    }
+
+    /// Tells every group what changed.
+    fn tell(&mut self, changed: &[usize]) -> Result<(), String> {
+        self.revision += 1;
+        for group in 0..self.lists.len() {
+            let rows: Vec<Row> = changed.iter().map(|i| self.row(group, *i)).collect();
+            self.lists[group].tell(|n| procs::event(n, self.revision, false, &rows))?;
+        }
+        Ok(())
+    }
+
+    fn set_lists(&self, how: Lists) {
+        let mood = match how {
+            Lists::Serve => Mood::Serving,
+            Lists::Refuse => Mood::Refusing,
+            Lists::Stall => Mood::Stalling,
+        };
+        self.lists.iter().for_each(|l| l.set_mood(mood));
+    }
+
+    fn config(&self, i: usize) -> String {
+        let group = self.scenario.group_of(i);
+        let starts = self.fleet.managers.get(i).map_or(0, |m| m.starts);
+        let seed = self.scenario.seed.wrapping_mul(1_000_003) ^ (i as u64) << 16 ^ u64::from(starts);
+        let known = self.lists[group].known();
+        procs::config(&format!("n{i}"), seed, self.feeds[group], &known, &self.settings)
+    }
+
+    /// All that happens, in order: starts, and the steps with each manager's part of them.
+    fn timeline(&self) -> Vec<(Duration, Act)> {
+        let n = self.scenario.managers;
+        let one = |i: usize| Part { from: i as f64 / n as f64, to: (i + 1) as f64 / n as f64, over_ms: 0.0 };
+        let mut all = Vec::new();
+        let spread = |all: &mut Vec<(Duration, Act)>, at: f64, p: &Part, act: fn(Part) -> Act| {
+            let who = p.of(n);
+            let each = p.over_ms / 1e3 / who.len().max(1) as f64;
+            all.extend(
+                who.enumerate().map(|(k, i)| (Duration::from_secs_f64(at + each * k as f64), act(one(i)))),
+            );
+        };
+        let starts = Part { from: 0.0, to: 1.0, over_ms: self.scenario.start_over_ms };
+        spread(&mut all, 0.0, &starts, Act::Restart);
+        for step in &self.scenario.steps {
+            match &step.act {
+                Act::Kill(p) => spread(&mut all, step.at, p, Act::Kill),
+                Act::Restart(p) => spread(&mut all, step.at, p, Act::Restart),
+                Act::Roll(p) => spread(&mut all, step.at, p, Act::Roll),
+                Act::Pause(p) => spread(&mut all, step.at, p, Act::Pause),
+                Act::Resume(p) => spread(&mut all, step.at, p, Act::Resume),
+                act => all.push((Duration::from_secs_f64(step.at), act.clone())),
+            }
+        }
+        // Stable: what is due at once happens in the file's order.
+        all.sort_by_key(|a| a.0);
+        all.reverse();
+        all
+    }
+
+    fn play(&mut self, timeline: &mut Vec<(Duration, Act)>) -> Result<(), String> {
+        let end = Duration::from_secs_f64(self.scenario.seconds);
+        let mut next_logs = Instant::now();
+        while self.start.elapsed() < end {
+            while timeline.last().is_some_and(|(at, _)| *at <= self.start.elapsed()) {
+                if let Some((_, act)) = timeline.pop() {
+                    self.act(&act)?;
+                }
+            }
+            if Instant::now() >= next_logs {
+                next_logs = Instant::now() + LOOK_LOGS;
+                self.look();
+                self.come_back()?;
+            }
+            std::thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
+    fn seat<T>(&self, i: usize, f: impl FnOnce(&mut Seat) -> T) -> T {
+        f(&mut self.seats[i].lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Nobody is sent to manager `i` any more, and what is open there may die with it.
+    fn strike(&self, i: usize) {
+        self.seat(i, |s| (s.at, s.until, s.struck) = (None, None, Some(Instant::now())));
+    }
+
+    fn begin(&mut self, i: usize) -> Result<(), String> {
+        self.strike(i);
+        let config = self.config(i);
+        if i < self.fleet.managers.len() {
+            self.fleet.restart(i, &config).map_err(io("restart"))?;
+        } else {
+            self.fleet.start(&format!("n{i}"), &config, &self.program.args).map_err(io("start"))?;
+        }
+        self.lives[i] = Life::Starting;
+        Ok(())
+    }
+
+    fn act(&mut self, act: &Act) -> Result<(), String> {
+        let n = self.scenario.managers;
+        let engines = |p: &Part, rig: &Rig| p.of(rig.engines.len());
+        match act {
+            Act::Restart(p) => p.of(n).try_for_each(|i| self.begin(i))?,
+            Act::Kill(p) => {
+                for i in p.of(n) {
+                    self.strike(i);
+                    self.fleet.kill(i);
+                    self.lives[i] = Life::Dead;
+                }
+            }
+            Act::Roll(p) => {
+                for i in p
+                    .of(n)
+                    .filter(|i| matches!(self.lives[*i], Life::Up | Life::Starting))
+                    .collect::<Vec<_>>()
+                {
+                    self.seat(i, |s| s.until = Some(Instant::now() + STILL_COMING));
+                    self.fleet.signal(i, Signal::SIGTERM).map_err(|e| e.to_string())?;
+                    self.lives[i] = Life::Ending(Instant::now());
+                }
+            }
+            Act::Pause(p) => {
+                for i in p.of(n).filter(|i| self.lives[*i] == Life::Up).collect::<Vec<_>>() {
+                    self.strike(i);
+                    self.fleet.signal(i, Signal::SIGSTOP).map_err(|e| e.to_string())?;
+                    self.lives[i] = Life::Paused;
+                }
+            }
+            Act::Resume(p) => {
+                for i in p.of(n).filter(|i| self.lives[*i] == Life::Paused).collect::<Vec<_>>() {
+                    self.fleet.signal(i, Signal::SIGCONT).map_err(|e| e.to_string())?;
+                    self.lives[i] = Life::Starting;
+                }
+            }
+            Act::Lists(how) => self.set_lists(*how),
+            Act::EnginesCome(count) => {
+                let from = self.engines.len();
+                (0..*count).try_for_each(|_| self.add_engine(true))?;
+                self.tell(&(from..self.engines.len()).collect::<Vec<_>>())?;
+            }
+            Act::EnginesDrain(p) => {
+                let who: Vec<usize> = engines(p, self).collect();
+                who.iter().for_each(|i| self.engines[*i].phase = "draining");
+                self.tell(&who)?;
+                who.iter().for_each(|i| self.ledger.drained(*i, Instant::now()));
+            }
+            Act::EnginesGo(p) => {
+                let who: Vec<usize> = engines(p, self).collect();
+                who.iter().for_each(|i| self.engines[*i].phase = "gone");
+                self.tell(&who)?;
+                who.iter().for_each(|i| self.stop_engine(*i));
+            }
+            Act::EnginesVanish(p) => engines(p, self).for_each(|i| self.stop_engine(i)),
+            Act::OlderList => {
+                let first = self.scenario.engines.count;
+                for group in 0..self.lists.len() {
+                    let mut rows = self.rows(group);
+                    rows.truncate(first);
+                    rows.iter_mut().for_each(|r| r.phase = "ready");
+                    self.lists[group].tell(|n| procs::event(n, 1, true, &rows))?;
+                }
+            }
+            Act::ContradictoryList => {
+                self.engines[0].phase = "draining";
+                self.revision += 1;
+                for group in 0..self.lists.len() {
+                    let rows = [self.row(group, 0), Row { phase: "ready", ..self.row(group, 0) }];
+                    self.lists[group].tell(|n| procs::event(n, self.revision, false, &rows))?;
+                }
+                self.ledger.drained(0, Instant::now());
+            }
+            Act::Fault { from, to, rule } => self.faults.set(from, to, *rule),
+            Act::Cut { from, to, how } => self.faults.cut(from, to, *how),
+            Act::Heal => self.faults.heal(),
+        }
+        Ok(())
+    }
+
+    /// Looks which managers have come up, and which have ended by themselves.
+    fn look(&mut self) {
+        for i in 0..self.fleet.managers.len() {
+            match self.lives[i] {
+                Life::Starting => {
+                    if let Some(at) = self.fleet.serving(i) {
+                        self.seat(i, |s| (s.at, s.until) = (Some(at), None));
+                        (self.lives[i], self.up_once[i]) = (Life::Up, true);
+                    }
+                }
+                Life::Up => {}
+                _ => continue,
+            }
+            if self.fleet.ended(i).is_some() {
+                self.crashed += 1;
+                self.strike(i);
+                self.lives[i] = Life::Dead;
+            }
+        }
+    }
+
+    /// Starts those anew that have ended after SIGTERM.
+    fn come_back(&mut self) -> Result<(), String> {
+        for i in 0..self.fleet.managers.len() {
+            let Life::Ending(since) = self.lives[i] else { continue };
+            match self.fleet.ended(i) {
+                Some(code) => {
+                    self.crashed += usize::from(code != Some(0));
+                    self.begin(i)?;
+                }
+                // It had its time: what is open there is lost by its own fault, so it is not struck.
+                None if since.elapsed() > LONGEST_END => self.fleet.kill(i),
+                None => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Clients that ask every manager evenly, each a Poisson stream of its own.
+    fn ask(&self) -> Vec<tokio::task::JoinHandle<()>> {
+        let load = self.scenario.load;
+        if load.rate <= 0.0 {
+            return Vec::new();
+        }
+        let gap = self.scenario.managers as f64 / load.rate;
+        let end = self.start + Duration::from_secs_f64(self.scenario.seconds);
+        let one = |(i, seat): (usize, &Arc<Mutex<Seat>>)| {
+            let (seat, ended, start) = (Arc::clone(seat), Arc::clone(&self.ended), self.start);
+            let mut rng = ChaCha8Rng::seed_from_u64(self.scenario.seed ^ (0xc11e << 32) ^ i as u64);
+            runtime().spawn(async move {
+                let mut due = start;
+                loop {
+                    // An exponential gap; the draw is never zero.
+                    due += Duration::from_secs_f64(-(1.0 - rng.gen::<f64>()).ln() * gap);
+                    if due >= end {
+                        return;
+                    }
+                    sleep_until(due.into()).await;
+                    let (id, key) = (rng.gen::<u64>(), rng.gen::<u64>());
+                    let heavy = rng.gen_bool(load.heavy);
+                    let at = {
+                        let s = seat.lock().unwrap_or_else(PoisonError::into_inner);
+                        s.at.filter(|_| s.until.is_none_or(|u| Instant::now() < u))
+                    };
+                    let Some(at) = at else { continue };
+                    if Arc::strong_count(&seat) > MOST_OPEN {
+                        continue;
+                    }
+                    let (seat, ended) = (Arc::clone(&seat), Arc::clone(&ended));
+                    let ask = Ask { id, heavy, key, timeout: Duration::from_secs_f64(load.timeout_ms / 1e3) };
+                    tokio::spawn(async move {
+                        let (became, took) = client::ask(at, ask).await;
+                        let struck = seat.lock().unwrap_or_else(PoisonError::into_inner).struck;
+                        let died = struck.is_some_and(|t| t >= due);
+                        let row = (due.saturating_duration_since(start), became, died, took);
+                        ended.lock().unwrap_or_else(PoisonError::into_inner).push(row);
+                    });
+                }
+            })
+        };
+        self.seats.iter().enumerate().map(one).collect()
+    }
+
+    /// Requests that are open: each holds its manager's seat.
+    fn open(&self) -> usize {
+        self.seats.iter().map(|s| Arc::strong_count(s).saturating_sub(1)).sum()
+    }
+
+    fn outcome(&self, logs: Vec<String>) -> Outcome {
+        let buckets = (self.scenario.seconds / BUCKET.as_secs_f64()).ceil() as usize;
+        let none = || vec![0u32; buckets];
+        let mut requests = Outcomes { asked: none(), served: none(), refused: none(), bad: none() };
+        let mut r = Report {
+            scenario: self.scenario.name.clone(),
+            cold_start: self.program.args.iter().any(|a| a == "--cold-start"),
+            managers: self.scenario.managers,
+            up: self.up_once.iter().filter(|u| **u).count(),
+            crashed: self.crashed,
+            breaches: self.ledger.read(),
+            ..Report::default()
+        };
+        // Bounds are valid constants: microseconds up to a minute, three digits.
+        let mut took_us = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
+        for (due, became, died, took) in self.ended.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let i = ((due.as_micros() / BUCKET.as_micros()) as usize).min(buckets - 1);
+            r.asked += 1;
+            let bad = matches!(became, Became::Lost | Became::NotTaken);
+            if *died && bad {
+                r.died += 1;
+                continue;
+            }
+            requests.asked[i] += 1;
+            match became {
+                Became::Served => {
+                    (r.served, requests.served[i]) = (r.served + 1, requests.served[i] + 1);
+                    took_us.saturating_record(took.as_micros() as u64);
+                }
+                Became::Refused => {
+                    (r.refused, requests.refused[i]) = (r.refused + 1, requests.refused[i] + 1)
+                }
+                Became::Failed => (r.failed, requests.bad[i]) = (r.failed + 1, requests.bad[i] + 1),
+                Became::NotTaken => (r.not_taken, requests.bad[i]) = (r.not_taken + 1, requests.bad[i] + 1),
+                Became::Lost => (r.lost, requests.bad[i]) = (r.lost + 1, requests.bad[i] + 1),
+            }
+        }
+        r.p50_ms = took_us.value_at_quantile(0.5) as f64 / 1e3;
+        r.p99_ms = took_us.value_at_quantile(0.99) as f64 / 1e3;
+        r.serving_s = requests.seconds_to_serving(20);
+        let (mut calls, mut dials) = (Counted::default(), Counted::default());
+        self.lists.iter().for_each(|l| calls.add(&l.calls.read()));
+        let (ms100, s1) = (Duration::from_millis(100), Duration::from_secs(1));
+        for e in self.engines.iter().filter_map(|e| e.run.as_ref()) {
+            let d = e.dials.read();
+            r.dials_engine_100ms = r.dials_engine_100ms.max(d.peak(ms100));
+            r.most_threads = r.most_threads.max(e.most_threads());
+            dials.add(&d);
+        }
+        let end = Duration::from_secs_f64(self.scenario.seconds);
+        (r.calls, r.calls_100ms, r.calls_1s) = (calls.at.len(), calls.peak(ms100), calls.peak(s1));
+        r.calls_steady = calls.within(end * 2 / 3, end) as f64 / (end / 3).as_secs_f64();
+        (r.dials, r.dials_100ms, r.dials_1s) = (dials.at.len(), dials.peak(ms100), dials.peak(s1));
+        Outcome {
+            report: r,
+            requests,
+            calls: calls.buckets(BUCKET, buckets),
+            dials: dials.buckets(BUCKET, buckets),
+            logs,
+        }
+    }
+}
+
+/// A folder of the rig's own for configurations and logs, under the system's folder for such.
+pub fn scratch(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("sprucelink-fleet-{}-{name}", std::process::id()))
+}
+
+/// Removes a folder of [`scratch`], whatever became of it.
+pub fn clear(dir: &Path) {
+    let _ = std::fs::remove_dir_all(dir);
+}
