--- a/crates/coldstart/src/lists.rs
+++ b/crates/coldstart/src/lists.rs
@@ -28,6 +28,8 @@
 /// Longest first wait and rest, in milliseconds: half the drain grace of 500 ms, so that a manager that
 /// learns of a drain at the end of a rest still stops sending within the grace.
 pub const DRAIN_BOUND_MS: f64 = 250.0;
+/// Longest window where drains heard late break no rule, in milliseconds: two of the minutes that a call lasts.
+const WIDEST_MS: f64 = 120_000.0;
 
 /// How a call for lists ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,9 +48,13 @@
 pub struct ListTerms {
     /// Calls a second that the list service is taken to bear from the whole fleet; 1 to 100,000.
     pub fleet_rate: f64,
+    /// Engines turn work away themselves while they drain, so that a drain heard late breaks no rule: only then
+    /// may `window_most_ms` pass 250. Never so on the platform.
+    pub engines_refuse_drained: bool,
     /// Tokens a manager may hold: calls in a row without waiting for the budget; 1 to 100.
     pub burst: f64,
-    /// Longest window over which first calls are spread, in milliseconds; 0 to 250 (drains).
+    /// Longest window over which first calls are spread, in milliseconds; 0 to 250 (drains), or to 120,000 with
+    /// `engines_refuse_drained`.
     pub window_most_ms: f64,
     /// Longest rest after an answered or failed call, in milliseconds; 20 to 250 (drains).
     pub rest_most_ms: f64,
@@ -64,6 +70,7 @@
     fn default() -> ListTerms {
         ListTerms {
             fleet_rate: 200.0,
+            engines_refuse_drained: false,
             burst: 3.0,
             window_most_ms: 200.0,
             rest_most_ms: 250.0,
@@ -79,7 +86,8 @@
     pub fn check(&self) -> Result<(), String> {
         within("fleet_rate", self.fleet_rate, 1.0, 100_000.0)?;
         within("burst", self.burst, 1.0, 100.0)?;
-        within("window_most_ms", self.window_most_ms, 0.0, DRAIN_BOUND_MS)?;
+        let window = if self.engines_refuse_drained { WIDEST_MS } else { DRAIN_BOUND_MS };
+        within("window_most_ms", self.window_most_ms, 0.0, window)?;
         within("rest_most_ms", self.rest_most_ms, 20.0, DRAIN_BOUND_MS)?;
         within("again_least_ms", self.again_least_ms, 0.0, self.rest_most_ms)?;
         self.failed.check().map_err(|e| format!("failed.{e}"))?;
@@ -297,6 +305,7 @@
     fn figures_out_of_range_are_named() {
         let bad = ListTerms { window_most_ms: 1_000.0, ..ListTerms::default() };
         assert!(bad.check().unwrap_err().starts_with("window_most_ms"));
+        assert!(ListTerms { engines_refuse_drained: true, ..bad }.check().is_ok());
         let bad =
             ListTerms { refused: BackoffTerms { jitter: 2.0, ..BackoffTerms::GRPC }, ..ListTerms::default() };
         assert!(bad.check().unwrap_err().starts_with("refused.jitter"));
