--- a/crates/capture/src/replay.rs
+++ b/crates/capture/src/replay.rs
@@ -112,6 +112,7 @@
         Told::Event(Event::Timer { .. }) => "timer",
         Told::Event(Event::Probed { .. }) => "probed",
         Told::Event(Event::Heard { .. }) => "heard",
+        Told::Event(Event::Fleet { .. }) => "fleet",
         Told::Numbered { .. } => "numbered",
     }
 }
--- a/crates/fleetrig/src/client.rs
+++ b/crates/fleetrig/src/client.rs
@@ -36,6 +36,8 @@
     pub heavy: bool,
     /// Its key, for loads.
     pub key: u64,
+    /// The client's estimate of the work on one core, in milliseconds; 0: none is told.
+    pub ms: f64,
     /// How long the client waits.
     pub timeout: Duration,
 }
@@ -50,10 +52,13 @@
     message.extend_from_slice(&196_608u32.to_be_bytes());
     message.extend_from_slice(&startup);
     let (id, ms, key) = (ask.id, ask.timeout.as_millis(), ask.key);
+    let told = if ask.ms > 0.0 { format!(",ms={:.1}", ask.ms) } else { String::new() };
     let sql = if ask.heavy {
-        format!("/* kind=tariff-load,req={id:016x},timeout={ms},owner=sud,opkey={key:032x} */ INSERT INTO rates_3.lanes VALUES (1)\0")
+        format!("/* kind=tariff-load,req={id:016x},timeout={ms},owner=sud,opkey={key:032x}{told} */ INSERT INTO rates_3.lanes VALUES (1)\0")
     } else {
-        format!("/* kind=lane-rate,req={id:016x},timeout={ms},owner=sud */ SELECT a FROM sales_17.orders\0")
+        format!(
+            "/* kind=lane-rate,req={id:016x},timeout={ms},owner=sud{told} */ SELECT a FROM sales_17.orders\0"
+        )
     };
     message.push(b'Q');
     message.extend_from_slice(&((sql.len() + 4) as u32).to_be_bytes());
@@ -116,7 +121,7 @@
 /// # Errors
 /// Where no connection came up, or it ended without a whole answer.
 pub fn ask_once(at: SocketAddr, id: u64) -> std::io::Result<bool> {
-    let one = Ask { id, heavy: false, key: 0, timeout: Duration::from_secs(5) };
+    let one = Ask { id, heavy: false, key: 0, ms: 0.0, timeout: Duration::from_secs(5) };
     match crate::runtime().block_on(ask(at, one)).0 {
         Became::NotTaken => Err(std::io::Error::other("no connection came up")),
         Became::Lost => Err(std::io::Error::other("no whole answer came")),
--- a/crates/fleetrig/src/ledger.rs
+++ b/crates/fleetrig/src/ledger.rs
@@ -36,10 +36,21 @@
 }
 
 /// The ledger, shared by all engines of a rig.
-#[derive(Clone, Default)]
-pub struct Ledger(Arc<Mutex<Inner>>);
+#[derive(Clone)]
+pub struct Ledger(Arc<Mutex<Inner>>, Duration);
+
+impl Default for Ledger {
+    fn default() -> Ledger {
+        Ledger::with_grace(DRAIN_GRACE)
+    }
+}
 
 impl Ledger {
+    /// A ledger that counts sends later than `grace` after a drain was told.
+    pub fn with_grace(grace: Duration) -> Ledger {
+        Ledger(Arc::default(), grace)
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut Inner) -> T) -> T {
         f(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -57,7 +68,7 @@
             l.counts.further += u64::from(!first);
             l.counts.second_attempts += u64::from(l.out.contains_key(&request));
             let late =
-                l.draining.get(&engine).is_some_and(|told| at.saturating_duration_since(*told) > DRAIN_GRACE);
+                l.draining.get(&engine).is_some_and(|told| at.saturating_duration_since(*told) > self.1);
             l.counts.after_drain += u64::from(late);
             if l.out.len() < MOST_OPEN {
                 l.out.insert(request, (engine, connection));
--- a/crates/fleetrig/src/run.rs
+++ b/crates/fleetrig/src/run.rs
@@ -6,7 +6,7 @@
 use crate::engines::{CountingEngine, Spec};
 use crate::ledger::Ledger;
 use crate::lists::{ListService, Mood};
-use crate::middle::{self, Faults, TcpPath};
+use crate::middle::{self, Faults, TcpPath, UdpNet};
 use crate::procs::{self, Fleet, Row};
 use crate::report::{Outcomes, Report, BUCKET};
 use crate::runtime;
@@ -15,6 +15,9 @@
 use nix::sys::signal::Signal;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sprucelink_membership::codec::{Member, State};
+use sprucelink_membership::terms::Settings as Membership;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,6 +33,12 @@
 const STILL_COMING: Duration = Duration::from_millis(300);
 /// One that has not ended so long after SIGTERM is killed: the longest deadline of the rig's settings and more.
 const LONGEST_END: Duration = Duration::from_secs(30);
+/// Between two rounds of asking managers for their views, how many ask at once, and rounds kept at most.
+const LOOK_VIEWS: Duration = Duration::from_millis(250);
+const ASKERS: usize = 8;
+const MOST_VIEWS: usize = 10_000;
+/// Managers that all others know as seeds.
+const SEEDS: usize = 3;
 /// Requests of one manager that are open at once at most; more are not asked.
 const MOST_OPEN: usize = 2_000;
 
@@ -55,8 +64,36 @@
     pub calls: Vec<u32>,
     /// Connections to engines over time.
     pub dials: Vec<u32>,
-    /// Logs of each manager's last start, where they were asked for.
+    /// Logs of each manager's last start.
     pub logs: Vec<String>,
+    /// How far the managers' views of the fleet agreed, over time; empty where they keep none.
+    pub views: Vec<Views>,
+}
+
+/// The managers' views of the fleet at a moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Views {
+    /// Seconds after the start.
+    pub at: f64,
+    /// Managers that run and answered.
+    pub asked: usize,
+    /// Of them, so many hold just those that run.
+    pub right: usize,
+    /// Names that some hold although they do not run, and the other way round, over all views.
+    pub wrong: usize,
+    /// Different views.
+    pub different: usize,
+}
+
+impl Outcome {
+    /// Seconds from `from` until all views were right, and stayed so up to `to`; none if they never were.
+    pub fn agreed(&self, from: f64, to: f64) -> Option<f64> {
+        let span: Vec<&Views> =
+            self.views.iter().filter(|v| v.at >= from && v.at < to && v.asked > 0).collect();
+        let last_wrong = span.iter().rposition(|v| v.right < v.asked);
+        let first_right = last_wrong.map_or(0, |i| i + 1);
+        span.get(first_right).map(|v| v.at - from)
+    }
 }
 
 /// Where a manager is reached now, and when it was last ended or stopped by the rig.
@@ -108,6 +145,11 @@
     up_once: Vec<bool>,
     crashed: usize,
     settings: String,
+    /// Where managers reach each other, and where each listens itself.
+    net: UdpNet,
+    members: Vec<SocketAddr>,
+    real: Vec<Option<SocketAddr>>,
+    views: Vec<Views>,
     ended: Arc<Mutex<Vec<Ended>>>,
 }
 
@@ -115,6 +157,13 @@
     move |e| format!("{what}: {e}")
 }
 
+/// Names that a manager holds as here, its own among them; `None` where it did not answer.
+fn held_by(real: SocketAddr) -> Option<BTreeSet<String>> {
+    let all = sprucelink_membership::ask::view(real).ok()?;
+    let here = |m: &Member| matches!(m.state, State::Alive | State::Suspect);
+    Some(all.into_iter().filter(here).map(|m| m.name).collect())
+}
+
 fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
 }
@@ -154,7 +203,7 @@
             program,
             start,
             faults,
-            ledger: Ledger::default(),
+            ledger: Ledger::with_grace(Duration::from_secs_f64(scenario.drain_grace_ms / 1e3)),
             engines: Vec::new(),
             lists: Vec::new(),
             list_paths: Vec::new(),
@@ -166,6 +215,10 @@
             up_once: vec![false; n],
             crashed: 0,
             settings: procs::settings(n),
+            net: UdpNet::new(&Faults::new(0)),
+            members: Vec::new(),
+            real: vec![None; n],
+            views: Vec::new(),
             ended: Arc::default(),
         };
         let Engines { count, cold, missing, .. } = scenario.engines;
@@ -188,6 +241,13 @@
             rig.feeds.push(feed);
         }
         rig.set_lists(scenario.lists);
+        if scenario.membership.is_some() {
+            rig.net = UdpNet::new(&rig.faults);
+            for i in 0..n {
+                let group = GROUPS[scenario.group_of(i)];
+                rig.members.push(rig.net.reserve(group).map_err(io("fault middle"))?);
+            }
+        }
         Ok(rig)
     }
 
@@ -260,6 +320,60 @@
         procs::config(&format!("n{i}"), seed, self.feeds[group], &known, &self.settings)
     }
 
+    /// A manager's arguments: its own file of the membership among them, where the fleet keeps a view.
+    fn args(&self, i: usize) -> Result<Vec<String>, String> {
+        let mut args = self.program.args.clone();
+        if let Some(m) = &self.scenario.membership {
+            let group = GROUPS[self.scenario.group_of(i)];
+            let set = Membership {
+                enabled: true,
+                listen: "127.0.0.1:0".into(),
+                advertise: Some(self.members[i].to_string()),
+                seeds: self.members.iter().take(SEEDS).map(SocketAddr::to_string).collect(),
+                zone: format!("zone-{group}"),
+                region: "rig".into(),
+                protocol: m.protocol,
+                share: m.share,
+            };
+            let file = self.program.dir.join(format!("n{i}.membership.json5"));
+            let text = serde_json::to_string(&set).map_err(|e| e.to_string())?;
+            std::fs::write(&file, text).map_err(io("membership"))?;
+            args.extend(["--membership".to_owned(), file.display().to_string()]);
+        }
+        Ok(args)
+    }
+
+    /// Asks every manager that runs for its view, some at once.
+    fn poll(&mut self) {
+        let asked: Vec<(usize, SocketAddr)> = (0..self.members.len())
+            .filter(|i| self.lives[*i] == Life::Up)
+            .filter_map(|i| Some((i, self.real[i]?)))
+            .collect();
+        let at = self.start.elapsed().as_secs_f64();
+        let names: BTreeSet<String> = asked.iter().map(|(i, _)| format!("n{i}")).collect();
+        let held: Vec<Option<BTreeSet<String>>> = std::thread::scope(|scope| {
+            let parts: Vec<_> = asked.chunks(asked.len().div_ceil(ASKERS).max(1)).collect();
+            let asking: Vec<_> = parts
+                .into_iter()
+                .map(|part| {
+                    scope.spawn(move || part.iter().map(|(_, real)| held_by(*real)).collect::<Vec<_>>())
+                })
+                .collect();
+            asking.into_iter().flat_map(|a| a.join().unwrap_or_default()).collect()
+        });
+        let held: Vec<BTreeSet<String>> = held.into_iter().flatten().collect();
+        let row = Views {
+            at,
+            asked: held.len(),
+            right: held.iter().filter(|h| **h == names).count(),
+            wrong: held.iter().map(|h| h.symmetric_difference(&names).count()).sum(),
+            different: held.iter().collect::<BTreeSet<_>>().len(),
+        };
+        if self.views.len() < MOST_VIEWS {
+            self.views.push(row);
+        }
+    }
+
     /// All that happens, in order: starts, and the steps with each manager's part of them.
     fn timeline(&self) -> Vec<(Duration, Act)> {
         let n = self.scenario.managers;
@@ -292,7 +406,7 @@
 
     fn play(&mut self, timeline: &mut Vec<(Duration, Act)>) -> Result<(), String> {
         let end = Duration::from_secs_f64(self.scenario.seconds);
-        let mut next_logs = Instant::now();
+        let (mut next_logs, mut next_views) = (Instant::now(), Instant::now());
         while self.start.elapsed() < end {
             while timeline.last().is_some_and(|(at, _)| *at <= self.start.elapsed()) {
                 if let Some((_, act)) = timeline.pop() {
@@ -303,6 +417,10 @@
                 next_logs = Instant::now() + LOOK_LOGS;
                 self.look();
                 self.come_back()?;
+                if self.scenario.membership.is_some() && Instant::now() >= next_views {
+                    next_views = Instant::now() + LOOK_VIEWS;
+                    self.poll();
+                }
             }
             std::thread::sleep(LOOK);
         }
@@ -321,10 +439,12 @@
     fn begin(&mut self, i: usize) -> Result<(), String> {
         self.strike(i);
         let config = self.config(i);
+        let args = self.args(i)?;
+        self.real[i] = None;
         if i < self.fleet.managers.len() {
             self.fleet.restart(i, &config).map_err(io("restart"))?;
         } else {
-            self.fleet.start(&format!("n{i}"), &config, &self.program.args).map_err(io("start"))?;
+            self.fleet.start(&format!("n{i}"), &config, &args).map_err(io("start"))?;
         }
         self.lives[i] = Life::Starting;
         Ok(())
@@ -418,6 +538,7 @@
                     if let Some(at) = self.fleet.serving(i) {
                         self.seat(i, |s| (s.at, s.until) = (Some(at), None));
                         (self.lives[i], self.up_once[i]) = (Life::Up, true);
+                        self.bind(i);
                     }
                 }
                 Life::Up => {}
@@ -431,6 +552,20 @@
         }
     }
 
+    /// Lets the middle know where a manager that has come up listens for others.
+    fn bind(&mut self, i: usize) {
+        if self.members.is_empty() {
+            return;
+        }
+        let log = self.fleet.log(i);
+        let line = log.lines().find_map(|l| l.split_once("membership on ")).map(|(_, rest)| rest);
+        let real = line.and_then(|l| l.split([',', ' ']).next()).and_then(|a| a.parse().ok());
+        if let Some(real) = real {
+            self.real[i] = Some(real);
+            self.net.bind(self.members[i], real);
+        }
+    }
+
     /// Starts those anew that have ended after SIGTERM.
     fn come_back(&mut self) -> Result<(), String> {
         for i in 0..self.fleet.managers.len() {
@@ -450,7 +585,7 @@
 
     /// Clients that ask every manager evenly, each a Poisson stream of its own.
     fn ask(&self) -> Vec<tokio::task::JoinHandle<()>> {
-        let load = self.scenario.load;
+        let (load, Engines { light_ms, heavy_ms, .. }) = (self.scenario.load, self.scenario.engines);
         if load.rate <= 0.0 {
             return Vec::new();
         }
@@ -479,7 +614,9 @@
                         continue;
                     }
                     let (seat, ended) = (Arc::clone(&seat), Arc::clone(&ended));
-                    let ask = Ask { id, heavy, key, timeout: Duration::from_secs_f64(load.timeout_ms / 1e3) };
+                    let ms = if heavy { heavy_ms } else { light_ms };
+                    let ask =
+                        Ask { id, heavy, key, ms, timeout: Duration::from_secs_f64(load.timeout_ms / 1e3) };
                     tokio::spawn(async move {
                         let (became, took) = client::ask(at, ask).await;
                         let struck = seat.lock().unwrap_or_else(PoisonError::into_inner).struck;
@@ -557,6 +694,7 @@
             calls: calls.buckets(BUCKET, buckets),
             dials: dials.buckets(BUCKET, buckets),
             logs,
+            views: self.views.clone(),
         }
     }
 }
--- a/crates/fleetrig/src/scenario.rs
+++ b/crates/fleetrig/src/scenario.rs
@@ -1,9 +1,11 @@
 //! What a run does, as a JSON5 file: how many managers and engines, what clients ask, and the steps in which
 //! things happen. A field that is not known is refused by name; every count and time has a bound.
 
+use crate::ledger::DRAIN_GRACE;
 use crate::middle::{Cut, Rule};
 use crate::procs::MOST_MANAGERS;
 use serde::Deserialize;
+use sprucelink_membership::terms::{Protocol, Share};
 
 /// Engines of a run at most, those that come later included.
 pub const MOST_ENGINES: usize = 200;
@@ -158,6 +160,16 @@
     }
 }
 
+/// The view of the fleet that managers keep among themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Membership {
+    /// The protocol's figures.
+    pub protocol: Protocol,
+    /// What is shared.
+    pub share: Share,
+}
+
 /// A run.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -173,12 +185,17 @@
     pub groups: Vec<f64>,
     /// The engines at the start.
     pub engines: Engines,
+    /// Managers keep a view of the fleet, by UDP through the fault middle; absent: they do not talk.
+    pub membership: Option<Membership>,
     /// What clients ask.
     pub load: Load,
     /// How the list service answers at first.
     pub lists: Lists,
     /// How long it lasts, in seconds.
     pub seconds: f64,
+    /// A send to a draining engine later than this after its drain was told breaks the rule, in milliseconds; 0 to
+    /// 60,000. The protocol's is 550; tests on busy machines take more.
+    pub drain_grace_ms: f64,
     /// For all that is drawn.
     pub seed: u64,
     /// What happens.
@@ -193,9 +210,11 @@
             start_over_ms: 0.0,
             groups: vec![1.0],
             engines: Engines::default(),
+            membership: None,
             load: Load::default(),
             lists: Lists::Serve,
             seconds: 10.0,
+            drain_grace_ms: DRAIN_GRACE.as_secs_f64() * 1e3,
             seed: 1,
             steps: Vec::new(),
         }
@@ -230,6 +249,7 @@
         within("managers", self.managers as f64, 1.0, MOST_MANAGERS as f64)?;
         within("start_over_ms", self.start_over_ms, 0.0, 60_000.0)?;
         within("seconds", self.seconds, 0.5, LONGEST)?;
+        within("drain_grace_ms", self.drain_grace_ms, 0.0, 60_000.0)?;
         let e = &self.engines;
         let come: usize =
             self.steps.iter().map(|s| if let Act::EnginesCome(n) = s.act { n } else { 0 }).sum();
@@ -242,6 +262,9 @@
         within("load.rate", self.load.rate, 0.0, 5_000.0)?;
         within("load.heavy", self.load.heavy, 0.0, 1.0)?;
         within("load.timeout_ms", self.load.timeout_ms, 100.0, 20_000.0)?;
+        if let Some(m) = &self.membership {
+            m.protocol.check().map_err(|e| format!("membership.protocol.{e}"))?;
+        }
         within("groups", self.groups.len() as f64, 1.0, GROUPS.len() as f64)?;
         within("groups: their sum", self.groups.iter().sum(), 0.999, 1.001)?;
         within("steps", self.steps.len() as f64, 0.0, MOST_STEPS as f64)?;
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -257,6 +257,7 @@
                 self.dispatch(None, out);
             }
             Event::Heard { .. } => {}
+            Event::Fleet { gateways: n, spare: s } => (self.set.gateways, self.set.spare) = (n.max(1), s),
         }
     }
 
@@ -911,7 +912,7 @@
         // The extra ones are counted a little longer than asked, so that no edge matters.
         let from = self.now - b.span;
         let (taken, extra) = (self.taken.after(from), self.extra.after(from - TICK));
-        (extra + 1) as f64 <= b.free + b.share * taken as f64
+        (extra + 1) as f64 <= b.free + b.share * taken as f64 + self.set.spare
     }
 
     /// Work charged to the cold budget: its class's mean. Were small ones charged as such, each of many
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -201,6 +201,8 @@
     pub order_settle: Micros,
     /// The further-attempt budget, if one is set.
     pub attempt_budget: Option<AttemptBudget>,
+    /// Further attempts that others leave to this gateway over its own budget, where the fleet spends together.
+    pub spare: f64,
     /// Price of one probe for each query.
     pub probe_price: f64,
     /// This gateway's zone, by number; `None` where it is not told.
@@ -244,6 +246,7 @@
             start_share: 1.0,
             cold_for: Micros(0),
             cold_ramp: None,
+            spare: 0.0,
             order_settle: Micros(0),
             attempt_budget: None,
             probe_price: 0.0,
@@ -451,6 +454,14 @@
         /// The message.
         message: Vec<u8>,
     },
+    /// News of the fleet, where gateways keep a view of it: among how many it parts what it shares, and what
+    /// the others leave of their further attempts.
+    Fleet {
+        /// Gateways, this one included.
+        gateways: u32,
+        /// Further attempts.
+        spare: f64,
+    },
 }
 
 /// What the module tells a gateway to do.
--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -41,8 +41,9 @@
     fn terms(&self) -> &Terms {
         self.terms()
     }
-    fn on_link_up(self: &Rc<Self>) {
+    fn on_link_up(self: &Rc<Self>, link: &Link) {
         self.linked();
+        self.inner.borrow_mut().reached(link.engine, true);
     }
     /// An engine answered. Only what is said of an attempt on this link is read: second copies, and answers
     /// under ids that never were here, are passed over whatever they hold.
@@ -75,6 +76,9 @@
                 debug!(number, request = format!("{request:016x}"), attempt, "was out on it");
             }
         }
+        if link.dialing() {
+            inner.reached(link.engine, false);
+        }
         let orders = inner.close_link(link, ours);
         self.wake.notify_one();
         inner.work(self, orders);
@@ -87,6 +91,10 @@
         let attempt = entry.sends;
         entry.sends += 1;
         self.tally.attempts += 1;
+        if let Some(shared) = &mut self.shared {
+            let to = self.engines.get(engine).map_or(("", 0), |e| (e.id.as_str(), e.since));
+            shared.sent(now(), attempt > 0, to, entry.cost_ms);
+        }
         let left = entry.deadline - now();
         let links = self.engines.iter().map(|e| e.links.len()).sum::<usize>();
         let dials = self.cold.as_mut().map(|c| &mut c.dials);
--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -75,6 +75,8 @@
     },
     /// The client gave up.
     GivenUp(u64),
+    /// Among how many managers what is shared is parted, and what the others leave of their further attempts.
+    Fleet(u32, f64),
 }
 
 /// What the module wants done.
@@ -244,6 +246,7 @@
                 },
             },
             News::GivenUp(id) => Event::GivenUp { id: RequestId(id) },
+            News::Fleet(gateways, spare) => Event::Fleet { gateways, spare },
         };
         self.give(now, event)
     }
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -234,7 +234,7 @@
     /// A link has ended; `ours` if this side gave up on it.
     fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool);
     /// A link has come up.
-    fn on_link_up(self: &Rc<Self>) {}
+    fn on_link_up(self: &Rc<Self>, _link: &Link) {}
 }
 
 /// Why a link ended: in words, and whether this side gave up on it.
@@ -269,7 +269,7 @@
         return theirs(e);
     }
     link.state.set(State::Up);
-    core.on_link_up();
+    core.on_link_up(link);
     let (reader, writer) = stream.into_split();
     tokio::select! {
         why = read(core, link, reader) => why,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod pool;
 pub mod requests;
 pub mod results;
+mod shared;
 
 use sprucelink_policy::interface::Micros;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -7,6 +7,7 @@
 use super::links::Terms;
 use super::pool::{Buf, Pool, SIZE};
 use super::results::ResultSet;
+use super::shared::Shared;
 use super::{now, span};
 use sprucelink_capture::recorder::Recorder;
 use sprucelink_coldstart::admission::WarmAdmission;
@@ -14,6 +15,7 @@
 use sprucelink_coldstart::held::HeldList;
 use sprucelink_coldstart::ready::Readiness;
 use sprucelink_coldstart::settings::ColdStart;
+use sprucelink_membership::facts::Facts;
 use sprucelink_policy::interface::{Micros, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -78,6 +80,8 @@
     pub(super) once: Option<String>,
     pub(super) statement: Buf,
     pub(super) taken: Micros,
+    /// The client's estimate, or 0.
+    pub(super) cost_ms: f64,
     pub(super) deadline: Micros,
     pub(super) grant_mb: Option<f64>,
     pub(super) level: u8,
@@ -146,6 +150,8 @@
     pub(super) capture_lost: u64,
     /// The cold start's dials and readiness, where it is on.
     pub(super) cold: Option<Cold>,
+    /// What is told to other managers, where they keep a view of the fleet.
+    pub(super) shared: Option<Shared>,
 }
 
 /// What the cold start decides in the core: when new connections may be dialled, what is taken in hand while it
@@ -208,6 +214,7 @@
             seed,
             capture_lost: 0,
             cold: None,
+            shared: None,
         };
         Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new() })
     }
@@ -265,6 +272,26 @@
         cold.ready.next_look()
     }
 
+    /// From now on this manager counts what it tells others: over the ration's span, that of cold budgets, and for
+    /// engines cold for so long.
+    pub fn share(&self, ration: Micros, cold: Micros, cold_for: Micros) {
+        self.inner.borrow_mut().shared = Some(Shared::new(ration, cold, cold_for));
+    }
+
+    /// What it tells others as of now; `None` where nothing is counted.
+    pub fn facts(&self) -> Option<Facts> {
+        self.inner.borrow_mut().shared.as_mut().map(|s| s.facts(now()))
+    }
+
+    /// The fleet's view has changed: among how many managers the module parts what is shared, and what the others
+    /// leave of their further attempts.
+    pub fn fleet(self: &Rc<Self>, gateways: u32, spare: f64) {
+        let mut inner = self.inner.borrow_mut();
+        let orders = inner.facade.report(now(), News::Fleet(gateways, spare));
+        inner.work(self, orders);
+        self.wake.notify_one();
+    }
+
     /// The pool of buffers.
     pub fn pool(&self) -> &Pool {
         &self.pool
@@ -322,6 +349,7 @@
             once: request.once,
             statement: request.statement,
             taken: at,
+            cost_ms: request.asked.cost_ms.unwrap_or(0.0),
             deadline,
             grant_mb: None,
             level: 1,
@@ -333,6 +361,9 @@
         let in_hand = inner.open.len();
         inner.open.insert(id, entry);
         inner.tally.taken += 1;
+        if let Some(shared) = &mut inner.shared {
+            shared.took(at);
+        }
         // What a start does not take in hand yet is refused before the module hears of it: it is told of none
         // that it does not decide on.
         let over = inner.cold.as_mut().and_then(|c| c.admission.admit(at, in_hand).err());
@@ -420,6 +451,12 @@
 }
 
 impl Inner {
+    /// A connection to an engine came up, or failed to.
+    pub(super) fn reached(&mut self, engine: usize, up: bool) {
+        let (Some(shared), Some(e)) = (&mut self.shared, self.engines.get(engine)) else { return };
+        shared.reached(now(), &e.id, up);
+    }
+
     fn due(&self) -> Option<Micros> {
         let deadline = self.deadlines.first().map(|d| d.0);
         let landing = self.landing.first().map(|l| l.0);
--- /dev/null
+++ b/src/core/shared.rs
@@ -0,0 +1,122 @@
+//! What this manager tells others of itself where they keep a view of the fleet: requests taken and further attempts
+//! made of late, engines it cannot reach, work it sent to cold engines. It counts; `sprucelink_membership` decides.
+
+use sprucelink_coldstart::{stable_hash, Micros};
+use sprucelink_membership::facts::Facts;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Events of one count kept at most: older ones go first.
+const MOST: usize = 20_000;
+/// An engine to which a connection failed counts as out of reach for so long, unless one comes up.
+const UNREACHED: Micros = Micros(10_000_000);
+/// Engines of which is noted at most that they are out of reach.
+const MOST_ENGINES: usize = 256;
+
+/// The counts.
+pub(super) struct Shared {
+    /// The ration's span, the cold budget's, and how long an engine is cold.
+    spans: [Micros; 3],
+    taken: VecDeque<Micros>,
+    further: VecDeque<Micros>,
+    cold: VecDeque<(Micros, u64, f64)>,
+    unreached: BTreeMap<u64, Micros>,
+}
+
+/// An engine's name among managers: a hash of its id, for numbers differ.
+fn named(engine: &str) -> u64 {
+    stable_hash(&[engine.as_bytes()])
+}
+
+fn push<T>(queue: &mut VecDeque<T>, one: T) {
+    if queue.len() >= MOST {
+        queue.pop_front();
+    }
+    queue.push_back(one);
+}
+
+impl Shared {
+    /// Nothing counted yet: the ration's span, that of cold budgets, and how long an engine is cold.
+    pub(super) fn new(ration: Micros, cold: Micros, cold_for: Micros) -> Shared {
+        Shared {
+            spans: [ration, cold, cold_for],
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            cold: VecDeque::new(),
+            unreached: BTreeMap::new(),
+        }
+    }
+
+    /// A request was taken.
+    pub(super) fn took(&mut self, now: Micros) {
+        push(&mut self.taken, now);
+    }
+
+    /// An attempt went out: whether a further one, to which engine (its id, and its start in Unix milliseconds or 0),
+    /// of how many milliseconds' work.
+    pub(super) fn sent(&mut self, now: Micros, further: bool, engine: (&str, i64), ms: f64) {
+        if further {
+            push(&mut self.further, now);
+        }
+        if engine.1 > 0 && now - Micros(engine.1.saturating_mul(1_000)) < self.spans[2] {
+            push(&mut self.cold, (now, named(engine.0), ms));
+        }
+    }
+
+    /// A connection to an engine failed, or came up.
+    pub(super) fn reached(&mut self, now: Micros, engine: &str, up: bool) {
+        if up {
+            self.unreached.remove(&named(engine));
+        } else if self.unreached.len() < MOST_ENGINES {
+            self.unreached.insert(named(engine), now);
+        }
+    }
+
+    /// The summary as of now; its version is the membership's to give.
+    pub(super) fn facts(&mut self, now: Micros) -> Facts {
+        let [ration, cold, _] = self.spans;
+        let old = |q: &mut VecDeque<Micros>| {
+            while q.front().is_some_and(|t| now - *t > ration) {
+                q.pop_front();
+            }
+            q.len() as u32
+        };
+        let (taken, spent) = (old(&mut self.taken), old(&mut self.further));
+        while self.cold.front().is_some_and(|c| now - c.0 > cold) {
+            self.cold.pop_front();
+        }
+        self.unreached.retain(|_, t| now - *t <= UNREACHED);
+        let mut by_engine: BTreeMap<u64, f64> = BTreeMap::new();
+        self.cold.iter().for_each(|(_, engine, ms)| *by_engine.entry(*engine).or_default() += ms);
+        let cold =
+            by_engine.into_iter().map(|(e, ms)| (e, ms.clamp(0.0, f64::from(u32::MAX)) as u32)).collect();
+        let mut facts =
+            Facts { version: 0, taken, spent, unreachable: self.unreached.keys().copied().collect(), cold };
+        facts.bound();
+        facts
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_old_counts_no_more() {
+        let s = |t: i64| Micros(t * 1_000_000);
+        let mut shared = Shared::new(s(5), s(2), s(15));
+        shared.took(s(0));
+        shared.took(s(4));
+        shared.sent(s(1), true, ("e", 1), 40.0);
+        shared.sent(s(4), false, ("e", 1), 2.5);
+        shared.sent(s(4), false, ("warm", 0), 9.0);
+        shared.reached(s(1), "x", false);
+        let f = shared.facts(s(4));
+        assert_eq!((f.taken, f.spent, f.cold.clone(), f.unreachable.len()), (2, 1, vec![(named("e"), 2)], 1));
+        let f = shared.facts(s(8));
+        assert_eq!((f.taken, f.spent, f.cold.len(), f.unreachable.len()), (1, 0, 0, 1));
+        shared.reached(s(8), "x", true);
+        assert!(shared.facts(s(9)).unreachable.is_empty());
+        (0..2 * MOST).for_each(|_| shared.took(s(9)));
+        assert!(shared.taken.len() <= MOST);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,7 +31,17 @@
         let set = sprucelink_coldstart::settings::ColdStart::parse(&text(path)?);
         set.map_err(|e| format!("{path}: {e}"))
     });
-    Ok(Start { config, operator: operator.transpose()?, recorder, cold_start: cold_start.transpose()? })
+    let membership = files.membership.as_ref().map(|path| {
+        let set = sprucelink_membership::terms::Settings::parse(&text(path)?);
+        set.map_err(|e| format!("{path}: {e}"))
+    });
+    Ok(Start {
+        config,
+        operator: operator.transpose()?,
+        recorder,
+        cold_start: cold_start.transpose()?,
+        membership: membership.transpose()?,
+    })
 }
 
 /// Runs a command: its exit status, or an error and the exit status.
@@ -63,6 +73,16 @@
                 Some(_) => println!("the cold start's settings will do; they are not enabled"),
                 None => println!("no cold start's settings: the start is as it always was"),
             }
+            match start.membership {
+                Some(m) if m.enabled => println!(
+                    "the membership's settings will do: listen {}, {} seeds, a period of {} ms",
+                    m.listen,
+                    m.seeds.len(),
+                    m.protocol.period_ms
+                ),
+                Some(_) => println!("the membership's settings will do; they are not enabled"),
+                None => println!("no membership's settings: managers do not talk"),
+            }
         }
         Command::Serve(files) => {
             let start = read(&files).map_err(unusable)?;
@@ -76,6 +96,7 @@
         Command::Show { file, json } => return tools::show(&file, json).map_err(unusable),
         Command::Cut(ask) => return tools::cut_out(&ask).map_err(unusable),
         Command::Shape { statement, json } => tools::shape(&statement, json),
+        Command::Members { address, json } => tools::members(address, json).map_err(|e| (e, 1))?,
         Command::Verify { files, json } => return tools::verify(&files, json).map_err(unusable),
     }
     Ok(0)
--- a/src/run/args.rs
+++ b/src/run/args.rs
@@ -50,6 +50,13 @@
         /// Answer in JSON.
         json: bool,
     },
+    /// Shows the view of the fleet that a running manager holds.
+    Members {
+        /// Where its membership listens.
+        address: std::net::SocketAddr,
+        /// Answer in JSON.
+        json: bool,
+    },
     /// Say the version.
     Version,
     /// Say how to call: all, or one sub-command.
@@ -71,6 +78,8 @@
     pub recorder: Option<String>,
     /// The cold start's settings, JSON5; without them the program starts as it always did.
     pub cold_start: Option<String>,
+    /// The membership's settings, JSON5; without them managers do not talk.
+    pub membership: Option<String>,
     /// How log lines are written.
     pub logging: Logging,
 }
@@ -150,11 +159,11 @@
     help: &'static str,
 }
 
-const SUBS: [Sub; 10] = [
+const SUBS: [Sub; 11] = [
     Sub {
         name: "serve",
         usage: "[--config FILE] [--listen ADDRESS] [--operator FILE] [--capture DIR] [--recorder FILE]\n\
-                [--cold-start FILE] [--log-format text|json] [--log-level LEVEL]",
+                [--cold-start FILE] [--membership FILE] [--log-format text|json] [--log-level LEVEL]",
         help: "\
 Serves clients until SIGTERM or SIGINT.
 
@@ -164,6 +173,7 @@
   --capture DIR       records what the deciding part is told and answers, in a ring of files in DIR
   --recorder FILE     the recorder's limits (JSON5, such as deploy/capture.json5); --capture goes before its dir
   --cold-start FILE   how a start spares the list service and the engines (JSON5, such as deploy/cold-start.json5)
+  --membership FILE   a view of the fleet that managers keep among themselves (JSON5, such as deploy/membership.json5)
   --log-format FORMAT text lines (the default) or json, one object a line
   --log-level LEVEL   error, warn, info (the default), debug or trace
 ",
@@ -171,7 +181,7 @@
     Sub {
         name: "check",
         usage: "[--config FILE] [--listen ADDRESS] [--operator FILE] [--capture DIR] [--recorder FILE]\n\
-                [--cold-start FILE]",
+                [--cold-start FILE] [--membership FILE]",
         help: "\
 Reads the files that `serve` would and says whether they will do. Options as for `serve`.
 ",
@@ -236,12 +246,25 @@
         usage: "SQL [--json]",
         help: "\
 Tells a statement's fingerprint, its normal form and what is known of it, as the program reads it.
+",
+    },
+    Sub {
+        name: "fleet members",
+        usage: "ADDRESS [--json]",
+        help: "\
+Shows the view of the fleet that a running manager holds: ADDRESS is where its membership listens (UDP), as its log
+says. Exit status: 0 shown, 1 no answer, 2 a bad command line.
+
+  --json              one JSON object a line
 ",
     },
     Sub { name: "version", usage: "", help: "Says the version.\n" },
     Sub { name: "help", usage: "[COMMAND]", help: "Says how to call the program, or one sub-command.\n" },
 ];
 
+/// First words of sub-commands of two words.
+const FAMILIES: [&str; 3] = ["capture", "shapes", "fleet"];
+
 /// How to call the program, or one sub-command of it.
 pub fn usage(of: Option<&str>) -> String {
     let line = |s: &Sub| {
@@ -321,6 +344,7 @@
         "capture" => g.files.capture = Some(value()?),
         "recorder" => g.files.recorder = Some(value()?),
         "cold-start" => g.files.cold_start = Some(value()?),
+        "membership" => g.files.membership = Some(value()?),
         "log-format" => g.files.logging.format = value()?.parse()?,
         "log-level" => g.files.logging.level = logging::level(&value()?)?,
         "times" => {
@@ -370,7 +394,7 @@
     let sub = sub.ok_or_else(|| {
         format!(
             "no such command: {}",
-            two.filter(|_| first == "capture" || first == "shapes").unwrap_or_else(|| first.clone())
+            two.filter(|_| FAMILIES.contains(&first.as_str())).unwrap_or_else(|| first.clone())
         )
     })?;
     Ok((sub.name, &words[1..]))
@@ -394,7 +418,7 @@
         return Err(format!("{name}: invalid option '--{other}'"));
     }
     let most = match name {
-        "replay" | "explain" | "capture show" | "capture cut" | "shapes explain" => 1,
+        "replay" | "explain" | "capture show" | "capture cut" | "shapes explain" | "fleet members" => 1,
         "help" => 2,
         "capture verify" => usize::MAX,
         _ => 0,
@@ -433,11 +457,17 @@
             let statement = rest.first().cloned().ok_or("shapes explain: a statement is missing")?;
             Command::Shape { statement, json: g.json }
         }
+        "fleet members" => {
+            let address = rest.first().ok_or("fleet members: an address is missing")?;
+            let address =
+                address.parse().map_err(|_| format!("fleet members: {address:?} is no address and port"))?;
+            Command::Members { address, json: g.json }
+        }
         "version" => Command::Version,
         _ => {
             let of = rest.join(" ");
             let sub = SUBS.iter().find(|s| s.name == of).map(|s| s.name);
-            if sub.is_none() && !of.is_empty() && of != "capture" && of != "shapes" {
+            if sub.is_none() && !of.is_empty() && !FAMILIES.contains(&of.as_str()) {
                 return Err(format!("no such command: {of}"));
             }
             Command::Help(sub)
--- /dev/null
+++ b/src/run/members.rs
@@ -0,0 +1,228 @@
+//! The acting half of the membership: a UDP socket, a clock, and what the core tells and is told. What is decided is
+//! decided in `sprucelink_membership`. Never on the platform.
+
+use crate::core::requests::Core;
+use crate::core::{now, span};
+use sprucelink_coldstart::stable_hash;
+use sprucelink_membership::codec::{self, MOST_DATAGRAM};
+use sprucelink_membership::pool::{self, Ration};
+use sprucelink_membership::swim::{Me, Swim, What};
+use sprucelink_membership::terms::Settings;
+use sprucelink_policy::interface::{AttemptBudget, Micros};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+/// Datagrams read in one turn at most: the serving path gets its own turn between.
+const IN_A_TURN: usize = 32;
+/// Least rest between two turns of the clock.
+const LEAST_REST: Duration = Duration::from_millis(2);
+/// Span of the counts where no ration is told: the protocol's.
+const RATION_SPAN: Micros = Micros(5_000_000);
+/// Between two lines of figures.
+const FIGURES: Micros = Micros(60_000_000);
+/// Members over which summaries come more rarely, and by how much for each.
+const CROWD: usize = 100;
+const CROWD_MS: f64 = 10.0;
+/// Datagrams that could not be read are told of so often at most, between two lines of figures.
+const MOST_COMPLAINTS: u32 = 10;
+
+/// What the fleet's view needs from the settings of the deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// Managers, as the settings tell.
+    pub gateways: u32,
+    /// The rule on further attempts.
+    pub ration: Option<AttemptBudget>,
+    /// The span of cold budgets.
+    pub cold_span: Micros,
+    /// How long an engine is cold.
+    pub cold_for: Micros,
+}
+
+/// Opens the socket and keeps the view from then on, in a task of its own: a call to it tells others that this
+/// member leaves.
+///
+/// # Errors
+/// Where the address cannot be listened on: the start fails.
+pub async fn keep(
+    core: Rc<Core>,
+    set: Settings,
+    name: &str,
+    seed: u64,
+    told: Told,
+) -> Result<Leaver, String> {
+    let socket =
+        UdpSocket::bind(&set.listen).await.map_err(|e| format!("membership on {}: {e}", set.listen))?;
+    let at = socket.local_addr().map_err(|e| format!("membership: {e}"))?;
+    let address = set.advertise.as_ref().and_then(|a| a.parse().ok()).unwrap_or(at);
+    let name = if name.is_empty() { address.to_string() } else { name.chars().take(32).collect() };
+    // Two lives of one name differ by their start; the clock's milliseconds tell them apart.
+    let life = (now().0 / 1_000).max(1) as u64;
+    let me = Me { name, life, address, zone: set.zone.clone(), region: set.region.clone() };
+    let seeds = set.seeds.iter().filter_map(|s| s.parse().ok()).collect();
+    let seed = seed ^ stable_hash(&[me.name.as_bytes()]);
+    let swim = Swim::new(me, seeds, set.protocol, seed, now());
+    core.share(told.ration.map_or(RATION_SPAN, |r| r.span), told.cold_span, told.cold_for);
+    info!(%address, "membership on {at}, reached at {address}");
+    let (leaver, leaving) = tokio::sync::oneshot::channel();
+    let keeper = Keeper {
+        core,
+        set,
+        told,
+        swim,
+        socket,
+        next_facts: now(),
+        next_figures: now() + FIGURES,
+        complaints: 0,
+        applied: None,
+    };
+    let done = tokio::task::spawn_local(keeper.run(leaving));
+    Ok(Leaver { leaver, done })
+}
+
+/// Tells others that this member leaves.
+pub struct Leaver {
+    leaver: tokio::sync::oneshot::Sender<()>,
+    done: tokio::task::JoinHandle<()>,
+}
+
+impl Leaver {
+    /// Says so, and waits until it is said, a moment at most.
+    pub async fn leave(self) {
+        if self.leaver.send(()).is_ok() {
+            let _ = timeout(Duration::from_millis(100), self.done).await;
+        }
+    }
+}
+
+struct Keeper {
+    core: Rc<Core>,
+    set: Settings,
+    told: Told,
+    swim: Swim,
+    socket: UdpSocket,
+    next_facts: Micros,
+    next_figures: Micros,
+    complaints: u32,
+    applied: Option<(u32, f64)>,
+}
+
+impl Keeper {
+    async fn run(mut self, mut leaving: tokio::sync::oneshot::Receiver<()>) {
+        let mut bytes = [0u8; MOST_DATAGRAM + 1];
+        loop {
+            let due = self.swim.due().min(self.next_facts);
+            let rest = span(due - now()).max(LEAST_REST);
+            tokio::select! {
+                () = sleep(rest) => {}
+                got = self.socket.recv_from(&mut bytes) => self.took(got, &mut bytes),
+                _ = &mut leaving => {
+                    self.swim.leave(now());
+                    self.send().await;
+                    return;
+                }
+            }
+            self.swim.tick(now());
+            self.facts();
+            self.send().await;
+            self.say();
+        }
+    }
+
+    /// Takes a datagram, and those that wait behind it.
+    fn took(&mut self, mut got: std::io::Result<(usize, SocketAddr)>, bytes: &mut [u8]) {
+        for _ in 0..IN_A_TURN {
+            match got {
+                Ok((n, from)) => match codec::read(&bytes[..n]) {
+                    Ok(message) => self.swim.receive(now(), message),
+                    Err(e) if self.complaints < MOST_COMPLAINTS => {
+                        self.complaints += 1;
+                        warn!("membership: a datagram from {from} was passed over: {e}");
+                    }
+                    Err(_) => {}
+                },
+                // What came back from a closed port: the member there is probed all the same.
+                Err(_) => return,
+            }
+            got = match self.socket.try_recv_from(bytes) {
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                got => got,
+            };
+        }
+    }
+
+    async fn send(&mut self) {
+        for (to, message) in self.swim.outbox() {
+            let (bytes, _) = codec::write(&message);
+            // A datagram that cannot be sent is one that was lost.
+            let _ = self.socket.send_to(&bytes, to).await;
+        }
+    }
+
+    /// Tells the others of this manager, and the core of the others.
+    fn facts(&mut self) {
+        if now() < self.next_facts {
+            return;
+        }
+        let size = self.swim.size();
+        let crowd = CROWD_MS * size.saturating_sub(CROWD) as f64;
+        self.next_facts = now() + Micros::from_secs((self.set.share.every_ms + crowd) / 1e3);
+        if let Some(facts) = self.core.facts() {
+            self.swim.set_facts(facts);
+        }
+        if !self.set.share.ration && !self.set.share.parts {
+            return;
+        }
+        let told = self.told.gateways;
+        let gateways = if self.set.share.parts { pool::parted_among(size, told) } else { told };
+        let spare = match self.told.ration.filter(|_| self.set.share.ration) {
+            Some(r) => {
+                let board = self.swim.board();
+                let others: Vec<_> =
+                    self.swim.here().filter_map(|m| board.get(&m.name)).map(|f| f.1).collect();
+                pool::spare_attempts(Ration { free: r.free, share: r.share }, &others, size)
+            }
+            None => 0.0,
+        };
+        if self.applied != Some((gateways, spare)) {
+            self.applied = Some((gateways, spare));
+            self.core.fleet(gateways, spare);
+        }
+    }
+
+    fn say(&mut self) {
+        let here = self.swim.size();
+        for c in self.swim.changes() {
+            let what = match c.what {
+                What::Joined => "joined",
+                What::Restarted => "restarted",
+                What::Suspected => "suspected",
+                What::Refuted => "refuted",
+                What::Died => "died",
+                What::Left => "left",
+                What::Superseded => "superseded: a later process has this manager's name",
+            };
+            info!(member = %c.name, what, by = %c.by, here, "fleet: {} {what}, by {}, {here} here", c.name, c.by);
+        }
+        if now() >= self.next_figures {
+            (self.next_figures, self.complaints) = (now() + FIGURES, 0);
+            let c = self.swim.counters();
+            info!(
+                here,
+                sent = c.sent,
+                received = c.received,
+                "fleet: {here} here, sent {}, received {}, suspicions {}, refutations {}, health {}, stopped {}",
+                c.sent,
+                c.received,
+                c.suspicions,
+                c.refutations,
+                self.swim.health(),
+                c.stopped
+            );
+        }
+    }
+}
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -4,6 +4,7 @@
 pub mod args;
 pub mod config;
 pub mod logging;
+pub mod members;
 pub mod operator;
 pub mod serve;
 pub mod tools;
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -3,6 +3,7 @@
 use super::acme;
 use super::args::Files;
 use super::config::Config;
+use super::members::{self, Told};
 use super::operator::Operator;
 use crate::core::pool::Pool;
 use crate::core::requests::Core;
@@ -12,6 +13,7 @@
 use sprucelink_capture::settings::Settings;
 use sprucelink_coldstart::lists::ListCalls;
 use sprucelink_coldstart::settings::ColdStart;
+use sprucelink_membership::terms::Settings as Membership;
 use sprucelink_policy::interface::Micros;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +41,8 @@
     pub recorder: Option<Settings>,
     /// The cold start; without it, or not enabled, the start is as it always was.
     pub cold_start: Option<ColdStart>,
+    /// The view of the fleet that managers keep; without it, or not enabled, managers do not talk.
+    pub membership: Option<Membership>,
 }
 
 /// Reads the configuration's file anew.
@@ -77,7 +81,7 @@
 }
 
 async fn run(start: Start, files: Files, reread: Reread) -> Result<(), String> {
-    let Start { config, operator, recorder, cold_start } = start;
+    let Start { config, operator, recorder, cold_start, membership } = start;
     let cold_start = cold_start.filter(|c| c.enabled);
     // Before anything is awaited: a signal without its handler would end the program.
     let hup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
@@ -87,6 +91,12 @@
     let fleet = config.settings.gateways;
     let seed = config.seed;
     let mut settings = config.settings;
+    let told = Told {
+        gateways: settings.gateways,
+        ration: settings.attempt_budget,
+        cold_span: settings.fall_span,
+        cold_for: settings.cold_for,
+    };
     settings.cold_ramp = cold_start.and_then(|c| c.first_load.ramp());
     let core = Core::new(settings, seed, config.names, config.terms, Pool::new(config.buffers));
     if let Some(cold) = &cold_start {
@@ -113,6 +123,10 @@
         let window = calls.window().secs();
         info!(window, fleet, "cold start: first call for lists within {window:.3} s, of {fleet} managers");
     }
+    let member = match membership.filter(|m| m.enabled) {
+        Some(set) => Some(members::keep(Rc::clone(&core), set, &config.name, seed, told).await?),
+        None => None,
+    };
     let mut ticking = spawn_local(Rc::clone(&core).run());
     let (moved, address) = watch::channel(config.feed);
     spawn_local(feed::follow(Rc::clone(&core), address, calls));
@@ -144,6 +158,9 @@
     while fronts.iter().any(|f| f.0.busy() > 0) && Instant::now() < stop {
         sleep(LOOK).await;
     }
+    if let Some(member) = member {
+        member.leave().await;
+    }
     core.record(None);
     info!(open = core.open(), "stopped: {} open", core.open());
     Ok(())
--- a/src/run/tools.rs
+++ b/src/run/tools.rs
@@ -373,3 +373,36 @@
     }
     Ok(Some(set))
 }
+
+/// `sprucelink fleet members`.
+///
+/// # Errors
+/// Where nobody answers.
+pub fn members(at: std::net::SocketAddr, as_json: bool) -> Result<(), String> {
+    let all = sprucelink_membership::ask::view(at).map_err(|e| format!("{at}: {e}"))?;
+    if !as_json {
+        println!(
+            "{:<20} {:<8} {:<22} {:<10} {:<10} {:>14} {:>5}",
+            "member", "state", "address", "zone", "region", "life", "inc"
+        );
+    }
+    for m in all {
+        let state = format!("{:?}", m.state).to_lowercase();
+        if as_json {
+            let (name, address, zone, region) = (m.name, m.address.to_string(), m.zone, m.region);
+            let (life, incarnation) = (m.life, m.incarnation);
+            println!(
+                "{}",
+                serde_json::json!({"member": name, "state": state, "address": address, "zone": zone,
+                    "region": region, "life": life, "incarnation": incarnation})
+            );
+        } else {
+            let address = m.address.to_string();
+            println!(
+                "{:<20} {state:<8} {address:<22} {:<10} {:<10} {:>14} {:>5}",
+                m.name, m.zone, m.region, m.life, m.incarnation
+            );
+        }
+    }
+    Ok(())
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -353,8 +353,9 @@
         fall_span: p.span("invariants.overloadFor")?,
         start_share: p.num("invariants.startCapacity", 1.0)?,
         cold_for: p.span("invariants.cold")?,
-        // Told by no message: the cold start's own setting.
+        // Told by no message: the cold start's own setting, and what a fleet leaves.
         cold_ramp: None,
+        spare: 0.0,
         order_settle: p.span("invariants.orderSettle")?,
         attempt_budget: budget,
         probe_price: p.num("prices.probe", 0.0)?,
--- /dev/null
+++ b/tests/fleet_view.rs
@@ -0,0 +1,137 @@
+//! The view of the fleet that managers keep themselves: several processes of the program, with faults between them.
+//! The protocol runs five times as fast as by default. What virtual time shows better is in
+//! `crates/membership/tests/model.rs`; docs/measurements/membership.md has the figures at 10 to 1,000.
+use sprucelink_fleetrig::run::{self, Outcome, Program};
+use sprucelink_fleetrig::scenario::Scenario;
+
+/// A period of 200 ms: a crash is known within some seconds, and a busy machine still answers in time.
+const FAST: &str = "protocol: { period_ms: 200, timeout_ms: 80, gossip_ms: 50, rejoin_ms: 500 }";
+
+fn play(name: &str, scenario: &str) -> Outcome {
+    let scenario = Scenario::parse(scenario).expect("a scenario");
+    let dir = run::scratch(name);
+    let program =
+        Program { path: env!("CARGO_BIN_EXE_sprucelink").into(), args: Vec::new(), dir: dir.clone() };
+    let got = run::run(&scenario, &program).expect("carried out");
+    run::clear(&dir);
+    for v in got.views.iter().step_by(4) {
+        eprintln!("{name} {:6.2} s: {} of {} right, {} views", v.at, v.right, v.asked, v.different);
+    }
+    assert_eq!((got.report.up, got.report.crashed), (got.report.managers, 0));
+    assert_eq!(got.report.lost, 0, "what the managers serve is not touched");
+    got
+}
+
+/// Lines of all logs that hold both texts.
+fn lines(got: &Outcome, one: &str, other: &str) -> usize {
+    got.logs.iter().flat_map(|l| l.lines()).filter(|l| l.contains(one) && l.contains(other)).count()
+}
+
+/// One is killed outright and comes back later under its name: the others know both, and nobody else is blamed.
+#[test]
+fn a_killed_manager_is_missed_and_a_new_process_takes_its_place() {
+    let got = play(
+        "view-kill",
+        &format!(
+            "{{ managers: 5, seconds: 18, load: {{ rate: 20 }}, engines: {{ count: 2 }}, membership: {{ {FAST} }},
+                steps: [ {{ at: 4, do: {{ kill: {{ from: 0.8, to: 1 }} }} }},
+                         {{ at: 13, do: {{ restart: {{ from: 0.8, to: 1 }} }} }} ] }}"
+        ),
+    );
+    assert!(got.agreed(0.0, 4.0).is_some(), "they come to one view");
+    assert!(got.agreed(4.0, 13.0).is_some(), "without the dead one");
+    assert!(got.agreed(13.0, 18.5).is_some(), "and with the new process");
+    assert_eq!(lines(&got, "fleet: n4 died", ""), 4);
+    assert_eq!(
+        lines(&got, "fleet: n4 restarted", "") + lines(&got, "fleet: n4 joined", ""),
+        8,
+        "twice, by four"
+    );
+}
+
+/// Two thirds and one third cut off from each other: two views, each right about its own side; after the healing one.
+#[test]
+fn a_partition_gives_two_views_and_heals_to_one() {
+    let part = |p: bool| {
+        format!(
+            "{{ fault: {{ from: 'a', to: 'b', rule: {{ partition: {p} }} }} }} }}, {{ at: AT, do: {{ fault: {{ from: 'b', to: 'a', rule: {{ partition: {p} }} }} }}"
+        )
+    };
+    let (cut, heal) = (part(true).replace("AT", "4"), part(false).replace("AT", "14"));
+    let got = play(
+        "view-part",
+        &format!(
+            "{{ managers: 6, groups: [0.667, 0.333], seconds: 26, load: {{ rate: 20 }}, engines: {{ count: 2 }},
+                membership: {{ {FAST} }}, steps: [ {{ at: 4, do: {cut} }}, {{ at: 14, do: {heal} }} ] }}"
+        ),
+    );
+    assert!(got.agreed(0.0, 4.0).is_some(), "they come to one view");
+    let parted = got.views.iter().rfind(|v| v.at < 14.0).expect("views");
+    assert_eq!((parted.different, parted.right), (2, 0), "two sides: {parted:?}");
+    // Four hold four, two hold two, of six.
+    assert_eq!(parted.wrong, 4 * 2 + 2 * 4);
+    assert!(got.agreed(14.0, 26.5).is_some(), "one view again");
+}
+
+/// One is stopped (SIGSTOP) for longer than its suspicion lasts: it is taken for dead, goes on, refutes, and blames
+/// nobody for what it slept through.
+#[test]
+fn a_stopped_manager_comes_back_and_refutes() {
+    let got = play(
+        "view-stop",
+        &format!(
+            "{{ managers: 5, seconds: 22, load: {{ rate: 20 }}, engines: {{ count: 2 }}, membership: {{ {FAST} }},
+                steps: [ {{ at: 4, do: {{ pause: {{ from: 0.8, to: 1 }} }} }},
+                         {{ at: 14, do: {{ resume: {{ from: 0.8, to: 1 }} }} }} ] }}"
+        ),
+    );
+    assert!(got.agreed(4.0, 14.0).is_some(), "without the one that is stopped");
+    assert!(got.agreed(14.0, 22.5).is_some(), "and with it again");
+    assert!(lines(&got, "fleet: n4 refuted", "") >= 1, "it refuted its death");
+    assert_eq!(lines(&got, "died, by n4", ""), 0, "it blamed nobody");
+}
+
+/// One in ten datagrams lost, some held up, some garbled: nobody dies.
+#[test]
+fn loss_delay_and_garbled_datagrams_kill_nobody() {
+    let got = play(
+        "view-loss",
+        &format!(
+            "{{ managers: 5, seconds: 20, load: {{ rate: 20 }}, engines: {{ count: 2 }}, membership: {{ {FAST} }},
+                steps: [ {{ at: 3, do: {{ fault: {{ from: 'a', to: 'a',
+                             rule: {{ drop: 0.1, garble: 0.05, delay_ms: 2, jitter_ms: 10 }} }} }} }} ] }}"
+        ),
+    );
+    assert!(got.agreed(0.0, 4.0).is_some());
+    assert_eq!(lines(&got, "fleet: ", " died"), 0);
+    assert!(lines(&got, "was passed over", "checksum") > 0, "garbled ones are told of");
+}
+
+/// Three in ten lost: what is wrongly suspected refutes, and once the loss ends there is one view.
+#[test]
+fn heavy_loss_settles_once_it_ends() {
+    let got = play(
+        "view-heavy",
+        &format!(
+            "{{ managers: 5, seconds: 22, load: {{ rate: 20 }}, engines: {{ count: 2 }}, membership: {{ {FAST} }},
+                steps: [ {{ at: 3, do: {{ fault: {{ from: 'a', to: 'a', rule: {{ drop: 0.3 }} }} }} }},
+                         {{ at: 13, do: 'heal' }} ] }}"
+        ),
+    );
+    assert!(got.agreed(13.0, 22.5).is_some());
+}
+
+/// SIGTERM: a manager says that it leaves, and nobody has to suspect it.
+#[test]
+fn a_manager_that_stops_in_order_leaves() {
+    let got = play(
+        "view-leave",
+        &format!(
+            "{{ managers: 4, seconds: 14, load: {{ rate: 20 }}, engines: {{ count: 2 }}, membership: {{ {FAST} }},
+                steps: [ {{ at: 4, do: {{ roll: {{ from: 0.75, to: 1 }} }} }} ] }}"
+        ),
+    );
+    assert!(lines(&got, "fleet: n3 left", "") >= 1);
+    assert_eq!(lines(&got, "fleet: n3 died", ""), 0);
+    assert!(got.agreed(6.0, 14.5).is_some(), "and it comes back");
+}
