--- a/crates/fleetrig/src/bin/sprucelink-fleet.rs
+++ b/crates/fleetrig/src/bin/sprucelink-fleet.rs
@@ -4,15 +4,15 @@
 #![deny(missing_docs)]
 
 use lexopt::prelude::*;
-use sprucelink_fleetrig::report::{chart, Report, Series};
-use sprucelink_fleetrig::run::{self, Outcome, Program};
+use sprucelink_fleetrig::report::{chart, Report, Series, BUCKET};
+use sprucelink_fleetrig::run::{self, Outcome, Program, Views};
 use sprucelink_fleetrig::scenario::Scenario;
 use std::path::{Path, PathBuf};
 
 const USAGE: &str = "\
 usage: sprucelink-fleet run SCENARIO.json5 [--cold-start FILE] [--pair FILE] [--managers N] [--rate R]
                         [--seed N] [--repeat N] [--out DIR] [--format csv|json] [--program PATH]
-                        [--keep-logs DIR]
+                        [--keep-logs DIR] [--share none|ration|parts|all]
        sprucelink-fleet check SCENARIO.json5...
 
 run    Starts the managers, stand-ins and clients of a scenario, does its steps, and prints one line of figures.
@@ -24,6 +24,7 @@
        --format           the figures as csv (the default) or one JSON object a line
        --program PATH     instead of target/release/sprucelink
        --keep-logs DIR    the managers' last logs are left there
+       --share WHAT       what managers that keep a view spend as a fleet, instead of what the scenario says
 check  Reads scenarios and says whether they will do.
 
 Exit status: 0 done, 1 a run could not be carried out, 2 a bad command line or scenario.
@@ -40,6 +41,7 @@
     json: bool,
     program: PathBuf,
     logs: Option<PathBuf>,
+    share: Option<(bool, bool)>,
     only_check: bool,
 }
 
@@ -71,6 +73,7 @@
         json: false,
         program: PathBuf::from("target/release/sprucelink"),
         logs: None,
+        share: None,
         only_check: false,
     };
     let mut command: Option<String> = None;
@@ -90,6 +93,15 @@
             },
             Long("program") => ask.program = text(&mut p)?.into(),
             Long("keep-logs") => ask.logs = Some(text(&mut p)?.into()),
+            Long("share") => {
+                ask.share = Some(match text(&mut p)?.as_str() {
+                    "none" => (false, false),
+                    "ration" => (true, false),
+                    "parts" => (false, true),
+                    "all" => (true, true),
+                    other => return Err(format!("--share: none, ration, parts or all, not {other:?}")),
+                });
+            }
             Long("help") | Short('h') => return Err("help".into()),
             Value(v) if command.is_none() => command = Some(v.string().map_err(|e| format!("{e:?}"))?),
             Value(v) => ask.files.push(v.into()),
@@ -131,6 +143,10 @@
     scenario.managers = ask.managers.unwrap_or(scenario.managers);
     scenario.load.rate = ask.rate.unwrap_or(scenario.load.rate);
     scenario.seed = ask.seed.unwrap_or(scenario.seed);
+    if let Some((ration, parts)) = ask.share {
+        let m = scenario.membership.get_or_insert_default();
+        (m.share.ration, m.share.parts) = (ration, parts);
+    }
     scenario.check().unwrap_or_else(|e| bad(&e));
     if let Err(e) = carry_out(&ask, &scenario) {
         eprintln!("sprucelink-fleet: {e}");
@@ -173,6 +189,24 @@
     Ok(())
 }
 
+/// Managers asked, those whose view is right, and different views, each bucket with what was last seen.
+fn views(got: &Outcome) -> Vec<Series<'static>> {
+    let n = got.calls.len();
+    let at = |i: usize| {
+        let end = (i + 1) as f64 * BUCKET.as_secs_f64();
+        got.views.iter().rfind(|v| v.at < end)
+    };
+    let series = |name, of: fn(&Views) -> usize| Series {
+        name,
+        values: (0..n).map(|i| at(i).map_or(0.0, |v| of(v) as f64)).collect(),
+    };
+    vec![
+        series("managers asked", |v| v.asked),
+        series("view right", |v| v.right),
+        series("different views", |v| v.different),
+    ]
+}
+
 fn draw(file: &Path, scenario: &Scenario, how: &str, got: &Outcome) -> Result<(), String> {
     let line = |name, values: &[u32]| Series { name, values: values.iter().map(|v| f64::from(*v)).collect() };
     let r = &got.requests;
@@ -184,5 +218,9 @@
     ];
     let sums = vec![line("list calls", &got.calls), line("dials", &got.dials)];
     let title = format!("{}: {} managers, cold start {how}", scenario.name, scenario.managers);
-    chart(file, &title, &[("requests in 250 ms", requests), ("calls and dials in 250 ms", sums)])
+    let mut panels = vec![("requests in 250 ms", requests), ("calls and dials in 250 ms", sums)];
+    if !got.views.is_empty() {
+        panels.push(("views of the fleet", views(got)));
+    }
+    chart(file, &title, &panels)
 }
--- a/crates/fleetrig/src/procs.rs
+++ b/crates/fleetrig/src/procs.rs
@@ -159,6 +159,17 @@
         child.try_wait().ok().flatten().map(|s| s.code())
     }
 
+    /// Processor time that manager `i`'s process has used so far, in seconds, as the kernel accounts it.
+    pub fn cpu(&self, i: usize) -> Option<f64> {
+        let pid = self.managers.get(i)?.child.as_ref()?.id();
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        // Behind the name in parentheses: the 12th and 13th fields are user and system time, in ticks (proc(5)).
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        let a_second = nix::unistd::sysconf(nix::unistd::SysconfVar::CLK_TCK).ok()??;
+        Some(ticks / a_second as f64)
+    }
+
     /// Whether manager `i` has a process of its own that this rig has not seen end.
     pub fn runs(&self, i: usize) -> bool {
         self.managers.get(i).is_some_and(|m| m.child.is_some())
--- a/crates/fleetrig/src/report.rs
+++ b/crates/fleetrig/src/report.rs
@@ -93,6 +93,11 @@
     pub dials_engine_100ms: usize,
     /// Threads at work on one engine at most.
     pub most_threads: f64,
+    /// Processor time of a manager's process, in seconds, in the mean of those that run at the end.
+    pub cpu_s: f64,
+    /// Seconds from the start until all views of the fleet were right for good; none if they were not at the end, 0
+    /// where none are kept.
+    pub agreed_s: f64,
     /// What the engines saw.
     pub breaches: Breaches,
 }
@@ -126,6 +131,8 @@
             ("dials_1s", self.dials_1s.to_string()),
             ("dials_engine_100ms", self.dials_engine_100ms.to_string()),
             ("most_threads", format!("{:.0}", self.most_threads)),
+            ("cpu_s", format!("{:.2}", self.cpu_s)),
+            ("agreed_s", format!("{:.2}", self.agreed_s)),
             ("attempts", b.attempts.to_string()),
             ("further", b.further.to_string()),
             ("second_attempts", b.second_attempts.to_string()),
--- a/crates/fleetrig/src/run.rs
+++ b/crates/fleetrig/src/run.rs
@@ -37,6 +37,8 @@
 const LOOK_VIEWS: Duration = Duration::from_millis(250);
 const ASKERS: usize = 8;
 const MOST_VIEWS: usize = 10_000;
+/// Managers that a client of one that is down tries at most.
+const FOLLOWED: usize = 8;
 /// Managers that all others know as seeds.
 const SEEDS: usize = 3;
 /// Requests of one manager that are open at once at most; more are not asked.
@@ -157,6 +159,12 @@
     move |e| format!("{what}: {e}")
 }
 
+/// Where a seat's manager takes new requests now.
+fn where_at(seat: &Mutex<Seat>) -> Option<SocketAddr> {
+    let s = seat.lock().unwrap_or_else(PoisonError::into_inner);
+    s.at.filter(|_| s.until.is_none_or(|u| Instant::now() < u))
+}
+
 /// Names that a manager holds as here, its own among them; `None` where it did not answer.
 fn held_by(real: SocketAddr) -> Option<BTreeSet<String>> {
     let all = sprucelink_membership::ask::view(real).ok()?;
@@ -187,9 +195,14 @@
         std::thread::sleep(LOOK);
     }
     let logs = (0..rig.fleet.managers.len()).map(|i| rig.fleet.log(i)).collect();
+    let used: Vec<f64> = (0..rig.fleet.managers.len()).filter_map(|i| rig.fleet.cpu(i)).collect();
+    let cpu = used.iter().sum::<f64>() / used.len().max(1) as f64;
     rig.fleet.end_all();
     done?;
-    Ok(rig.outcome(logs))
+    let mut got = rig.outcome(logs);
+    got.report.cpu_s = cpu;
+    got.report.agreed_s = got.agreed(0.0, scenario.seconds).unwrap_or(f64::NAN);
+    Ok(got)
 }
 
 impl<'a> Rig<'a> {
@@ -592,7 +605,9 @@
         let gap = self.scenario.managers as f64 / load.rate;
         let end = self.start + Duration::from_secs_f64(self.scenario.seconds);
         let one = |(i, seat): (usize, &Arc<Mutex<Seat>>)| {
-            let (seat, ended, start) = (Arc::clone(seat), Arc::clone(&self.ended), self.start);
+            let (own, ended, start) = (Arc::clone(seat), Arc::clone(&self.ended), self.start);
+            let all: Vec<_> =
+                if load.follow { self.seats.iter().map(Arc::downgrade).collect() } else { Vec::new() };
             let mut rng = ChaCha8Rng::seed_from_u64(self.scenario.seed ^ (0xc11e << 32) ^ i as u64);
             runtime().spawn(async move {
                 let mut due = start;
@@ -605,15 +620,18 @@
                     sleep_until(due.into()).await;
                     let (id, key) = (rng.gen::<u64>(), rng.gen::<u64>());
                     let heavy = rng.gen_bool(load.heavy);
-                    let at = {
-                        let s = seat.lock().unwrap_or_else(PoisonError::into_inner);
-                        s.at.filter(|_| s.until.is_none_or(|u| Instant::now() < u))
-                    };
-                    let Some(at) = at else { continue };
+                    let mut seat = Arc::clone(&own);
+                    for _ in 0..FOLLOWED {
+                        if where_at(&seat).is_some() || all.is_empty() {
+                            break;
+                        }
+                        seat = all[rng.gen_range(0..all.len())].upgrade().unwrap_or(seat);
+                    }
+                    let Some(at) = where_at(&seat) else { continue };
                     if Arc::strong_count(&seat) > MOST_OPEN {
                         continue;
                     }
-                    let (seat, ended) = (Arc::clone(&seat), Arc::clone(&ended));
+                    let ended = Arc::clone(&ended);
                     let ms = if heavy { heavy_ms } else { light_ms };
                     let ask =
                         Ask { id, heavy, key, ms, timeout: Duration::from_secs_f64(load.timeout_ms / 1e3) };
--- a/crates/fleetrig/src/scenario.rs
+++ b/crates/fleetrig/src/scenario.rs
@@ -152,11 +152,13 @@
     pub heavy: f64,
     /// How long clients wait, in milliseconds; 100 to 20,000.
     pub timeout_ms: f64,
+    /// Clients of a manager that is down go to another, drawn anew for each request; else they ask nobody.
+    pub follow: bool,
 }
 
 impl Default for Load {
     fn default() -> Load {
-        Load { rate: 100.0, heavy: 0.05, timeout_ms: 4_000.0 }
+        Load { rate: 100.0, heavy: 0.05, timeout_ms: 4_000.0, follow: false }
     }
 }
 
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -37,8 +37,8 @@
 /// Bytes of a datagram that updates may take: the rest is the head, two names and an address at most.
 const ROOM: usize = MOST_DATAGRAM - 140;
 /// Last calls before a suspicion ends, and their distance in time-outs of a probe: so that an answer can come.
-const LAST_CALLS: u32 = 3;
-const CALL_GAP: f64 = 2.0;
+const LAST_CALLS: u32 = 5;
+const CALL_GAP: f64 = 1.2;
 /// Rounds of news also go to the dead for so long, so that one wrongly taken for dead hears of it and refutes.
 const TELL_DEAD: Micros = Micros(30_000_000);
 
@@ -760,7 +760,8 @@
     /// Sends a message with these updates first, and what else is to be spread and has room.
     fn send_with(&mut self, to: SocketAddr, kind: Kind, mut updates: Vec<Update>) {
         let mut room = ROOM.saturating_sub(updates.iter().map(codec::size).sum());
-        let limit = (self.terms.retransmit * ((self.size() + 1) as f64).log10()).ceil().max(1.0) as u32;
+        let limit =
+            (self.terms.retransmit * ((self.size() + 1) as f64).log10().ceil()).ceil().max(1.0) as u32;
         let mut places: Vec<(bool, u32, Place)> =
             self.queue.iter().map(|(p, (_, sent))| (p.0, *sent, p.clone())).collect();
         places.sort_unstable();
