Failover: silences are remembered until anybody in the zone speaks

Seen: on the rig (90 managers, a zone silent to all for 10 s) 18 of the zone's 30 managers came to a verdict, half of them after 2.9 s, and 234 of 44,868 requests were refused. Checked in the logs of verdicts and the module's beliefs; ruled out: the hold of 300 ms, and the report's age alone (the module takes an overdue attempt for news of load and sets it). At fault: silence() in src/core/zones.rs forgot a silent engine as soon as its overdue attempts were called off.

Change: the core notes each engine's last real word; an engine with attempts overdue and no word for 300 ms is silent until anybody in its zone has spoken since, for 30 s at most.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -52,6 +52,9 @@
         let id = text.and_then(|t| u64::from_str_radix(t, 16).ok());
         let id = id.ok_or_else(|| Malformed::field("id", "is not 16 hex digits"))?;
         let mut inner = self.inner.borrow_mut();
+        if let Some(engine) = inner.engines.get_mut(link.engine) {
+            engine.word = Some(now());
+        }
         let Some(attempt) = link.attempt(id) else {
             // A late answer to an attempt that was here: its pages are not wanted.
             let late = link.undone(id).then(|| resp::read_answer(parts).ok()).flatten();
--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -22,6 +22,8 @@
     pub(super) links: Vec<Rc<Link>>,
     /// Since when the list has it no more.
     pub(super) gone: Option<Micros>,
+    /// When it last said anything.
+    pub(super) word: Option<Micros>,
 }
 
 impl Core {
--- a/src/core/zones.rs
+++ b/src/core/zones.rs
@@ -16,9 +16,11 @@
 
 /// Between two judgements.
 const EVERY: Micros = Micros(100_000);
-/// An engine whose last report is younger has been heard of late; a distrusted one whose is older is silent.
-const LATE: f64 = 2.0;
-const SILENT: f64 = 0.7;
+/// An engine whose last word is younger has been heard of late; one whose is older, with attempts overdue, keeps silent.
+const LATE: Micros = Micros(2_000_000);
+const SILENT: Micros = Micros(300_000);
+/// A silence counts until anybody in the zone speaks, for this long at most.
+const REMEMBERED: Micros = Micros(30_000_000);
 /// A weight that moved by less is not told to the module.
 const MOVED: f64 = 0.01;
 
@@ -38,15 +40,21 @@
     terms: Terms,
     zones: Vec<String>,
     observers: Vec<Observer>,
+    /// Engines that kept silent, by number: their zone, and since when that is known.
+    silent: BTreeMap<u32, (u32, Micros)>,
     pub(super) next: Micros,
     told: Vec<f64>,
 }
 
-/// Whether an engine keeps silent to this manager, and whether it spoke of late.
-fn silence(e: &EngineView) -> (bool, bool) {
-    let old = |s: f64| e.report_age.is_none_or(|age| age > s);
-    let mute = e.silent || e.rests > 0.0 || e.distrusted && old(SILENT) || e.overdue > 0 && old(SILENT);
-    (mute, !mute && !old(LATE))
+/// What an engine is to this manager.
+#[derive(Clone, Copy, PartialEq)]
+enum Word {
+    /// It keeps silent: since when that is known.
+    Silent(Micros),
+    /// It spoke of late.
+    Heard,
+    /// Neither.
+    Unknown,
 }
 
 impl Core {
@@ -58,6 +66,7 @@
             terms: terms.clone(),
             zones,
             observers: Vec::new(),
+            silent: BTreeMap::new(),
             next: now(),
             told: Vec::new(),
         });
@@ -80,18 +89,61 @@
 }
 
 impl Inner {
+    /// What an engine is to this manager now, apart from what is remembered.
+    fn word(&self, e: &EngineView) -> Word {
+        let word = self.engines.get(e.engine as usize).and_then(|k| k.word);
+        let young = |most: Micros| word.is_some_and(|t| now() - t < most);
+        if e.silent || e.rests > 0.0 || e.overdue > 0 && !young(SILENT) {
+            Word::Silent(now())
+        } else if young(LATE) {
+            Word::Heard
+        } else {
+            Word::Unknown
+        }
+    }
+
     /// Engines that keep silent to this manager, as named among managers.
     pub(super) fn silent_engines(&self) -> Vec<u64> {
         let id =
             |e: &EngineView| self.engines.get(e.engine as usize).map(|e| stable_hash(&[e.id.as_bytes()]));
-        self.facade.beliefs().iter().filter(|e| e.listed && silence(e).0).filter_map(id).collect()
+        let silent = |e: &&EngineView| {
+            let remembered = self.failover.as_ref().is_some_and(|f| f.silent.contains_key(&e.engine));
+            e.listed && (remembered || matches!(self.word(e), Word::Silent(_)))
+        };
+        self.facade.beliefs().iter().filter(silent).filter_map(id).collect()
+    }
+
+    /// What every engine is to this manager, with the silences that are remembered: each counts until anybody in its zone
+    /// has spoken since. Guards against forgetting with each attempt that is called off that nobody there answers.
+    fn words(&self, f: &mut Failover, beliefs: &[EngineView]) -> Vec<Word> {
+        let mut spoke: BTreeMap<u32, Micros> = BTreeMap::new();
+        for e in beliefs {
+            if let Some(t) = self.engines.get(e.engine as usize).and_then(|k| k.word) {
+                let last = spoke.entry(e.zone).or_insert(t);
+                *last = t.max(*last);
+            }
+        }
+        f.silent.retain(|_, (zone, since)| {
+            spoke.get(zone).is_none_or(|t| *t < *since) && now() - *since < REMEMBERED
+        });
+        let mut out = Vec::with_capacity(beliefs.len());
+        for e in beliefs {
+            let word = self.word(e);
+            if let Word::Silent(since) = word {
+                f.silent.entry(e.engine).or_insert((e.zone, since));
+            }
+            out.push(f.silent.get(&e.engine).map_or(word, |s| Word::Silent(s.1)));
+        }
+        out
     }
 
     fn judge_zones(&mut self) -> Vec<Order> {
         let due = self.failover.as_ref().is_some_and(|f| now() >= f.next);
         let Some(mut failover) = due.then(|| self.failover.take()).flatten() else { return Vec::new() };
         failover.next = now() + EVERY;
-        let seen = self.seen(&failover);
+        let beliefs: Vec<EngineView> = self.facade.beliefs().into_iter().filter(|e| e.listed).collect();
+        let words = self.words(&mut failover, &beliefs);
+        let seen = self.seen(&failover, &beliefs, &words);
         let plan = failover.locality.judge(now(), &seen);
         say(&failover, &plan);
         debug!("failover: shares {:?}, weights {:?}, of {seen:?}", plan.shares, plan.weights);
@@ -106,16 +158,16 @@
     }
 
     /// Sums by zone: the module's beliefs, and what the others tell.
-    fn seen(&self, f: &Failover) -> Vec<Seen> {
+    fn seen(&self, f: &Failover, beliefs: &[EngineView], words: &[Word]) -> Vec<Seen> {
         let mut zones: BTreeMap<u32, Seen> = BTreeMap::new();
         let mut engines: BTreeMap<u32, BTreeSet<u64>> = BTreeMap::new();
         for z in 0..f.zones.len() as u32 {
             zones
                 .insert(z, Seen { zone: z, region: f.terms.region(&f.zones, z as usize), ..Seen::default() });
         }
-        for e in self.facade.beliefs().iter().filter(|e| e.listed) {
+        for (e, word) in beliefs.iter().zip(words) {
             let Some(s) = zones.get_mut(&e.zone) else { continue };
-            let (mute, heard) = silence(e);
+            let (mute, heard) = (matches!(word, Word::Silent(_)), *word == Word::Heard);
             s.listed += e.cores;
             s.engines += 1;
             s.mute += u32::from(mute);
