--- a/tests/fleet_view.rs
+++ b/tests/fleet_view.rs
@@ -135,3 +135,35 @@
     assert_eq!(lines(&got, "fleet: n3 died", ""), 0);
     assert!(got.agreed(6.0, 14.5).is_some(), "and it comes back");
 }
+
+/// One way between two managers loses all: neither can probe the other, and the others do it in their stead.
+#[test]
+fn one_way_loss_between_two_is_bridged_by_the_others() {
+    let got = play(
+        "view-one-way",
+        &format!(
+            "{{ managers: 5, groups: [0.6, 0.2, 0.2], seconds: 18, load: {{ rate: 20 }}, engines: {{ count: 2 }},
+                membership: {{ {FAST} }}, steps: [ {{ at: 4, do: {{ fault: {{ from: 'b', to: 'c', rule: {{ drop: 1 }} }} }} }} ] }}"
+        ),
+    );
+    assert!(got.agreed(0.0, 4.0).is_some(), "they come to one view");
+    assert!(got.agreed(10.0, 18.5).is_some(), "and keep it");
+    assert_eq!(lines(&got, "fleet: ", " died"), 0);
+}
+
+/// Datagrams are held up for longer than a probe waits, twice: whatever is suspected meanwhile, there is one view again.
+#[test]
+fn delay_spikes_settle() {
+    let spike = |at: f64, ms: u32| {
+        format!("{{ at: {at}, do: {{ fault: {{ from: 'a', to: 'a', rule: {{ delay_ms: {ms}, jitter_ms: {ms} }} }} }} }},")
+    };
+    let steps = [spike(4.0, 90), spike(5.5, 0), spike(8.0, 90), spike(9.5, 0)].concat();
+    let got = play(
+        "view-spikes",
+        &format!(
+            "{{ managers: 5, seconds: 18, load: {{ rate: 20 }}, engines: {{ count: 2 }}, membership: {{ {FAST} }},
+                steps: [ {steps} ] }}"
+        ),
+    );
+    assert!(got.agreed(10.0, 18.5).is_some());
+}
