Silence is decided in the locality crate; one name, one range check, dead code gone

Seen on reading the change again: src/core/zones.rs, the acting half, decided which engines keep silent and for how long; engines' shared names were hashed in four places; the rig wrote the range check of the cold start again, twice; summaries of all members were copied each second where no failover looks at them; a public wrapper and two parameters were used by nobody.

Constants, bounds and behaviour as before.

--- a/crates/fleetrig/src/middle.rs
+++ b/crates/fleetrig/src/middle.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
+use sprucelink_coldstart::within;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -58,18 +59,10 @@
     /// # Errors
     /// The field and its range.
     pub fn check(&self) -> Result<(), String> {
-        let within = |name: &str, v: f64, most: f64| {
-            let good = v.is_finite() && (0.0..=most).contains(&v);
-            if good {
-                Ok(())
-            } else {
-                Err(format!("{name}: must lie within 0 and {most}, is {v}"))
-            }
-        };
-        within("delay_ms", self.delay_ms, 60_000.0)?;
-        within("jitter_ms", self.jitter_ms, 60_000.0)?;
-        within("drop", self.drop, 1.0)?;
-        within("garble", self.garble, 1.0)
+        within("delay_ms", self.delay_ms, 0.0, 60_000.0)?;
+        within("jitter_ms", self.jitter_ms, 0.0, 60_000.0)?;
+        within("drop", self.drop, 0.0, 1.0)?;
+        within("garble", self.garble, 0.0, 1.0)
     }
 }
 
--- a/crates/fleetrig/src/report.rs
+++ b/crates/fleetrig/src/report.rs
@@ -104,7 +104,8 @@
     pub crossing: f64,
     /// Of the zone that the run is about: attempts that crossed zones before it was lost, as a share.
     pub crossed_before: f64,
-    /// Seconds from its loss until 95% of the managers that had sent there sent elsewhere; none if they never did.
+    /// Seconds from its loss until 95% of the managers that had sent there sent elsewhere; none if they never did. By
+    /// what reached engines: where a partition lets nothing through, it says nothing.
     pub left_s: f64,
     /// Share served of what was asked while it was away, and in the 10 s after its return.
     pub served_away: f64,
--- a/crates/fleetrig/src/scenario.rs
+++ b/crates/fleetrig/src/scenario.rs
@@ -5,6 +5,7 @@
 use crate::middle::{Cut, Rule};
 use crate::procs::MOST_MANAGERS;
 use serde::Deserialize;
+use sprucelink_coldstart::within;
 use sprucelink_membership::terms::{Protocol, Share};
 
 /// Engines of a run at most, those that come later included.
@@ -253,11 +254,6 @@
     }
 }
 
-fn within(name: &str, v: f64, low: f64, high: f64) -> Result<(), String> {
-    let good = v.is_finite() && (low..=high).contains(&v);
-    good.then_some(()).ok_or_else(|| format!("{name}: must lie within {low} and {high}, is {v}"))
-}
-
 impl Scenario {
     /// Reads a scenario from a JSON5 text.
     ///
--- a/crates/locality/src/lib.rs
+++ b/crates/locality/src/lib.rs
@@ -11,6 +11,7 @@
 #![deny(missing_docs)]
 
 pub mod plan;
+pub mod silence;
 pub mod terms;
 pub mod verdict;
 
@@ -19,7 +20,7 @@
 use plan::{shares, Room};
 use std::collections::BTreeMap;
 use terms::Terms;
-use verdict::{Evidence, Verdict, Zone};
+use verdict::{Verdict, Zone};
 
 /// Zones that are followed at most; more are taken for sound.
 pub const MOST_ZONES: usize = 64;
@@ -150,11 +151,6 @@
     }
 }
 
-/// Evidence on a zone, for tests and logs: what a verdict would rest on now.
-pub fn evidence(terms: &Terms, known: f64, s: &Seen) -> Evidence {
-    verdict::weigh(terms, known, s)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/membership/src/facts.rs
+++ b/crates/membership/src/facts.rs
@@ -1,12 +1,18 @@
 //! What members tell of themselves and of engines: a small summary with a version. Of two summaries of one member
 //! the one of its later life, and in one life of the higher version, counts; late and repeated ones change nothing.
 
+use sprucelink_coldstart::stable_hash;
 use std::collections::BTreeMap;
 
 /// Engines in one list of a summary at most.
 pub const MOST_ENGINES: usize = 16;
 
-/// A member's summary. Engines are named by a stable hash of their id: numbers differ between members.
+/// An engine's name among managers: a stable hash of its id, for numbers differ.
+pub fn named(engine: &str) -> u64 {
+    stable_hash(&[engine.as_bytes()])
+}
+
+/// A member's summary. Engines stand in it by [`named`].
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Facts {
     /// Counted up by its member with each new summary of one life.
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -323,7 +323,7 @@
     }
 
     /// This member leaves in order: others are told at once; nothing is probed any more.
-    pub fn leave(&mut self, _now: Micros) {
+    pub fn leave(&mut self) {
         self.left = true;
         let mine = self.mine(State::Left);
         self.spread_news(mine, self.me.name.clone());
@@ -358,7 +358,7 @@
         if now >= self.next_rejoin {
             let span = self.terms.rejoin_ms * self.rng.gen_range(0.8..1.2);
             self.next_rejoin = now + self.ms(span);
-            self.compare(now);
+            self.compare();
             self.forget(now);
         }
     }
@@ -808,7 +808,7 @@
     }
 
     /// Compares views with one other: in turn one that is here, and a seed or one of the dead.
-    fn compare(&mut self, _now: Micros) {
+    fn compare(&mut self) {
         self.outward = !self.outward;
         let here: BTreeSet<SocketAddr> = self.here().map(|m| m.address).collect();
         let dead = self.members.values().filter(|h| h.member.state == State::Dead).map(|h| h.member.address);
--- a/crates/membership/tests/model.rs
+++ b/crates/membership/tests/model.rs
@@ -168,9 +168,8 @@
 fn one_that_leaves_is_not_suspected() {
     let mut net = settled(20, 11);
     let since = net.now;
-    let now = net.now;
     if let Some(node) = &mut net.nodes[6] {
-        node.leave(now);
+        node.leave();
     }
     net.run(after(&net, 3));
     net.crash(6);
--- a/src/core/shared.rs
+++ b/src/core/shared.rs
@@ -1,8 +1,8 @@
 //! What this manager tells others of itself where they keep a view of the fleet: requests taken and further attempts
 //! made of late, engines it cannot reach, work it sent to cold engines. It counts; `sprucelink_membership` decides.
 
-use sprucelink_coldstart::{stable_hash, Micros};
-use sprucelink_membership::facts::Facts;
+use sprucelink_membership::facts::{named, Facts};
+use sprucelink_policy::interface::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Events of one count kept at most: older ones go first.
@@ -22,11 +22,6 @@
     unreached: BTreeMap<u64, Micros>,
 }
 
-/// An engine's name among managers: a hash of its id, for numbers differ.
-fn named(engine: &str) -> u64 {
-    stable_hash(&[engine.as_bytes()])
-}
-
 fn push<T>(queue: &mut VecDeque<T>, one: T) {
     if queue.len() >= MOST {
         queue.pop_front();
--- a/src/core/zones.rs
+++ b/src/core/zones.rs
@@ -4,10 +4,10 @@
 use super::facade::{News, Order};
 use super::now;
 use super::requests::{Core, Inner};
-use sprucelink_coldstart::stable_hash;
+use sprucelink_locality::silence::{self, Heard, Silences, Voice};
 use sprucelink_locality::terms::Terms;
 use sprucelink_locality::{Locality, Plan, Seen};
-use sprucelink_membership::facts::Facts;
+use sprucelink_membership::facts::{self, Facts};
 use sprucelink_policy::brain::view::EngineView;
 use sprucelink_policy::interface::Micros;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,11 +16,6 @@
 
 /// Between two judgements.
 const EVERY: Micros = Micros(100_000);
-/// An engine whose last word is younger has been heard of late; one whose is older, with attempts overdue, keeps silent.
-const LATE: Micros = Micros(2_000_000);
-const SILENT: Micros = Micros(300_000);
-/// A silence counts until anybody in the zone speaks, for this long at most.
-const REMEMBERED: Micros = Micros(30_000_000);
 /// A weight that moved by less is not told to the module.
 const MOVED: f64 = 0.01;
 
@@ -40,23 +35,11 @@
     terms: Terms,
     zones: Vec<String>,
     observers: Vec<Observer>,
-    /// Engines that kept silent, by number: their zone, and since when that is known.
-    silent: BTreeMap<u32, (u32, Micros)>,
+    silences: Silences,
     pub(super) next: Micros,
     told: Vec<f64>,
 }
 
-/// What an engine is to this manager.
-#[derive(Clone, Copy, PartialEq)]
-enum Word {
-    /// It keeps silent: since when that is known.
-    Silent(Micros),
-    /// It spoke of late.
-    Heard,
-    /// Neither.
-    Unknown,
-}
-
 impl Core {
     /// Switches the failover on: this manager's own zone by number, and the zones' names.
     pub fn failover(&self, terms: &Terms, home: Option<u32>, zones: Vec<String>) {
@@ -66,17 +49,17 @@
             terms: terms.clone(),
             zones,
             observers: Vec::new(),
-            silent: BTreeMap::new(),
+            silences: Silences::default(),
             next: now(),
             told: Vec::new(),
         });
         self.wake.notify_one();
     }
 
-    /// What other managers are and tell, where they keep a view of the fleet.
-    pub fn observed(&self, observers: Vec<Observer>) {
+    /// What other managers are and tell, where they keep a view of the fleet; asked for only where it is looked at.
+    pub fn observed(&self, observers: impl FnOnce() -> Vec<Observer>) {
         if let Some(f) = &mut self.inner.borrow_mut().failover {
-            f.observers = observers;
+            f.observers = observers();
         }
     }
 
@@ -89,52 +72,28 @@
 }
 
 impl Inner {
-    /// What an engine is to this manager now, apart from what is remembered.
-    fn word(&self, e: &EngineView) -> Word {
-        let word = self.engines.get(e.engine as usize).and_then(|k| k.word);
-        let young = |most: Micros| word.is_some_and(|t| now() - t < most);
-        if e.silent || e.rests > 0.0 || e.overdue > 0 && !young(SILENT) {
-            Word::Silent(now())
-        } else if young(LATE) {
-            Word::Heard
-        } else {
-            Word::Unknown
+    /// An engine's id as managers name it to each other.
+    fn shared_name(&self, e: &EngineView) -> Option<u64> {
+        self.engines.get(e.engine as usize).map(|known| facts::named(&known.id))
+    }
+
+    fn voice(&self, e: &EngineView) -> Voice {
+        Voice {
+            engine: e.engine,
+            zone: e.zone,
+            word: self.engines.get(e.engine as usize).and_then(|known| known.word),
+            dumb: e.silent || e.rests > 0.0,
+            overdue: e.overdue > 0,
         }
     }
 
-    /// Engines that keep silent to this manager, as named among managers.
+    /// Engines that keep silent to this manager, as managers name them.
     pub(super) fn silent_engines(&self) -> Vec<u64> {
-        let id =
-            |e: &EngineView| self.engines.get(e.engine as usize).map(|e| stable_hash(&[e.id.as_bytes()]));
         let silent = |e: &&EngineView| {
-            let remembered = self.failover.as_ref().is_some_and(|f| f.silent.contains_key(&e.engine));
-            e.listed && (remembered || matches!(self.word(e), Word::Silent(_)))
+            let remembered = self.failover.as_ref().is_some_and(|f| f.silences.holds(e.engine));
+            e.listed && (remembered || silence::heard(now(), &self.voice(e)) == Heard::Silent)
         };
-        self.facade.beliefs().iter().filter(silent).filter_map(id).collect()
-    }
-
-    /// What every engine is to this manager, with the silences that are remembered: each counts until anybody in its zone
-    /// has spoken since. Guards against forgetting with each attempt that is called off that nobody there answers.
-    fn words(&self, f: &mut Failover, beliefs: &[EngineView]) -> Vec<Word> {
-        let mut spoke: BTreeMap<u32, Micros> = BTreeMap::new();
-        for e in beliefs {
-            if let Some(t) = self.engines.get(e.engine as usize).and_then(|k| k.word) {
-                let last = spoke.entry(e.zone).or_insert(t);
-                *last = t.max(*last);
-            }
-        }
-        f.silent.retain(|_, (zone, since)| {
-            spoke.get(zone).is_none_or(|t| *t < *since) && now() - *since < REMEMBERED
-        });
-        let mut out = Vec::with_capacity(beliefs.len());
-        for e in beliefs {
-            let word = self.word(e);
-            if let Word::Silent(since) = word {
-                f.silent.entry(e.engine).or_insert((e.zone, since));
-            }
-            out.push(f.silent.get(&e.engine).map_or(word, |s| Word::Silent(s.1)));
-        }
-        out
+        self.facade.beliefs().iter().filter(silent).filter_map(|e| self.shared_name(e)).collect()
     }
 
     fn judge_zones(&mut self) -> Vec<Order> {
@@ -142,8 +101,9 @@
         let Some(mut failover) = due.then(|| self.failover.take()).flatten() else { return Vec::new() };
         failover.next = now() + EVERY;
         let beliefs: Vec<EngineView> = self.facade.beliefs().into_iter().filter(|e| e.listed).collect();
-        let words = self.words(&mut failover, &beliefs);
-        let seen = self.seen(&failover, &beliefs, &words);
+        let voices: Vec<Voice> = beliefs.iter().map(|e| self.voice(e)).collect();
+        let heard = failover.silences.judge(now(), &voices);
+        let seen = self.seen(&failover, &beliefs, &heard);
         let plan = failover.locality.judge(now(), &seen);
         say(&failover, &plan);
         debug!("failover: shares {:?}, weights {:?}, of {seen:?}", plan.shares, plan.weights);
@@ -158,26 +118,25 @@
     }
 
     /// Sums by zone: the module's beliefs, and what the others tell.
-    fn seen(&self, f: &Failover, beliefs: &[EngineView], words: &[Word]) -> Vec<Seen> {
+    fn seen(&self, f: &Failover, beliefs: &[EngineView], heard: &[Heard]) -> Vec<Seen> {
         let mut zones: BTreeMap<u32, Seen> = BTreeMap::new();
         let mut engines: BTreeMap<u32, BTreeSet<u64>> = BTreeMap::new();
         for z in 0..f.zones.len() as u32 {
             zones
                 .insert(z, Seen { zone: z, region: f.terms.region(&f.zones, z as usize), ..Seen::default() });
         }
-        for (e, word) in beliefs.iter().zip(words) {
+        for (e, heard) in beliefs.iter().zip(heard) {
             let Some(s) = zones.get_mut(&e.zone) else { continue };
-            let (mute, heard) = (matches!(word, Word::Silent(_)), *word == Word::Heard);
+            let mute = *heard == Heard::Silent;
             s.listed += e.cores;
             s.engines += 1;
             s.mute += u32::from(mute);
-            s.heard += u32::from(heard);
+            s.heard += u32::from(*heard == Heard::Late);
             s.load += e.load;
             if !mute && !e.distrusted {
                 s.sound += e.cores * e.warmth;
             }
-            let id = self.engines.get(e.engine as usize).map(|known| stable_hash(&[known.id.as_bytes()]));
-            engines.entry(e.zone).or_default().extend(id);
+            engines.entry(e.zone).or_default().extend(self.shared_name(e));
         }
         for o in &f.observers {
             let own = f.zones.iter().position(|z| *z == o.zone).map(|z| z as u32);
--- a/src/run/members.rs
+++ b/src/run/members.rs
@@ -122,7 +122,7 @@
                 () = sleep(rest) => {}
                 got = self.socket.recv_from(&mut bytes) => self.took(got, &mut bytes),
                 _ = &mut leaving => {
-                    self.swim.leave(now());
+                    self.swim.leave();
                     self.send().await;
                     return;
                 }
@@ -181,7 +181,7 @@
             here: matches!(m.state, codec::State::Alive | codec::State::Suspect),
             facts: board.get(&m.name).map(|f| f.1.clone()),
         };
-        self.core.observed(self.swim.all().map(observer).collect());
+        self.core.observed(|| self.swim.all().map(observer).collect());
         if !self.set.share.ration && !self.set.share.parts {
             return;
         }
