--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -5,6 +5,7 @@
 use super::engines::Engine;
 use super::facade::{Asked, End, Facade, News, Order};
 use super::links::Terms;
+use super::past::Past;
 use super::pool::{Buf, Pool, SIZE};
 use super::results::ResultSet;
 use super::shared::Shared;
@@ -20,7 +21,6 @@
 use sprucelink_policy::interface::{Micros, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{DefaultHasher, Hasher};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tracing::{error, info, warn};
@@ -33,10 +33,6 @@
 const FIGURES: Micros = Micros(10_000_000);
 /// Advice to come back is never shorter: a client that returns at once meets the same jam.
 const COME_BACK_LEAST: Micros = Micros(100_000);
-/// Ids of requests are known for so long, and so many of them at most.
-const PAST: Micros = Micros(30_000_000);
-const MOST_PAST: usize = 20_000;
-
 /// Why a request was not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -103,36 +99,6 @@
     pub(super) attempts: u32,
 }
 
-/// Ids of requests taken of late, each with a mark of its statement. Guards against an id that comes
-/// again with another statement once the first has ended: its answer could be taken for the other's, by
-/// engines and clients alike. The same again is a client whose connection broke.
-#[derive(Default)]
-pub(super) struct Past {
-    marks: BTreeMap<u64, u64>,
-    order: VecDeque<(Micros, u64)>,
-}
-
-impl Past {
-    /// Notes an id; false if another statement had it.
-    fn note(&mut self, id: u64, statement: &[u8], at: Micros) -> bool {
-        let old = |o: &(Micros, u64), n: usize| at - o.0 > PAST || n >= MOST_PAST;
-        while self.order.front().is_some_and(|o| old(o, self.order.len())) {
-            if let Some((_, gone)) = self.order.pop_front() {
-                self.marks.remove(&gone);
-            }
-        }
-        let mut hash = DefaultHasher::new();
-        hash.write(statement);
-        let mark = hash.finish();
-        let known = self.marks.get(&id).copied();
-        if known.is_none() {
-            self.marks.insert(id, mark);
-            self.order.push_back((at, id));
-        }
-        known.is_none_or(|k| k == mark)
-    }
-}
-
 pub(super) struct Inner {
     pub(super) facade: Facade,
     pub(super) tally: Tally,
@@ -570,253 +536,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::core::links::{Link, Owner};
-    use crate::proto::events::{ListEvent, Member, Phase};
-    use sprucelink_policy::interface::*;
-    use std::time::Duration;
-    use tokio::net::TcpListener;
-
-    fn settings() -> Settings {
-        let class = ClassSettings {
-            worth: 1.0,
-            late_worth: 0.5,
-            aim: Micros(1_000),
-            aim_stretch: 0.0,
-            deadline: Micros(20_000_000),
-            effect: Effect::Safe,
-            group: DedupGroup::All,
-            repeat_window: Micros(0),
-            in_turn: false,
-            threads: 1.0,
-            load: false,
-            kinds: None,
-            zones: None,
-        };
-        let (kind_cores, cancel, max_attempts) = (vec![8.0], true, 6);
-        Settings { classes: vec![class], kind_cores, cancel, max_attempts, ..Settings::default() }
-    }
-
-    /// A core with two engines that accept connections and say nothing.
-    async fn core() -> (Rc<Core>, Vec<TcpListener>) {
-        let dial = Micros(5_000_000);
-        let terms =
-            Terms { streams: 32, dial, idle: Micros(15_000_000), notes: Micros(0), most: 4, most_links: 8 };
-        let core = Core::new(settings(), 7, [Vec::new(), Vec::new()], terms, Pool::new(64));
-        let (mut members, mut listeners) = (Vec::new(), Vec::new());
-        for id in ["s-1", "s-2"] {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address").to_string();
-            let (zone, kind) = (String::new(), String::new());
-            let (id, phase, cell, up_since_ms) = (id.to_owned(), Phase::Ready, 0, 0);
-            members.push(Member { id, address, zone, kind, cell, phase, up_since_ms });
-            listeners.push(listener);
-        }
-        core.on_list(&ListEvent { n: 1, revision: 0, complete: true, members }, true);
-        (core, listeners)
-    }
-
-    fn request(core: &Core, id: u64) -> Request {
-        let (cost_ms, left) = (Some(1.0), Micros(20_000_000));
-        let asked = Asked { id, class: 0, tenant: 0, tables: 1, left, cost_ms, memory_mb: None };
-        let statement = core.pool().get().expect("a buffer");
-        Request { asked, class: "c".into(), once: None, statement }
-    }
-
-    fn local<T>(test: impl std::future::Future<Output = T>) -> T {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        tokio::task::LocalSet::new().block_on(&runtime, test)
-    }
-
-    /// Guards against two copies of one request: on the bench the next attempt left a median 26 us
-    /// after the undo, by another path, and now and then overtook it.
-    #[test]
-    fn an_attempt_called_off_is_out_until_its_undo_has_landed() {
-        local(async {
-            let (core, _engines) = core().await;
-            let _ticket = core.take(request(&core, 1)).expect("taken");
-            let link = {
-                let inner = core.inner.borrow();
-                let out = inner.open[&1].out.as_ref().expect("an attempt is out");
-                Rc::clone(&out.link)
-            };
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            // Hardly begun long after the wanted time: the module calls it off.
-            let note: [&[u8]; 3] = [b"0000000000000001", b"update", b"how=so_far,num=0.0"];
-            core.on_answer(&link, &note).expect("understood");
-            {
-                let inner = core.inner.borrow();
-                assert!(inner.open[&1].out.as_ref().expect("still out").undone.is_some());
-                assert_eq!(inner.open[&1].sends, 1, "sent again before the undo has landed");
-            }
-            tokio::task::spawn_local(Rc::clone(&core).run());
-            for _ in 0..1000 {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-                if core.inner.borrow().open[&1].sends == 2 {
-                    return;
-                }
-            }
-            panic!("never sent again");
-        });
-    }
-
-    /// Guards against two copies where this side is slow: the undo waits for its connection, so the
-    /// next attempt waits for the undo.
-    #[test]
-    fn an_undo_that_has_not_left_has_not_landed() {
-        local(async {
-            let (core, _engines) = core().await;
-            let _ticket = core.take(request(&core, 1)).expect("taken");
-            let stuck = Link::new(0, "127.0.0.1:9".parse().expect("an address"));
-            let (attempt, place) = {
-                let mut inner = core.inner.borrow_mut();
-                let out = inner.open.get_mut(&1).and_then(|e| e.out.as_mut()).expect("out");
-                stuck.command(&core.pool, &[b"undo"]);
-                out.undone = Some((stuck.queued(), None));
-                out.link = Rc::clone(&stuck);
-                (out.attempt, stuck.queued())
-            };
-            let lands = || {
-                core.inner.borrow_mut().land(&core, 1, attempt);
-                core.inner.borrow().open[&1].out.as_ref().is_none_or(|o| o.attempt != attempt)
-            };
-            assert!(!lands() && !stuck.gone(place));
-            tokio::time::sleep(Duration::from_millis(30)).await;
-            assert!(!lands(), "it is still in the queue");
-            stuck.close();
-            assert!(!lands(), "it has left only now");
-            tokio::time::sleep(Duration::from_millis(30)).await;
-            assert!(lands());
-        });
-    }
-
-    /// Guards memory and time per request on long days: engines come under new ids for ever, and each took
-    /// a number that every decision looked at from then on.
-    #[test]
-    fn engines_that_are_gone_make_room_for_new_ones() {
-        local(async {
-            let (core, engines) = core().await;
-            core.inner.borrow_mut().keep = Micros(0);
-            let address = engines[0].local_addr().expect("an address").to_string();
-            let member = |id: u64, phase: Phase| Member {
-                id: format!("e-{id}"),
-                address: address.clone(),
-                zone: String::new(),
-                kind: String::new(),
-                cell: 0,
-                phase,
-                up_since_ms: 0,
-            };
-            for n in 2..500 {
-                let members = vec![member(n - 1, Phase::Gone), member(n, Phase::Ready)];
-                core.on_list(&ListEvent { n, revision: 0, complete: false, members }, false);
-                tokio::time::sleep(Duration::from_micros(10)).await;
-            }
-            assert!(core.inner.borrow().engines.len() < 10, "{}", core.inner.borrow().engines.len());
-            // A whole list that names one only: the others go, and what it names is used.
-            let members = vec![member(499, Phase::Ready)];
-            core.on_list(&ListEvent { n: 500, revision: 0, complete: true, members }, false);
-            let _ticket = core.take(request(&core, 1)).expect("taken");
-            let mut inner = core.inner.borrow_mut();
-            let number = inner.facade.engine("e-499");
-            assert_eq!(inner.open[&1].out.as_ref().expect("out").link.engine, number);
-        });
-    }
-
-    /// Guards the one final answer: a second one has nowhere to go, whoever words it.
-    #[test]
-    fn a_request_is_answered_once() {
-        local(async {
-            let (core, _engines) = core().await;
-            let mut ticket = core.take(request(&core, 1)).expect("taken");
-            assert!(core.take(request(&core, 1)).is_none(), "an open id is not taken twice");
-            {
-                let mut inner = core.inner.borrow_mut();
-                inner.settle(1, Final::Refused(Cause::Busy, Micros(5)));
-                inner.settle(1, Final::Failed(Cause::Lost, Micros(5)));
-            }
-            assert!(matches!(ticket.wait().await, Final::Refused(Cause::Busy, _)));
-            let mut other = request(&core, 1);
-            other.statement.extend_from_slice(b"SELECT 2");
-            assert!(core.take(other).is_none(), "nor one that was another statement's");
-            let (mut past, late) = (Past::default(), Micros(PAST.0 + 1));
-            assert!(past.note(1, b"a", Micros(0)) && past.note(1, b"a", PAST), "its client's second try");
-            assert!(!past.note(1, b"b", PAST) && past.note(1, b"b", late));
-            (2..2 * MOST_PAST as u64).for_each(|id| assert!(past.note(id, b"", late)));
-            assert!(past.order.len() <= MOST_PAST && past.marks.len() <= MOST_PAST);
-        });
-    }
-
-    /// Guards against a late answer to an old attempt that is taken for one to the new.
-    #[test]
-    fn a_link_does_not_carry_a_request_again_that_was_undone_on_it() {
-        local(async {
-            let (core, _engines) = core().await;
-            let link = Link::new(0, "127.0.0.1:9".parse().expect("an address"));
-            assert!(link.send(core.pool(), 5, 0, &[b"do"]));
-            link.release(5, true);
-            assert!(!link.takes(5, core.terms()) && link.takes(6, core.terms()));
-        });
-    }
-
-    /// Guards the rule on drains: an attempt that waited for its connection would go out after the
-    /// word. It never left, so it goes elsewhere as a further attempt.
-    #[test]
-    fn what_waits_for_a_connection_to_a_draining_engine_goes_elsewhere() {
-        local(async {
-            let (core, engines) = core().await;
-            let _ticket = core.take(request(&core, 1)).expect("taken");
-            let engine = |core: &Core| core.inner.borrow().open[&1].out.as_ref().expect("out").link.engine;
-            let first = engine(&core);
-            let member = Member {
-                id: format!("s-{}", first + 1),
-                address: engines[first].local_addr().expect("an address").to_string(),
-                zone: String::new(),
-                kind: String::new(),
-                cell: 0,
-                phase: Phase::Draining,
-                up_since_ms: 0,
-            };
-            core.on_list(&ListEvent { n: 2, revision: 0, complete: false, members: vec![member] }, false);
-            assert_eq!(engine(&core), 1 - first);
-            assert_eq!(core.inner.borrow().open[&1].sends, 2);
-            // The event comes again after a reconnect: it is passed over.
-            let again = ListEvent { n: 2, revision: 0, complete: true, members: Vec::new() };
-            core.on_list(&again, false);
-            assert_eq!(engine(&core), 1 - first);
-        });
-    }
-
-    /// Guards against machines that vanished: their connections stay open and take all that comes.
-    #[test]
-    fn a_link_that_owes_notes_takes_nothing_new() {
-        local(async {
-            let (core, _engines) = core().await;
-            let link = Link::new(0, "127.0.0.1:9".parse().expect("an address"));
-            assert!(link.send(core.pool(), 5, 0, &[b"do"]));
-            let noting = Terms { notes: Micros(1_000), ..*core.terms() };
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            assert!(!link.takes(6, &noting), "three notes are missing");
-            assert!(link.takes(6, core.terms()), "where there are no notes none is missed");
-            link.release(5, false);
-            assert!(link.takes(6, &noting), "nothing is out, so nothing is owed");
-        });
-    }
-
-    /// Guards the memory limit: an empty pool means no, and what comes back is used again.
-    #[test]
-    fn the_pool_has_a_bound_and_a_send_without_a_buffer_never_ran() {
-        let pool = Pool::new(1);
-        let held = pool.get().expect("the only one");
-        assert!(pool.get().is_none());
-        let link = Link::new(0, "127.0.0.1:9".parse().expect("an address"));
-        assert!(!link.send(&pool, 1, 0, &[b"do"]) && link.riders() == 0);
-        // An undo is said all the same: unsaid, its attempt would run on beside the next one.
-        link.command(&pool, &[b"undo"]);
-        assert!(link.queued() > 0 && !link.gone(link.queued()));
-        drop(held);
-        assert!(link.send(&pool, 1, 0, &[b"do"]));
-        assert_eq!(link.close(), [(1, 0, true)], "never written: it never ran");
-    }
-}
+mod tests;
