What has not left for an engine is withdrawn when its request is settled

Ruled out: second copies and late answers (no attempt was sent by a second decision; every request had one link), resets (the links at fault had just come up). Lines at fault: src/core/attempts.rs, undo, which queued its word behind the command; src/core/requests.rs, settle and give_up, which left the queue alone; src/core/links.rs, write, which held a whole buffer over its wait.

Change: Link::withdraw marks a command's part of the stream, the writer looks up before each write what may leave; settle itself withdraws, so no way to a final answer can miss it; so do a client's end and an undo. A command that has left in part takes its link with it. A send for a request that is over is dropped with an error line.

The new process test and the new unit test fail without the change.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::engines::link_for;
 use super::facade::{End, News, Order};
-use super::links::{Link, Owner, Terms};
+use super::links::{Link, Owner, Terms, Withdrawn};
 use super::now;
 use super::pool::Pool;
 use super::requests::{Core, Final, Inner};
@@ -11,7 +11,7 @@
 use crate::proto::Malformed;
 use sprucelink_policy::interface::Micros;
 use std::rc::Rc;
-use tracing::{debug, warn};
+use tracing::{debug, error, warn};
 
 /// An attempt called off counts as out for so much longer once its undo has left: that must reach its
 /// engine before the next attempt reaches another. Paths differ by under 2 ms, and by more when a
@@ -93,6 +93,11 @@
         let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
         let attempt = entry.sends;
         entry.sends += 1;
+        // Guards the one final answer: nothing is sent on after it, whoever asks for it.
+        if entry.answer.is_none() {
+            error!(request = format!("{id:016x}"), "a send for a request that is over was dropped");
+            return self.tell_end(id, attempt, End::NotRun, Micros(0), None, Stats::default());
+        }
         self.tally.attempts += 1;
         if let Some(shared) = &mut self.shared {
             let to = self.engines.get(engine).map_or(("", 0), |e| (e.id.as_str(), e.since));
@@ -183,16 +188,45 @@
         let orders = self.tell_end(id, out.attempt, end, latency, out.bill, out.stats);
         // One that was given up before has nobody to answer.
         if end == End::Served && self.open.get(&id).is_some_and(|e| e.answer.is_some()) {
-            self.settle(id, Final::Served(out.result));
+            let more = self.settle(id, Final::Served(out.result));
+            return orders.into_iter().chain(more).collect();
         }
         orders
     }
 
+    /// Takes the attempt back that has not left yet: of a request that is over, nothing is sent on. Its end is
+    /// told with the next tick. Where a part of it has left, its link is given up, for nothing else keeps the
+    /// rest back; what that ends.
+    pub(super) fn withdraw(&mut self, id: u64) -> Vec<Order> {
+        let Some(entry) = self.open.get_mut(&id) else { return Vec::new() };
+        let Some(out) = &mut entry.out else { return Vec::new() };
+        match out.link.withdraw(id) {
+            Withdrawn::Late => return Vec::new(),
+            Withdrawn::InPart => {
+                let link = Rc::clone(&out.link);
+                warn!(
+                    number = link.engine,
+                    "link to engine {} given up: it takes a request in part", link.engine
+                );
+                return self.close_link(&link, true);
+            }
+            Withdrawn::Whole => {}
+        }
+        // Nothing has to land: it never left.
+        out.undone = Some((0, Some(now() - UNDO_LANDS)));
+        self.landing.insert((now(), id, out.attempt));
+        Vec::new()
+    }
+
     /// Calls the attempt that is out off at its engine. Until the undo has landed its own end may
-    /// still come, as in the simulator.
+    /// still come, as in the simulator. One that has not left is taken back instead.
     pub(super) fn undo(&mut self, core: &Rc<Core>, id: u64, attempt: u32) -> bool {
         let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut());
         let Some(out) = out.filter(|o| o.attempt == attempt && o.undone.is_none()) else { return false };
+        if out.link.withdraw(id) == Withdrawn::Whole {
+            out.undone = Some((0, Some(now() - UNDO_LANDS)));
+            return true;
+        }
         let (word, name): (&[u8], _) = (if out.served { b"forget" } else { b"undo" }, format!("{id:016x}"));
         out.link.command(core.pool(), &[word, name.as_bytes()]);
         out.undone = Some((out.link.queued(), None));
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -7,10 +7,10 @@
 use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -53,14 +53,26 @@
     Dead,
 }
 
-/// An attempt on a link: its number, where its command begins in the stream, and when it was sent.
+/// An attempt on a link: its number, where its command begins and ends in the stream, and when it was sent.
 #[derive(Clone, Copy, Debug)]
 struct Rider {
     attempt: u32,
     start: u64,
+    end: u64,
     sent: Micros,
 }
 
+/// What became of an attempt that is not to leave any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawn {
+    /// No byte of it has left, and none will.
+    Whole,
+    /// A part of it has left: only the link's end keeps the rest back.
+    InPart,
+    /// It has left.
+    Late,
+}
+
 /// One connection to an engine.
 #[derive(Debug)]
 pub struct Link {
@@ -72,7 +84,11 @@
     queue: RefCell<VecDeque<Buf>>,
     queued: Cell<u64>,
     written: Cell<u64>,
+    /// Bytes that the writer has taken off the queue.
+    taken: Cell<u64>,
     riders: RefCell<BTreeMap<u64, Rider>>,
+    /// Parts of the stream that are passed over when their turn comes: from where to where.
+    withdrawn: RefCell<BTreeMap<u64, u64>>,
     undone: RefCell<BTreeSet<u64>>,
     heard: Cell<Micros>,
     /// Not dialled before this: the cold start's slot.
@@ -91,7 +107,9 @@
             queue: RefCell::default(),
             queued: Cell::new(0),
             written: Cell::new(0),
+            taken: Cell::new(0),
             riders: RefCell::default(),
+            withdrawn: RefCell::default(),
             undone: RefCell::default(),
             heard: Cell::new(now()),
             dial_at: Cell::new(Micros(0)),
@@ -162,6 +180,11 @@
         self.queued.get()
     }
 
+    /// Bytes that have left so far, or were passed over.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
     /// Whether all up to a place in the stream has left, or never will.
     pub fn gone(&self, place: u64) -> bool {
         self.written.get() >= place || self.state.get() == State::Dead
@@ -172,11 +195,41 @@
         let start = self.queued.get();
         let queued = self.put(parts, || pool.get());
         if queued {
-            self.riders.borrow_mut().insert(id, Rider { attempt, start, sent: now() });
+            let (end, sent) = (self.queued.get(), now());
+            self.riders.borrow_mut().insert(id, Rider { attempt, start, end, sent });
         }
         queued
     }
 
+    /// Whether some of the command that sends a request's attempt has still to leave.
+    pub fn unsent(&self, id: u64) -> bool {
+        self.state.get() != State::Dead
+            && self.riders.borrow().get(&id).is_some_and(|r| r.end > self.written.get())
+    }
+
+    /// Takes the command that sends a request's attempt back, if it has not left: its bytes are passed over.
+    /// Guards the one final answer: a connection that comes up late would send on what was answered long ago.
+    pub fn withdraw(&self, id: u64) -> Withdrawn {
+        if !self.unsent(id) {
+            return Withdrawn::Late;
+        }
+        let riders = self.riders.borrow();
+        let Some(rider) = riders.get(&id).filter(|r| r.start >= self.written.get()) else {
+            return Withdrawn::InPart;
+        };
+        self.withdrawn.borrow_mut().insert(rider.start, rider.end);
+        Withdrawn::Whole
+    }
+
+    /// Passes over what was withdrawn where the stream now stands; up to where it may be written then.
+    fn next_cut(&self) -> Option<u64> {
+        let mut withdrawn = self.withdrawn.borrow_mut();
+        while let Some(cut) = withdrawn.first_entry().filter(|c| *c.key() <= self.written.get()) {
+            self.written.set(self.written.get().max(cut.remove()));
+        }
+        withdrawn.first_key_value().map(|c| *c.0)
+    }
+
     /// The attempts on it: request and attempt's number.
     pub fn out(&self) -> Vec<(u64, u32)> {
         self.riders.borrow().iter().map(|(id, r)| (*id, r.attempt)).collect()
@@ -277,26 +330,41 @@
     }
 }
 
-async fn write(link: &Link, mut writer: OwnedWriteHalf) -> Why {
+/// Writes what is queued. What leaves next is looked up before each write, never held over a wait: it may be
+/// withdrawn meanwhile.
+async fn write(link: &Link, writer: OwnedWriteHalf) -> Why {
+    // The buffer in hand, and where its first byte stands in the stream.
+    let mut hand: Option<(Buf, u64)> = None;
     loop {
         if link.state.get() == State::Dead {
             return theirs("closed here");
         }
-        let next = link.queue.borrow_mut().pop_front();
-        let Some(buf) = next else {
-            link.wake.notified().await;
+        let cut = link.next_cut();
+        let at = link.written.get();
+        hand = hand.filter(|(buf, start)| start + (buf.len() as u64) > at);
+        let Some((buf, start)) = &hand else {
+            let next = link.queue.borrow_mut().pop_front();
+            match next {
+                Some(buf) => hand = Some((buf, link.taken.get())),
+                None => link.wake.notified().await,
+            }
+            if let Some((buf, start)) = &hand {
+                link.taken.set(start + buf.len() as u64);
+            }
             continue;
         };
-        let mut rest = &buf[..];
-        while !rest.is_empty() {
-            match writer.write(rest).await {
-                Ok(0) => return theirs("closed by the engine"),
-                Ok(n) => {
-                    rest = &rest[n..];
-                    link.written.set(link.written.get() + n as u64);
-                }
-                Err(e) => return theirs(e),
-            }
+        let from = (at - start) as usize;
+        let to = cut.map_or(buf.len(), |c| ((c - start) as usize).min(buf.len()));
+        match writer.try_write(&buf[from..to]) {
+            Ok(0) => return theirs("closed by the engine"),
+            Ok(n) => link.written.set(at + n as u64),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => tokio::select! {
+                ready = writer.writable() => if let Err(e) = ready {
+                    return theirs(e);
+                },
+                () = link.wake.notified() => {}
+            },
+            Err(e) => return theirs(e),
         }
     }
 }
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -353,7 +353,8 @@
         let Some(entry) = inner.open.get_mut(&id) else { return };
         if entry.answer.take().is_some() {
             inner.tally.given_up += 1;
-            let orders = inner.facade.report(now(), News::GivenUp(id));
+            let mut orders = inner.withdraw(id);
+            orders.extend(inner.facade.report(now(), News::GivenUp(id)));
             inner.work(self, orders);
             inner.tidy(id);
         }
@@ -457,21 +458,24 @@
                         core.wake.notify_one();
                     }
                 }
-                Order::Refuse(id, wait) => self.refuse(id, wait),
+                Order::Refuse(id, wait) => queue.extend(self.refuse(id, wait)),
                 Order::Fail(id, wait) => {
                     let cause = self.cause(id);
-                    self.settle(id, Final::Failed(cause, wait.max(COME_BACK_LEAST)));
+                    queue.extend(self.settle(id, Final::Failed(cause, wait.max(COME_BACK_LEAST))));
                 }
                 Order::Log(text) => info!(from = "module", "{text}"),
             }
         }
+        if self.landing.first().is_some_and(|l| l.0 <= now()) {
+            core.wake.notify_one();
+        }
     }
 
-    fn refuse(&mut self, id: u64, wait: Micros) {
-        let Some(entry) = self.open.get(&id) else { return };
+    fn refuse(&mut self, id: u64, wait: Micros) -> Vec<Order> {
+        let Some(entry) = self.open.get(&id) else { return Vec::new() };
         let late = entry.deadline - now() < NO_TIME;
         let cause = if late { Cause::Deadline } else { Cause::Busy };
-        self.settle(id, Final::Refused(cause, wait.max(COME_BACK_LEAST)));
+        self.settle(id, Final::Refused(cause, wait.max(COME_BACK_LEAST)))
     }
 
     fn cause(&self, id: u64) -> Cause {
@@ -486,9 +490,11 @@
         }
     }
 
-    /// The one place from which a final answer leaves. A second one has nowhere to go.
-    pub(super) fn settle(&mut self, id: u64, answer: Final) {
-        let Some(entry) = self.open.get_mut(&id) else { return };
+    /// The one place from which a final answer leaves. A second one has nowhere to go. What has not left for an
+    /// engine by then never will.
+    pub(super) fn settle(&mut self, id: u64, answer: Final) -> Vec<Order> {
+        let orders = self.withdraw(id);
+        let Some(entry) = self.open.get_mut(&id) else { return orders };
         match entry.answer.take() {
             Some(sender) => {
                 match answer {
@@ -509,6 +515,7 @@
             }
         }
         self.tidy(id);
+        orders
     }
 
     /// Forgets a request that is answered and has nothing out.
@@ -528,8 +535,8 @@
             self.work(core, orders);
         }
         if self.open.get(&id).is_some_and(|e| e.answer.is_some()) {
-            self.settle(id, Final::Failed(Cause::Deadline, COME_BACK_LEAST));
-            let orders = self.facade.report(now(), News::GivenUp(id));
+            let mut orders = self.settle(id, Final::Failed(Cause::Deadline, COME_BACK_LEAST));
+            orders.extend(self.facade.report(now(), News::GivenUp(id)));
             self.work(core, orders);
         }
     }
--- a/src/core/requests/tests.rs
+++ b/src/core/requests/tests.rs
@@ -2,7 +2,7 @@
 
 use super::super::past::{MOST_PAST, PAST};
 use super::*;
-use crate::core::links::{Link, Owner};
+use crate::core::links::{Link, Owner, Withdrawn};
 use crate::proto::events::{ListEvent, Member, Phase};
 use sprucelink_policy::interface::*;
 use std::time::Duration;
@@ -163,8 +163,8 @@
         assert!(core.take(request(&core, 1)).is_none(), "an open id is not taken twice");
         {
             let mut inner = core.inner.borrow_mut();
-            inner.settle(1, Final::Refused(Cause::Busy, Micros(5)));
-            inner.settle(1, Final::Failed(Cause::Lost, Micros(5)));
+            drop(inner.settle(1, Final::Refused(Cause::Busy, Micros(5))));
+            drop(inner.settle(1, Final::Failed(Cause::Lost, Micros(5))));
         }
         assert!(matches!(ticket.wait().await, Final::Refused(Cause::Busy, _)));
         let mut other = request(&core, 1);
@@ -249,3 +249,56 @@
     assert!(link.send(&pool, 1, 0, &[b"do"]));
     assert_eq!(link.close(), [(1, 0, true)], "never written: it never ran");
 }
+
+/// Guards the one final answer, and what shares a link with it: withdrawn commands are passed over, whether they
+/// wait for the connection or for a slow peer; all others arrive whole and in order. One that has left in part
+/// cannot be withdrawn: its link has to go.
+#[test]
+fn what_is_withdrawn_never_leaves_and_what_stands_by_it_does() {
+    local(async {
+        let (core, listeners) = core().await;
+        let link = Link::new(0, listeners[0].local_addr().expect("an address"));
+        let body = vec![b'x'; 60_000];
+        let pool = Pool::new(4_000);
+        let send = |id: u64| {
+            let name = format!("{id:016x}");
+            assert!(link.send(&pool, id, 0, &[b"do", name.as_bytes(), b"-", &body]));
+        };
+        (0..4).for_each(send);
+        assert_eq!(link.withdraw(0), Withdrawn::Whole);
+        assert_eq!(link.withdraw(2), Withdrawn::Whole);
+        tokio::task::spawn_local(crate::core::links::run(Rc::clone(&core), Rc::clone(&link)));
+        let (mut peer, _) = listeners[0].accept().await.expect("a link");
+        // More than the peer's and this side's kernel buffers hold: it reads nothing yet.
+        (4..1_000).for_each(send);
+        let mut before = 0;
+        while link.unsent(1) || before != link.written() {
+            before = link.written();
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let cut: Vec<u64> = (4..1_000).filter(|id| link.unsent(*id)).collect();
+        assert!(cut.len() > 2, "the peer holds all of it");
+        let of = |id: &u64| link.withdraw(*id);
+        let first = of(&cut[0]);
+        assert!(matches!(first, Withdrawn::InPart | Withdrawn::Whole));
+        let gone: Vec<u64> = cut[1..].iter().copied().filter(|id| id % 2 == 0).collect();
+        assert!(gone.iter().map(of).all(|w| w == Withdrawn::Whole));
+        assert_eq!(link.withdraw(3), Withdrawn::Late);
+        let (mut got, mut ids) = (Vec::new(), Vec::new());
+        while ids.last() != Some(&999) {
+            let n = tokio::io::AsyncReadExt::read_buf(&mut peer, &mut got).await.expect("read");
+            assert!(n > 0, "the link ended");
+            while let Ok(Some((parts, len))) = crate::proto::resp::read_array(&got, SIZE) {
+                assert!(parts.len() == 4 && parts[3].len() == body.len());
+                ids.push(
+                    u64::from_str_radix(std::str::from_utf8(parts[1]).expect("text"), 16).expect("an id"),
+                );
+                got.drain(..len);
+            }
+        }
+        let kept = |id: &u64| {
+            ![0, 2].contains(id) && !gone.contains(id) && (*id != cut[0] || first == Withdrawn::InPart)
+        };
+        assert_eq!(ids, (0..1_000).filter(kept).collect::<Vec<_>>());
+    });
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -435,3 +435,28 @@
     assert!(run(&["help"]).1.contains("usage:"));
     drop(std::fs::remove_dir_all(dir));
 }
+
+/// Guards the one final answer: on a connection that came up late, requests were sent on that had been answered
+/// long before. The engine's queue of connections is full, so that the program's own comes up only once this test
+/// takes them.
+#[test]
+fn what_was_answered_is_not_sent_on_when_its_connection_comes_up_late() {
+    let late = Late::listen();
+    let program = Program::start(&[("s-1", late.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    // One that the module gives up on.
+    let short = sql("lane-rate", 1, "").replace("timeout=20000", "timeout=400");
+    assert_eq!(kinds(&raw.ask(&short)), "EZ", "nobody could answer it");
+    // One whose client goes.
+    let mut gone = Raw::connect(program.platform);
+    gone.send(&query(&sql("lane-rate", 2, "")));
+    drop(gone);
+    for _ in 0..3 {
+        assert_eq!(kinds(&raw.ask("")), "IZ", "by now its end has been read");
+    }
+    let engine = late.open(|_| Reply::Hold);
+    raw.send(&query(&sql("lane-rate", 3, "")));
+    // It shares the connection: what left before it would be here before it.
+    let seen = engine.wait_for("do", 1);
+    assert_eq!(seen[0].parts[1], format!("{:016x}", 3), "{seen:?}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -53,7 +53,11 @@
 
 impl Engine {
     pub fn start(reply: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Engine {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Engine::behind(TcpListener::bind("127.0.0.1:0").expect("a port"), reply)
+    }
+
+    /// One that takes what comes to this listener.
+    fn behind(listener: TcpListener, reply: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Engine {
         let address = listener.local_addr().expect("an address");
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
         let (log, reply) = (Arc::clone(&seen), Arc::new(reply));
@@ -83,6 +87,36 @@
     }
 }
 
+/// A stand-in engine whose machine takes no connection yet: those that come wait in the network.
+pub struct Late {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    _filler: Vec<TcpStream>,
+}
+
+impl Late {
+    pub fn listen() -> Late {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+            socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+            socket.listen(0).and_then(tokio::net::TcpListener::into_std).expect("a listener")
+        });
+        listener.set_nonblocking(false).expect("set");
+        let address = listener.local_addr().expect("an address");
+        // Until one more does not come up: the queue is full then.
+        let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+        let filler = (0..16).map_while(fill).collect::<Vec<_>>();
+        assert!((1..16).contains(&filler.len()), "{} came up", filler.len());
+        Late { address, listener, _filler: filler }
+    }
+
+    /// From now on it takes them.
+    pub fn open(self, reply: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Engine {
+        Engine::behind(self.listener, reply)
+    }
+}
+
 /// Waits for something to hold.
 pub fn until<T>(mut found: impl FnMut() -> Option<T>) -> T {
     let end = Instant::now() + PATIENCE;
