The stable hash and the range check move to a crate below all fleet crates

Change: crates/stable; moved only, except that the hash's test now pins a value (it compared a call with itself and could not fail).

--- a/crates/coldstart/src/admission.rs
+++ b/crates/coldstart/src/admission.rs
@@ -11,10 +11,11 @@
 //! hand drain at the mean latency seen, jittered by half either way so that clients refused together do not
 //! return together.
 
-use crate::{within, Micros};
+use crate::Micros;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::within;
 
 /// Latency taken for the mean before an answer tells, and the weight of one answer in it.
 const FIRST_LATENCY: Micros = Micros(200_000);
--- a/crates/coldstart/src/backoff.rs
+++ b/crates/coldstart/src/backoff.rs
@@ -2,10 +2,11 @@
 //! a first rest, multiplied after each failure up to a longest, each rest spread by a share either way
 //! so that clients that failed together do not come back together.
 
-use crate::{within, Micros};
+use crate::Micros;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::within;
 
 /// The figures of a backoff.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/coldstart/src/dials.rs
+++ b/crates/coldstart/src/dials.rs
@@ -7,8 +7,9 @@
 //! the stage and those of one manager spread over its engines. After the warm-up, and at all times, a
 //! bucket bounds new connections a second; a dial never waits longer than one stage and one token.
 
-use crate::{stable_hash, unit, within, Micros};
+use crate::Micros;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::{stable_hash, unit, within};
 
 /// The figures of dials.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/coldstart/src/first_load.rs
+++ b/crates/coldstart/src/first_load.rs
@@ -12,8 +12,8 @@
 //! itself; here the ramp is of the *manager* that came up, on top of the server's own warmth, and both are
 //! parts of one budget for the whole fleet.
 
-use crate::within;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::within;
 
 /// The figures of the ramp. The decision module carries it out (`Settings::cold_ramp`).
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/coldstart/src/held.rs
+++ b/crates/coldstart/src/held.rs
@@ -14,8 +14,9 @@
 //!
 //! Only ids, states and start times are kept: [`MOST_HELD`] of them at most.
 
-use crate::{within, Micros};
+use crate::Micros;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::within;
 use std::collections::BTreeMap;
 
 /// Engines kept at most; of lists beyond that the rest is taken as told. Twice the largest fleet planned for.
--- a/crates/coldstart/src/lists.rs
+++ b/crates/coldstart/src/lists.rs
@@ -20,10 +20,11 @@
 //! answered, for logs and counters.
 
 use crate::backoff::{Backoff, BackoffTerms};
-use crate::{within, Micros};
+use crate::Micros;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::within;
 
 /// Longest first wait and rest, in milliseconds: half the drain grace of 500 ms, so that a manager that
 /// learns of a drain at the end of a rest still stops sending within the grace.
--- a/crates/coldstart/src/ready.rs
+++ b/crates/coldstart/src/ready.rs
@@ -5,8 +5,9 @@
 //! keep a manager out of service: the list it was started with is the last one held); and either one
 //! connection to an engine is up or `link_wait_ms` has passed. It is said once, with its reasons.
 
-use crate::{within, Micros};
+use crate::Micros;
 use serde::{Deserialize, Serialize};
+use sprucelink_stable::within;
 
 /// The figures of readiness.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/fleetrig/src/middle.rs
+++ b/crates/fleetrig/src/middle.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
-use sprucelink_coldstart::within;
+use sprucelink_stable::within;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/fleetrig/src/scenario.rs
+++ b/crates/fleetrig/src/scenario.rs
@@ -5,8 +5,8 @@
 use crate::middle::{Cut, Rule};
 use crate::procs::MOST_MANAGERS;
 use serde::Deserialize;
-use sprucelink_coldstart::within;
 use sprucelink_membership::terms::{Protocol, Share};
+use sprucelink_stable::within;
 
 /// Engines of a run at most, those that come later included.
 pub const MOST_ENGINES: usize = 200;
--- a/crates/locality/src/lib.rs
+++ b/crates/locality/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod terms;
 pub mod verdict;
 
-pub use sprucelink_coldstart::Micros;
+pub use sprucelink_policy::interface::Micros;
 
 use plan::{shares, Room};
 use std::collections::BTreeMap;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -21,4 +21,4 @@
 pub mod swim;
 pub mod terms;
 
-pub use sprucelink_coldstart::Micros;
+pub use sprucelink_policy::interface::Micros;
--- /dev/null
+++ b/crates/stable/src/lib.rs
@@ -0,0 +1,61 @@
+//! What all crates of the fleet stand on: a hash that every manager computes alike, and the one range check of
+//! settings. Nothing here keeps state or does input or output.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+/// A stable 64-bit hash of bytes (FNV-1a, then a SplitMix64 finaliser so that near names spread): the
+/// same on every machine and release, unlike the standard library's hasher, whose output may change.
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
+    let mut h: u64 = 0xcbf2_9ce4_8422_2325;
+    for part in parts {
+        for b in *part {
+            h ^= u64::from(*b);
+            h = h.wrapping_mul(0x0000_0100_0000_01b3);
+        }
+        // Parts are kept apart: ("ab", "c") and ("a", "bc") differ.
+        h ^= 0xff;
+        h = h.wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
+
+/// Whether a figure is finite and lies within `low` and `high`, both included; the error names the field,
+/// the rule and the figure. Every settings check goes through it.
+pub fn within(name: &str, v: f64, low: f64, high: f64) -> Result<(), String> {
+    if v.is_finite() && (low..=high).contains(&v) {
+        Ok(())
+    } else {
+        Err(format!("{name}: must lie within {low} and {high}, is {v}"))
+    }
+}
+
+/// A hash as a share, in [0, 1).
+pub fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_hash_is_stable_and_keeps_parts_apart() {
+        assert_ne!(stable_hash(&[b"ab", b"c"]), stable_hash(&[b"a", b"bc"]));
+        // Pinned: a change of the hash would move every manager's slots.
+        assert_eq!(stable_hash(&[b"n3", b"s-00c41f7a"]), 0xd407_a4ff_1046_8866);
+        let u = unit(stable_hash(&[b"n1"]));
+        assert!((0.0..1.0).contains(&u));
+    }
+
+    #[test]
+    fn near_names_spread_over_the_unit() {
+        let mut buckets = [0u32; 10];
+        for i in 0..1000 {
+            let name = format!("n{i}");
+            buckets[(unit(stable_hash(&[name.as_bytes(), b"s-1"])) * 10.0) as usize] += 1;
+        }
+        assert!(buckets.iter().all(|b| (60..=140).contains(b)), "{buckets:?}");
+    }
+}
--- a/src/run/members.rs
+++ b/src/run/members.rs
@@ -4,12 +4,12 @@
 use crate::core::requests::Core;
 use crate::core::zones::Observer;
 use crate::core::{now, span};
-use sprucelink_coldstart::stable_hash;
 use sprucelink_membership::codec::{self, MOST_DATAGRAM};
 use sprucelink_membership::pool::{self, Ration};
 use sprucelink_membership::swim::{Me, Swim, What};
 use sprucelink_membership::terms::Settings;
 use sprucelink_policy::interface::{AttemptBudget, Micros};
+use sprucelink_stable::stable_hash;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
