Core: one ledger counts requests from taken to settled, and attempts as they leave whole

Design: a guard from sprucelink-figures lives in the table's entry and is used up by settle or by the client's end; the links' writer counts a command when its last byte has left. Turned down: counters at the fronts, which would count an answer that settle drops. Result: unit tests pass; nothing listens yet.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -41,6 +41,9 @@
     fn terms(&self) -> &Terms {
         self.terms()
     }
+    fn on_forwarded(&self, attempts: u64) {
+        (0..attempts).for_each(|_| self.figures().forwarded());
+    }
     fn on_link_up(self: &Rc<Self>, link: &Link) {
         self.linked();
         self.inner.borrow_mut().reached(link.engine, true);
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -89,6 +89,8 @@
     riders: RefCell<BTreeMap<u64, Rider>>,
     /// Parts of the stream that are passed over when their turn comes: from where to where.
     withdrawn: RefCell<BTreeMap<u64, u64>>,
+    /// Where the commands that send attempts end, of those that have not left whole.
+    ends: RefCell<VecDeque<u64>>,
     undone: RefCell<BTreeSet<u64>>,
     heard: Cell<Micros>,
     /// Not dialled before this: the cold start's slot.
@@ -110,6 +112,7 @@
             taken: Cell::new(0),
             riders: RefCell::default(),
             withdrawn: RefCell::default(),
+            ends: RefCell::default(),
             undone: RefCell::default(),
             heard: Cell::new(now()),
             dial_at: Cell::new(Micros(0)),
@@ -196,6 +199,7 @@
         let queued = self.put(parts, || pool.get());
         if queued {
             let (end, sent) = (self.queued.get(), now());
+            self.ends.borrow_mut().push_back(end);
             self.riders.borrow_mut().insert(id, Rider { attempt, start, end, sent });
         }
         queued
@@ -218,9 +222,23 @@
             return Withdrawn::InPart;
         };
         self.withdrawn.borrow_mut().insert(rider.start, rider.end);
+        self.ends.borrow_mut().retain(|end| *end != rider.end);
         Withdrawn::Whole
     }
 
+    /// Bytes were written: attempts that have left whole by them.
+    fn wrote(&self, n: usize) -> u64 {
+        let written = self.written.get() + n as u64;
+        self.written.set(written);
+        let mut ends = self.ends.borrow_mut();
+        let mut whole = 0;
+        while ends.front().is_some_and(|end| *end <= written) {
+            ends.pop_front();
+            whole += 1;
+        }
+        whole
+    }
+
     /// Passes over what was withdrawn where the stream now stands; up to where it may be written then.
     fn next_cut(&self) -> Option<u64> {
         let mut withdrawn = self.withdrawn.borrow_mut();
@@ -286,6 +304,8 @@
     fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed>;
     /// A link has ended; `ours` if this side gave up on it.
     fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool);
+    /// So many attempts have been written whole.
+    fn on_forwarded(&self, _attempts: u64) {}
     /// A link has come up.
     fn on_link_up(self: &Rc<Self>, _link: &Link) {}
 }
@@ -326,13 +346,13 @@
     let (reader, writer) = stream.into_split();
     tokio::select! {
         why = read(core, link, reader) => why,
-        why = write(link, writer) => why,
+        why = write(core, link, writer) => why,
     }
 }
 
 /// Writes what is queued. What leaves next is looked up before each write, never held over a wait: it may be
 /// withdrawn meanwhile.
-async fn write(link: &Link, writer: OwnedWriteHalf) -> Why {
+async fn write<O: Owner>(core: &Rc<O>, link: &Link, writer: OwnedWriteHalf) -> Why {
     // The buffer in hand, and where its first byte stands in the stream.
     let mut hand: Option<(Buf, u64)> = None;
     loop {
@@ -357,7 +377,7 @@
         let to = cut.map_or(buf.len(), |c| ((c - start) as usize).min(buf.len()));
         match writer.try_write(&buf[from..to]) {
             Ok(0) => return theirs("closed by the engine"),
-            Ok(n) => link.written.set(at + n as u64),
+            Ok(n) => core.on_forwarded(link.wrote(n)),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => tokio::select! {
                 ready = writer.writable() => if let Err(e) = ready {
                     return theirs(e);
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -17,6 +17,7 @@
 use sprucelink_coldstart::held::HeldList;
 use sprucelink_coldstart::ready::Readiness;
 use sprucelink_coldstart::settings::ColdStart;
+use sprucelink_figures::{Figures, Taken};
 use sprucelink_membership::facts::Facts;
 use sprucelink_policy::interface::{Micros, Settings};
 use std::cell::RefCell;
@@ -86,6 +87,8 @@
     pub(super) out: Option<Out>,
     pub(super) last: Option<End>,
     pub(super) answer: Option<oneshot::Sender<Final>>,
+    /// In the figures, until it has ended.
+    pub(super) counted: Option<Taken>,
 }
 
 /// What became of requests since the last line of figures.
@@ -138,6 +141,7 @@
     pool: Pool,
     terms: Terms,
     pub(super) wake: Notify,
+    figures: Figures,
 }
 
 /// A request that was taken. Dropped before its answer, it is given up.
@@ -163,7 +167,14 @@
 
 impl Core {
     /// A core that knows no engine yet.
-    pub fn new(set: Settings, seed: u64, names: [Vec<String>; 2], terms: Terms, pool: Pool) -> Rc<Core> {
+    pub fn new(
+        set: Settings,
+        seed: u64,
+        names: [Vec<String>; 2],
+        terms: Terms,
+        pool: Pool,
+        figures: Figures,
+    ) -> Rc<Core> {
         let [zones, kinds] = names;
         let keep = set.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let facade = Facade::new(set, seed, zones, kinds, now());
@@ -186,7 +197,7 @@
             shared: None,
             failover: None,
         };
-        Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new() })
+        Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new(), figures })
     }
 
     /// Switches the cold start on for dials, admission, lists and readiness: `name` is this manager's, as told.
@@ -268,6 +279,10 @@
     pub fn pool(&self) -> &Pool {
         &self.pool
     }
+    /// The figures: what is counted here, and what others count beside it.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
     /// What the settings say of connections.
     pub fn terms(&self) -> &Terms {
         &self.terms
@@ -329,6 +344,7 @@
             out: None,
             last: None,
             answer: Some(sender),
+            counted: Some(self.figures.take(request.asked.class)),
         };
         let in_hand = inner.open.len();
         inner.open.insert(id, entry);
@@ -352,6 +368,7 @@
         let mut inner = self.inner.borrow_mut();
         let Some(entry) = inner.open.get_mut(&id) else { return };
         if entry.answer.take().is_some() {
+            entry.counted.take().into_iter().for_each(Taken::abandoned);
             inner.tally.given_up += 1;
             let mut orders = inner.withdraw(id);
             orders.extend(inner.facade.report(now(), News::GivenUp(id)));
@@ -497,15 +514,23 @@
         let Some(entry) = self.open.get_mut(&id) else { return orders };
         match entry.answer.take() {
             Some(sender) => {
+                let counted = entry.counted.take().into_iter();
                 match answer {
                     Final::Served(_) => {
+                        counted.for_each(Taken::succeeded);
                         self.tally.served += 1;
                         if let Some(cold) = &mut self.cold {
                             cold.admission.served(now() - entry.taken);
                         }
                     }
-                    Final::Refused(..) => self.tally.refused += 1,
-                    Final::Failed(..) => self.tally.failed += 1,
+                    Final::Refused(..) => {
+                        counted.for_each(Taken::declined);
+                        self.tally.refused += 1;
+                    }
+                    Final::Failed(..) => {
+                        counted.for_each(Taken::aborted);
+                        self.tally.failed += 1;
+                    }
                 }
                 drop(sender.send(answer));
             }
--- a/src/core/requests/tests.rs
+++ b/src/core/requests/tests.rs
@@ -28,12 +28,16 @@
     Settings { classes: vec![class], kind_cores, cancel, max_attempts, ..Settings::default() }
 }
 
+fn figures() -> Figures {
+    Figures::new(&["c".into()]).expect("figures")
+}
+
 /// A core with two engines that accept connections and say nothing.
 async fn core() -> (Rc<Core>, Vec<TcpListener>) {
     let dial = Micros(5_000_000);
     let terms =
         Terms { streams: 32, dial, idle: Micros(15_000_000), notes: Micros(0), most: 4, most_links: 8 };
-    let core = Core::new(settings(), 7, [Vec::new(), Vec::new()], terms, Pool::new(64));
+    let core = Core::new(settings(), 7, [Vec::new(), Vec::new()], terms, Pool::new(64), figures());
     let (mut members, mut listeners) = (Vec::new(), Vec::new());
     for id in ["s-1", "s-2"] {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -329,7 +329,7 @@
             cost_ms: f.ms,
             memory_mb: f.heap_mb,
         };
-        let statement = self.keep(statement)?;
+        let statement = self.keep(statement).inspect_err(|_| self.core.figures().take(class).declined())?;
         let request = Request { asked, class: of_class.name.clone(), once, statement };
         let ticket = self.core.take(request);
         ticket
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -13,6 +13,7 @@
 use sprucelink_capture::settings::Settings;
 use sprucelink_coldstart::lists::ListCalls;
 use sprucelink_coldstart::settings::ColdStart;
+use sprucelink_figures::Figures;
 use sprucelink_locality::terms::Terms as FailoverTerms;
 use sprucelink_membership::terms::Settings as Membership;
 use sprucelink_policy::interface::Micros;
@@ -105,7 +106,9 @@
         cold_for: settings.cold_for,
     };
     settings.cold_ramp = cold_start.and_then(|c| c.first_load.ramp());
-    let core = Core::new(settings, seed, config.names, config.terms, Pool::new(config.buffers));
+    let classes: Vec<String> = config.setup.classes.iter().map(|c| c.name.clone()).collect();
+    let figures = Figures::new(&classes).map_err(|e| format!("figures: {e}"))?;
+    let core = Core::new(settings, seed, config.names, config.terms, Pool::new(config.buffers), figures);
     if let Some(cold) = &cold_start {
         // Before the first list: what is held is known from the start.
         core.cold_start(cold, &config.name);
