Operators' address: HTTP/1.1 by hyper, callers held to bounds, a clear status for every bad call

Operators need health, figures, cordon and uncordon within 1 s whatever the load, while other callers send nothing, half a call or garbage and stay; none of it may cost the serving path.

crates/admin: serve() speaks HTTP by hyper on the serving loop, one call a connection; what calls do is the program's, by the trait Operations, answered synchronously. Admission decides without I/O or clock: 64 seats, a newcomer displaces who has its answer, else who has been silent for longest without a whole call; a whole call is due in 2 s (408), an answer is taken in 2 s or reset, accepts are paced (1,000 a second at any time, 500 in the long run). hyper's own bodiless answers to garbage are dropped and replaced by a line that says what is wrong.

--- /dev/null
+++ b/crates/admin/tests/calls.rs
@@ -0,0 +1,166 @@
+//! Good calls and bad ones, as bytes on a socket: each gets one clear answer, and the next call is served.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::time::Duration;
+
+#[test]
+fn the_four_calls_do_what_they_say() {
+    let at = start_plain();
+    let health = get(at, "/admin/health");
+    assert_eq!((health.status, health.body.as_str()), (200, "ok\n"));
+    let out = post(at, "/admin/cordon", "{\"target\":\"s-2\"}");
+    assert_eq!((out.status, out.body.as_str()), (200, "done\n"));
+    assert_eq!(post(at, "/admin/cordon", "{\"target\":\"s-2\"}").body, "done already\n");
+    assert_eq!(get(at, "/admin/health").status, 503);
+    let stats = get(at, "/admin/stats?since=1");
+    assert!(stats.head.contains("content-type: text/plain; charset=utf-8"), "{}", stats.head);
+    assert!(stats.body.contains("\nedge.ejected=1\n"), "{}", stats.body);
+    assert!(stats.body.contains("\nedge.results.lane-rate.succeeded=0\n"), "{}", stats.body);
+    assert_eq!(post(at, "/admin/uncordon", "{\"target\":\"s-2\",\"by\":\"ops\"}").status, 200);
+    assert_eq!(get(at, "/admin/health").status, 200);
+    let head = call(at, b"HEAD /admin/stats HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!((head.status, head.body.as_str()), (200, ""));
+    // As other tools write: the whole address, no host, an older version, one that ends its side at once.
+    for good in ["GET http://x:1/admin/health HTTP/1.1\r\n\r\n", "GET /admin/health HTTP/1.0\r\n\r\n"] {
+        assert_eq!(call(at, good.as_bytes()).status, 200, "{good:?}");
+        assert_eq!(call_and_end(at, good.as_bytes()).status, 200, "{good:?}, ended");
+    }
+    assert_eq!(call_and_end(at, post_bytes("/admin/cordon", "{\"target\":\"s-1\"}").as_bytes()).status, 200);
+    let chunked = b"POST /admin/uncordon HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\
+                    9\r\n{\"target\"\r\n7\r\n:\"s-1\"}\r\n0\r\n\r\n";
+    assert_eq!(call(at, chunked).body, "done\n");
+    let mut asks = connect(at);
+    asks.write_all(b"POST /admin/cordon HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 16\r\n\r\n")
+        .unwrap();
+    let mut goes_on = [0; 25];
+    asks.read_exact(&mut goes_on).unwrap();
+    assert_eq!(&goes_on, b"HTTP/1.1 100 Continue\r\n\r\n");
+    asks.write_all(b"{\"target\":\"s-2\"}").unwrap();
+    assert_eq!(answer(&mut asks).body, "done\n");
+}
+
+#[test]
+fn what_is_wrong_gets_its_status_and_a_line_that_says_so() {
+    let at = start_plain();
+    let long = format!("{{\"target\":\"{}\"}}", "x".repeat(129));
+    for (path, body, status, says) in [
+        ("/admin/cordon", "", 400, "body: empty"),
+        ("/admin/cordon", "{\"target\":", 400, "body: "),
+        ("/admin/cordon", "{}", 400, "target: missing"),
+        ("/admin/uncordon", "{\"target\":\"\"}", 400, "target: empty"),
+        ("/admin/cordon", "{\"target\":[]}", 400, "target: not a string"),
+        ("/admin/uncordon", long.as_str(), 400, "target: 129 bytes"),
+        ("/admin/cordon", "{\"target\":\"s-3\"}", 404, "target: no engine"),
+        ("/admin/uncordon", "{\"target\":\"s-3\"}", 404, "target: no engine"),
+        ("/admin/cordon", "{\"target\":\"busy\"}", 503, "no room for another ban"),
+        ("/admin/none", "{}", 404, "path: "),
+        ("/admin/health", "{}", 405, "method: this path takes GET, HEAD"),
+    ] {
+        let answer = post(at, path, body);
+        assert_eq!(answer.status, status, "{path} {body}: {answer:?}");
+        assert!(answer.body.starts_with(says) && answer.body.ends_with('\n'), "{path} {body}: {answer:?}");
+    }
+    let wrong = get(at, "/admin/uncordon");
+    assert!(wrong.status == 405 && wrong.head.contains("\r\nallow: POST"), "{wrong:?}");
+    assert_eq!(call(at, b"CONNECT x:1 HTTP/1.1\r\n\r\n").status, 404);
+    assert_eq!(call(at, b"OPTIONS * HTTP/1.1\r\n\r\n").status, 404);
+    // A program at fault costs that call alone.
+    let mut stream = connect(at);
+    stream.write_all(post_bytes("/admin/cordon", "{\"target\":\"panic\"}").as_bytes()).unwrap();
+    let mut none = Vec::new();
+    assert!(stream.read_to_end(&mut none).map_or(true, |n| n == 0), "{none:?}");
+    assert_eq!(get(at, "/admin/health").status, 200);
+}
+
+#[test]
+fn a_call_may_come_in_pieces_cut_anywhere() {
+    let at = start_plain();
+    let bytes = post_bytes("/admin/cordon", "{\"target\":\"s-1\"}").into_bytes();
+    let callers: Vec<_> = (1..bytes.len())
+        .map(|cut| {
+            let bytes = bytes.clone();
+            std::thread::spawn(move || {
+                let mut stream = connect(at);
+                stream.write_all(&bytes[..cut]).unwrap();
+                std::thread::sleep(Duration::from_millis(5));
+                stream.write_all(&bytes[cut..]).unwrap();
+                (cut, answer(&mut stream))
+            })
+        })
+        .collect();
+    // More callers at once than there are seats: none of them is displaced for so long as it takes to speak.
+    for caller in callers {
+        let (cut, answer) = caller.join().unwrap();
+        assert_eq!(answer.status, 200, "cut at {cut}: {answer:?}");
+    }
+    let mut stream = connect(at);
+    for byte in &bytes {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    assert_eq!(answer(&mut stream).body, "done already\n");
+}
+
+#[test]
+fn garbage_of_every_kind_gets_a_status_and_a_close() {
+    let at = start_plain();
+    let tls = b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03";
+    let many: String = (0..200).map(|n| format!("a{n}: b\r\n")).collect();
+    let cases: Vec<(Vec<u8>, u16)> = vec![
+        (tls.to_vec(), 400),
+        (b"\0\0\0\x08\x04\xd2\x16\x2f".to_vec(), 400),
+        (b"hello\r\n\r\n".to_vec(), 400),
+        (b"GET /admin/health\r\n\r\n".to_vec(), 400),
+        (b"GET /admin/health HTTP/7.3\r\n\r\n".to_vec(), 400),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(), 400),
+        (b"GET /admin/health HTTP/1.1\r\nno colon\r\n\r\n".to_vec(), 400),
+        (b"POST /admin/cordon HTTP/1.1\r\nContent-Length: x\r\n\r\n".to_vec(), 400),
+        (b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n".to_vec(), 400),
+        (b"POST /admin/cordon HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".to_vec(), 400),
+        // Overlong: the line, one header, all of them, the body by its word.
+        ([b"GET /", "a".repeat(100_000).as_bytes()].concat(), 431),
+        ([b"GET / HTTP/1.1\r\nx: ", "a".repeat(100_000).as_bytes()].concat(), 431),
+        ([b"GET / HTTP/1.1\r\n", many.as_bytes(), b"\r\n"].concat(), 431),
+        (b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 4097\r\n\r\n".to_vec(), 413),
+        (b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\n".to_vec(), 431),
+    ];
+    for (bytes, status) in cases {
+        let shown = String::from_utf8_lossy(&bytes[..bytes.len().min(60)]).into_owned();
+        let answer = call(at, &bytes);
+        assert_eq!(answer.status, status, "{shown:?}: {answer:?}");
+        assert!(answer.body.len() > 10 && answer.body.ends_with('\n'), "{shown:?}: {answer:?}");
+    }
+    // Ended before it was whole, in the head and in the body.
+    assert_eq!(call_and_end(at, b"GET /admin/health HTT").status, 400);
+    let whole = post_bytes("/admin/cordon", "{\"target\":\"s-1\"}");
+    let half = call_and_end(at, &whole.as_bytes()[..whole.len() - 5]);
+    assert_eq!(half.status, 400, "{half:?}");
+    // A second call behind the first is not served.
+    let two = [
+        post_bytes("/admin/cordon", "{\"target\":\"s-1\"}"),
+        post_bytes("/admin/uncordon", "{\"target\":\"s-1\"}"),
+    ];
+    assert_eq!(call(at, two.concat().as_bytes()).body, "done\n");
+    assert_eq!(figure(at, "ejected"), 1);
+    assert!(figure(at, "admin.malformed") >= 10);
+}
+
+#[test]
+fn a_body_without_end_is_cut_off_at_its_bound() {
+    let at = start_plain();
+    let mut stream = connect(at);
+    stream.write_all(b"POST /admin/cordon HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+    let chunk = [b"400\r\n", " ".repeat(0x400).as_bytes(), b"\r\n"].concat();
+    let mut reader = stream.try_clone().unwrap();
+    let answered = std::thread::spawn(move || answer(&mut reader));
+    let mut sent = 0;
+    // It is written until the address stops reading it: a write fails once the connection is closed.
+    while sent < 100_000_000 && stream.write_all(&chunk).is_ok() {
+        sent += chunk.len();
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(sent < 100_000_000);
+    assert_eq!(answered.join().unwrap().status, 413);
+}
--- /dev/null
+++ b/crates/admin/tests/common/mod.rs
@@ -0,0 +1,154 @@
+//! A program for the operators' address to speak for, and callers that write bytes.
+#![allow(dead_code)]
+
+use sprucelink_admin::{serve, Bite, Done, Limits, Operations, Refused};
+use sprucelink_figures::Figures;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::time::Duration;
+use tokio::net::TcpSocket;
+
+/// No test waits longer for an answer: far more than any is due in.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The name of the thread that serves.
+pub const THREAD: &str = "operators";
+
+/// Engines `s-1` and `s-2`, figures, and what a real program may do wrong.
+struct Program {
+    out: RefCell<BTreeSet<String>>,
+    figures: Figures,
+    /// So many bytes of figures besides the real ones.
+    padding: usize,
+}
+
+impl Operations for Program {
+    fn healthy(&self) -> bool {
+        !self.out.borrow().contains("s-2")
+    }
+    fn stats(&self) -> String {
+        self.figures.ejected(self.out.borrow().len());
+        self.figures.render() + &"#".repeat(self.padding)
+    }
+    fn cordon(&self, target: &str) -> Result<Done, Refused> {
+        match target {
+            "s-1" | "s-2" if self.out.borrow_mut().insert(target.into()) => Ok(Done::Changed),
+            "s-1" | "s-2" => Ok(Done::Unchanged),
+            "busy" => Err(Refused::Unavailable("no room for another ban".into())),
+            "panic" => panic!("a fault of the program"),
+            _ => Err(Refused::Unknown),
+        }
+    }
+    fn uncordon(&self, target: &str) -> Result<Done, Refused> {
+        match target {
+            "s-1" | "s-2" if self.out.borrow_mut().remove(target) => Ok(Done::Changed),
+            "s-1" | "s-2" => Ok(Done::Unchanged),
+            _ => Err(Refused::Unknown),
+        }
+    }
+    fn bitten(&self, bite: Bite) {
+        self.figures.counter(bite.name()).unwrap().increment(1);
+    }
+}
+
+/// Starts the operators' address on a thread of its own, for as long as the test lasts. `send_buffer` bounds what the
+/// kernel takes of an answer that nobody reads.
+pub fn start(limits: Limits, padding: usize, send_buffer: Option<u32>) -> SocketAddr {
+    let (sender, address) = mpsc::channel();
+    let thread = std::thread::Builder::new().name(THREAD.into());
+    let serving = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let serving = async move {
+            let socket = TcpSocket::new_v4().unwrap();
+            send_buffer.into_iter().for_each(|n| socket.set_send_buffer_size(n).unwrap());
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            let listener = socket.listen(1024).unwrap();
+            sender.send(listener.local_addr().unwrap()).unwrap();
+            let figures = Figures::new(&["lane-rate".into()]).unwrap();
+            let program = Rc::new(Program { out: RefCell::default(), figures, padding });
+            serve(listener, program, limits).await;
+        };
+        tokio::task::LocalSet::new().block_on(&runtime, serving);
+    };
+    thread.spawn(serving).unwrap();
+    address.recv().unwrap()
+}
+
+/// With the default limits.
+pub fn start_plain() -> SocketAddr {
+    start(Limits::default(), 0, None)
+}
+
+/// An answer as it came.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// A caller's connection.
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// Everything until the address closes; the one answer in it, which must be whole and say that it is the last.
+pub fn answer(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).unwrap();
+    parse(&bytes)
+}
+
+pub fn parse(bytes: &[u8]) -> Answer {
+    let text = std::str::from_utf8(bytes).unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or_else(|| panic!("no answer in {text:?}"));
+    let status =
+        head.strip_prefix("HTTP/1.1 ").or(head.strip_prefix("HTTP/1.0 ")).unwrap()[..3].parse().unwrap();
+    let length: usize =
+        head.lines().find_map(|l| l.strip_prefix("content-length: ")).unwrap().parse().unwrap();
+    assert!(body.len() == length || body.is_empty(), "a second answer or a part of one: {text:?}");
+    assert!(head.contains("\r\nconnection: close") || head.starts_with("HTTP/1.0"), "{head}");
+    Answer { status, head: head.into(), body: body.into() }
+}
+
+/// The answer to these bytes. Writing may fail behind an early answer.
+pub fn call(address: SocketAddr, bytes: &[u8]) -> Answer {
+    let mut stream = connect(address);
+    let _ = stream.write_all(bytes);
+    answer(&mut stream)
+}
+
+/// The answer to these bytes, after which the caller ends its side.
+pub fn call_and_end(address: SocketAddr, bytes: &[u8]) -> Answer {
+    let mut stream = connect(address);
+    stream.write_all(bytes).unwrap();
+    stream.shutdown(Shutdown::Write).unwrap();
+    answer(&mut stream)
+}
+
+pub fn get(address: SocketAddr, path: &str) -> Answer {
+    call(address, format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes())
+}
+
+pub fn post_bytes(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+pub fn post(address: SocketAddr, path: &str, body: &str) -> Answer {
+    call(address, post_bytes(path, body).as_bytes())
+}
+
+/// A figure, by the address's own call.
+pub fn figure(address: SocketAddr, name: &str) -> u64 {
+    let stats = get(address, "/admin/stats");
+    let line = stats.body.lines().find_map(|l| l.strip_prefix(&format!("edge.{name}=")).map(str::to_owned));
+    line.map_or(0, |value| value.parse().unwrap())
+}
--- /dev/null
+++ b/crates/admin/tests/hostile.rs
@@ -0,0 +1,116 @@
+//! Callers that stay: silent, with half a call, or not reading. A good caller is answered meanwhile.
+
+mod common;
+
+use common::*;
+use sprucelink_admin::Limits;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Operators are owed an answer within 1 s; a busy machine is given more, and still less than any bad caller stays.
+const GENEROUS: Duration = Duration::from_secs(5);
+
+/// Callers that say nothing or half a call, and stay.
+fn crowd(at: SocketAddr, many: usize) -> Vec<TcpStream> {
+    let halves: [&[u8]; 3] =
+        [b"", b"GET /admin/hea", b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 16\r\n\r\n{\"targ"];
+    let callers = (0..many).map(|n| {
+        let mut stream = connect(at);
+        // It may have been displaced already.
+        let _ = stream.write_all(halves[n % halves.len()]);
+        stream
+    });
+    callers.collect()
+}
+
+#[test]
+fn a_good_caller_is_answered_among_hundreds_that_say_nothing_or_half_a_call() {
+    let at = start(Limits { call_due: Duration::from_secs(20), ..Limits::default() }, 0, None);
+    let crowding = std::thread::spawn(move || crowd(at, 600));
+    // While they come and while they are there: ten calls, each by itself within what is owed.
+    for n in 0..10 {
+        let start = Instant::now();
+        let body = if n % 2 == 0 { "{\"target\":\"s-1\"}" } else { "{\"target\":\"s-2\"}" };
+        assert_eq!(post(at, "/admin/cordon", body).status, 200);
+        assert!(start.elapsed() < GENEROUS, "call {n} took {:?}", start.elapsed());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let mut callers = crowding.join().unwrap();
+    assert_eq!(get(at, "/admin/stats").status, 200);
+    // All but the last of them went for others, long before their calls were due, and were told so.
+    assert!(figure(at, "admin.displaced") >= 500, "{}", figure(at, "admin.displaced"));
+    assert_eq!(figure(at, "admin.call_late"), 0);
+    let told = answer(&mut callers[1]);
+    assert!(told.status == 503 && told.body.starts_with("too many callers"), "{told:?}");
+}
+
+#[test]
+fn half_a_call_gets_408_when_it_is_due_however_slowly_it_goes_on() {
+    let due = Duration::from_millis(300);
+    let at = start(Limits { call_due: due, ..Limits::default() }, 0, None);
+    for mut caller in crowd(at, 3) {
+        let start = Instant::now();
+        let late = answer(&mut caller);
+        assert!(late.status == 408 && late.body == "call: not whole in time\n", "{late:?}");
+        assert!(start.elapsed() < GENEROUS);
+    }
+    let mut drip = connect(at);
+    let start = Instant::now();
+    let mut reader = drip.try_clone().unwrap();
+    let answered = std::thread::spawn(move || (answer(&mut reader).status, Instant::now()));
+    // A byte now and then buys no time.
+    while !answered.is_finished() && drip.write_all(b"G").is_ok() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let (status, end) = answered.join().unwrap();
+    assert_eq!(status, 408);
+    assert!(end - start >= due / 2 && end - start < due + GENEROUS, "{:?}", end - start);
+    assert_eq!(figure(at, "admin.call_late"), 4);
+}
+
+#[test]
+fn an_answer_is_whole_for_a_slow_reader_and_reset_for_one_that_never_reads() {
+    let limits = Limits { callers: 4, answer_due: Duration::from_secs(3), ..Limits::default() };
+    let at = start(limits, 60_000, Some(4 * 1024));
+    let ask = |buffer: usize| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let stream = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(buffer as u32).unwrap();
+            socket.connect(at).await.unwrap().into_std().unwrap()
+        });
+        stream.set_nonblocking(false).unwrap();
+        let mut stream = stream;
+        stream.write_all(b"GET /admin/stats HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+        stream
+    };
+    let (mut slow, mut never) = (ask(4 * 1024), ask(4 * 1024));
+    let (mut bytes, mut some) = (Vec::new(), [0; 4_096]);
+    loop {
+        match slow.read(&mut some).unwrap() {
+            0 => break,
+            n => bytes.extend_from_slice(&some[..n]),
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let whole = parse(&bytes);
+    assert!(whole.status == 200 && whole.body.len() > 60_000);
+    let start = Instant::now();
+    while figure(at, "admin.answer_late") == 0 {
+        assert!(start.elapsed() < Duration::from_secs(20), "never let go");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let mut rest = Vec::new();
+    assert!(never.read_to_end(&mut rest).is_err(), "{} bytes and a clean end", rest.len());
+    // Answers that are not taken give their seats up to newcomers, too.
+    let _stuck: Vec<TcpStream> = (0..8).map(|_| ask(4 * 1024)).collect();
+    assert_eq!(get(at, "/admin/health").status, 200);
+}
+
+#[test]
+fn figures_past_their_bound_are_an_error_and_not_a_flood() {
+    let at = start(Limits::default(), sprucelink_admin::MOST_ANSWER, None);
+    let over = get(at, "/admin/stats");
+    assert!(over.status == 500 && over.body.starts_with("figures: "), "{over:?}");
+}
