Operators' address: health, figures, engines out and back; the inherited listening socket

Design: a ban is put between the list and the module: the module hears an engine that is out as draining, so a ban takes the way of every drain (nothing new, dials closed, what is out finishes), whatever the list says meanwhile; the list's own word is kept and told again at the call back. Turned down: a mask in the module's pick, which would be a second way for drains and lines that the module has not got.

Three process tests.

--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -5,7 +5,7 @@
 use super::links::{self, Link};
 use super::now;
 use super::requests::{Core, Inner};
-use crate::proto::events::{ListEvent, Phase};
+use crate::proto::events::{ListEvent, Member, Phase};
 use sprucelink_coldstart::dials::DialStager;
 use sprucelink_coldstart::held::Says;
 use sprucelink_policy::interface::Micros;
@@ -24,6 +24,15 @@
     pub(super) gone: Option<Micros>,
     /// When it last said anything.
     pub(super) word: Option<Micros>,
+    /// What the list said of it last, whatever was made of that.
+    pub(super) told: Option<Member>,
+}
+
+impl Engine {
+    /// Whether the list held has it, and not as gone.
+    pub(super) fn is_listed(&self) -> bool {
+        self.address.is_some() && self.gone.is_none()
+    }
 }
 
 impl Core {
@@ -36,13 +45,30 @@
         inner.last_event = list.n;
         let guarded = inner.guarded(list);
         let list = guarded.as_ref().unwrap_or(list);
+        inner.note_listed(list);
         inner.forget_gone(list);
-        let mut orders = inner.facade.report(now(), News::List(list, remembered));
-        for member in &list.members {
-            let i = inner.facade.engine(&member.id);
-            let most = inner.engines.len().max(i + 1);
-            inner.engines.resize_with(most, Engine::default);
-            let engine = &mut inner.engines[i];
+        let orders = inner.on_members(list, remembered);
+        let listed = inner.listed();
+        if let Some(cold) = &mut inner.cold {
+            cold.ready.listed(listed);
+        }
+        inner.work(self, orders);
+        self.wake.notify_one();
+    }
+}
+
+impl Inner {
+    /// Takes in what a list says of engines; what follows from it.
+    pub(super) fn on_members(&mut self, list: &ListEvent, remembered: bool) -> Vec<Order> {
+        let masked = self.masked(list);
+        let heard = masked.as_ref().unwrap_or(list);
+        let mut orders = self.facade.report(now(), News::List(heard, remembered));
+        for (member, told) in heard.members.iter().zip(&list.members) {
+            let i = self.facade.engine(&member.id);
+            let most = self.engines.len().max(i + 1);
+            self.engines.resize_with(most, Engine::default);
+            let engine = &mut self.engines[i];
+            engine.told = Some(told.clone());
             let address = member.address.parse().ok();
             if engine.address != address || engine.since != member.up_since_ms {
                 engine.links.iter().for_each(|l| l.retire());
@@ -57,22 +83,16 @@
                 // Guards the rule on drains: what waits for a connection would go out after the word.
                 let dialing: Vec<_> = engine.links.iter().filter(|l| l.dialing()).cloned().collect();
                 for link in dialing {
-                    orders.extend(inner.close_link(&link, false));
+                    orders.extend(self.close_link(&link, false));
                 }
             }
-            let (id, phase, address) = (&member.id, member.phase, &member.address);
-            info!(engine = %id, number = i, "engine {id} is {phase:?} at {address}, number {i}");
-        }
-        let listed = inner.listed();
-        if let Some(cold) = &mut inner.cold {
-            cold.ready.listed(listed);
+            let (id, phase, address) = (&told.id, told.phase, &member.address);
+            let out = if member.phase == phase { "" } else { ", taken out" };
+            info!(engine = %id, number = i, "engine {id} is {phase:?} at {address}, number {i}{out}");
         }
-        inner.work(self, orders);
-        self.wake.notify_one();
+        orders
     }
-}
 
-impl Inner {
     /// What the cold start's guard leaves of a list that is older than the one held, or contradicts itself;
     /// `None`: all of it.
     fn guarded(&mut self, list: &ListEvent) -> Option<ListEvent> {
@@ -102,7 +122,7 @@
 
     /// Engines of the list held that have an address and are not gone.
     pub(super) fn listed(&self) -> usize {
-        self.engines.iter().filter(|e| e.address.is_some() && e.gone.is_none()).count()
+        self.engines.iter().filter(|e| e.is_listed()).count()
     }
 
     /// Forgets the engines that have been gone for long enough and have no connection left.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod facade;
 pub mod feed;
 pub mod links;
+mod outages;
 mod past;
 pub mod pool;
 pub mod requests;
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -19,6 +19,7 @@
 use sprucelink_coldstart::settings::ColdStart;
 use sprucelink_figures::{Figures, Taken};
 use sprucelink_membership::facts::Facts;
+use sprucelink_outage::{Limits as OutageLimits, Outages};
 use sprucelink_policy::interface::{Micros, Settings};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -122,6 +123,8 @@
     pub(super) cold: Option<Cold>,
     /// What is told to other managers, where they keep a view of the fleet.
     pub(super) shared: Option<Shared>,
+    /// What is out here, and why.
+    pub(super) outages: Outages,
     /// Failover between zones, where it is on.
     pub(super) failover: Option<Failover>,
 }
@@ -195,6 +198,7 @@
             capture_lost: 0,
             cold: None,
             shared: None,
+            outages: Outages::new(OutageLimits::default()),
             failover: None,
         };
         Rc::new(Core { inner: RefCell::new(inner), pool, terms, wake: Notify::new(), figures })
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 
 use sprucelink::run::args::{self, Command, Files};
 use sprucelink::run::serve::Start;
-use sprucelink::run::{config, logging, operator, serve, tools};
+use sprucelink::run::{config, inherit, logging, operator, serve, tools};
 
 fn text(path: &str) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
@@ -39,8 +39,14 @@
         let set = sprucelink_locality::terms::Terms::parse(&text(path)?);
         set.map_err(|e| format!("{path}: {e}"))
     });
+    let get = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
+    let descriptor =
+        get("EDGE_FD").map(|v| v.parse().map_err(|_| format!("EDGE_FD: {v:?} is no descriptor")));
+    let inherited = descriptor.transpose()?.map(inherit::listener).transpose()?;
     Ok(Start {
         config,
+        operators: get("EDGE_OPERATOR"),
+        inherited,
         operator: operator.transpose()?,
         recorder,
         cold_start: cold_start.transpose()?,
--- /dev/null
+++ b/src/run/admin.rs
@@ -0,0 +1,105 @@
+//! The operators' address: what their calls do in this program. `sprucelink_admin` speaks HTTP and holds callers to
+//! their bounds.
+
+use crate::core::requests::Core;
+use sprucelink_admin::{Bite, Done, Limits, Operations, Refused};
+use sprucelink_figures::Counter;
+use sprucelink_outage::{By, Change, Hold, Refused as Unfit};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tracing::{info, warn};
+
+/// Operators, checks and scrapers are a handful, and each seat is a descriptor that clients and engines go without.
+pub const LIMITS: Limits = Limits {
+    callers: 32,
+    call_due: Duration::from_secs(2),
+    answer_due: Duration::from_secs(2),
+    linger: Duration::from_millis(500),
+    accepts_per_second: 500,
+    accept_burst: 256,
+};
+
+/// What a ban says of who wanted it.
+const BY_HAND: &str = "by the operators' address";
+
+/// The program, as operators' calls see it.
+pub struct Desk {
+    core: Rc<Core>,
+    ready: Cell<bool>,
+    bitten: Vec<(Bite, Counter)>,
+}
+
+impl Desk {
+    /// A desk over this core, that says no to health checks until [`Desk::ready`].
+    pub fn new(core: Rc<Core>) -> Rc<Desk> {
+        let counter = |bite: &Bite| {
+            let counter = core.figures().counter(bite.name());
+            (*bite, counter.unwrap_or_else(|_| Counter::noop()))
+        };
+        let bitten = Bite::ALL.iter().map(counter).collect();
+        Rc::new(Desk { core, ready: Cell::new(false), bitten })
+    }
+
+    /// From now on this process can serve.
+    pub fn ready(&self) {
+        self.ready.set(true);
+    }
+
+    /// Listens for operators on an address.
+    ///
+    /// # Errors
+    /// An address that cannot be listened on.
+    pub async fn open(self: &Rc<Self>, address: &str) -> Result<(), String> {
+        let failed = |e: std::io::Error| format!("operators: listen on {address}: {e}");
+        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let at = listener.local_addr().map_err(failed)?;
+        spawn_local(sprucelink_admin::serve(listener, Rc::clone(self), LIMITS));
+        info!("operators on {at}");
+        Ok(())
+    }
+
+    fn obeyed(&self, id: &str, change: Result<Change, Unfit>) -> Result<Done, Refused> {
+        match change {
+            Ok(Change::Out | Change::Back) => Ok(Done::Changed),
+            Ok(Change::AlreadyOut | Change::NotOut | Change::StillOut { .. }) => Ok(Done::Unchanged),
+            Err(unfit) => {
+                warn!(engine = %id, "operators: engine {id}: {unfit}");
+                match unfit {
+                    Unfit::NeverListed | Unfit::BadTarget => Err(Refused::Unknown),
+                    Unfit::TooMany | Unfit::BadLease => Err(Refused::Unavailable(unfit.to_string())),
+                }
+            }
+        }
+    }
+}
+
+impl Operations for Desk {
+    fn healthy(&self) -> bool {
+        self.ready.get()
+    }
+
+    fn stats(&self) -> String {
+        let (listed, avoided) = self.core.listed_and_avoided();
+        let figures = self.core.figures();
+        figures.discovered(listed);
+        figures.ejected(avoided);
+        figures.render()
+    }
+
+    fn cordon(&self, target: &str) -> Result<Done, Refused> {
+        self.obeyed(target, self.core.take_out(target, Hold::Operator, BY_HAND))
+    }
+
+    fn uncordon(&self, target: &str) -> Result<Done, Refused> {
+        self.obeyed(target, self.core.put_back(target, By::Operator))
+    }
+
+    fn bitten(&self, bite: Bite) {
+        if let Some((_, counter)) = self.bitten.iter().find(|(b, _)| *b == bite) {
+            counter.increment(1);
+        }
+    }
+}
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -1,6 +1,7 @@
 //! Serving: from the configuration to the last answer after SIGTERM.
 
 use super::acme;
+use super::admin::{self, Desk};
 use super::args::Files;
 use super::config::Config;
 use super::members::{self, Told};
@@ -40,6 +41,10 @@
 pub struct Start {
     /// The configuration.
     pub config: Config,
+    /// Where operators call; without it nothing listens for them.
+    pub operators: Option<String>,
+    /// The clients' listening socket where the platform holds it; else this process opens its own.
+    pub inherited: Option<std::net::TcpListener>,
     /// The second front; without it that is off.
     pub operator: Option<Operator>,
     /// The recorder; without it nothing is recorded.
@@ -88,7 +93,18 @@
 }
 
 async fn run(start: Start, files: Files, reread: Reread) -> Result<(), String> {
-    let Start { config, operator, recorder, cold_start, membership, failover } = start;
+    let Start { mut config, operators, inherited, operator, recorder, cold_start, membership, failover } =
+        start;
+    if operators.is_some() {
+        // Operators' descriptors are kept back from both sides, each giving its part.
+        let (kept, sessions, links) =
+            (admin::LIMITS.descriptors(), &mut config.setup.most_sessions, &mut config.terms.most_links);
+        let both = (*sessions + *links).max(1);
+        (*sessions, *links) = (
+            (*sessions).saturating_sub(kept * *sessions / both),
+            (*links).saturating_sub(kept * *links / both),
+        );
+    }
     let (home, zones) = (config.settings.zone, config.names[0].clone());
     let cold_start = cold_start.filter(|c| c.enabled);
     // Before anything is awaited: a signal without its handler would end the program.
@@ -145,9 +161,19 @@
     let (moved, address) = watch::channel(config.feed);
     spawn_local(feed::follow(Rc::clone(&core), address, calls));
     spawn_local(reload(hup, files, reread, moved));
-    let mut fronts = vec![open("serving", &core, &config.listen, config.setup).await?];
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("EDGE_FD: {e}"))?,
+        None => bind(&config.listen).await?,
+    };
+    let desk = Desk::new(Rc::clone(&core));
+    if let Some(address) = operators {
+        desk.open(&address).await?;
+    }
+    let mut fronts = vec![open("serving", &core, listener, config.setup)?];
+    desk.ready();
     if let Some(operator) = operator {
-        let second = open("second front", &core, &operator.listen, operator.setup).await?;
+        let listener = bind(&operator.listen).await?;
+        let second = open("second front", &core, listener, operator.setup)?;
         if let Some(acme) = operator.acme {
             acme::keep(acme, Rc::clone(&second.0)).await?;
         }
@@ -185,11 +211,13 @@
     Ok(())
 }
 
+async fn bind(address: &str) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|e| format!("listen on {address}: {e}"))
+}
+
 /// Opens a front: it and the task that takes its connections.
-async fn open(what: &str, core: &Rc<Core>, address: &str, setup: Setup) -> Result<Opened, String> {
-    let failed = |e: std::io::Error| format!("listen on {address}: {e}");
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
-    let at = listener.local_addr().map_err(failed)?;
+fn open(what: &str, core: &Rc<Core>, listener: TcpListener, setup: Setup) -> Result<Opened, String> {
+    let at = listener.local_addr().map_err(|e| format!("{what}: {e}"))?;
     let front = Front::new(Rc::clone(core), setup);
     let accepting = spawn_local(Rc::clone(&front).listen(listener));
     info!("{what} on {at}");
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,141 @@
+//! The operators' address on the running program: health, figures, engines taken out and put back.
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use support::*;
+
+fn sql(req: u64) -> String {
+    format!("/* kind=lane-rate,req={req:016x},timeout=20000,owner=sud */ SELECT a FROM sales_17.orders")
+}
+
+/// One call: its status and body.
+fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(to).expect("connected");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: wm\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(format!("{head}{body}").as_bytes()).expect("written");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer");
+    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    (status, text.split_once("\r\n\r\n").expect("a head").1.to_owned())
+}
+
+fn figure(to: SocketAddr, name: &str) -> u64 {
+    let (status, body) = call(to, "GET", "/admin/stats", "");
+    assert_eq!(status, 200);
+    let line = body.lines().find_map(|l| l.strip_prefix(&format!("edge.{name}=")));
+    line.unwrap_or_else(|| panic!("no {name} in {body}")).parse().expect("a number")
+}
+
+fn target(id: &str) -> String {
+    format!(r#"{{"target":"{id}"}}"#)
+}
+
+#[test]
+fn health_and_figures_tell_what_passed() {
+    let engine = Engine::start(|seen| match seen.parts[1].ends_with('f') {
+        true => Reply::Word("crashed"),
+        false => Reply::Pages(vec!["a\tb\tc\n".into()]),
+    });
+    let program = Program::with_operators(&[("s-1", engine.address)], None, SETTINGS);
+    let at = program.operators.expect("an address");
+    assert_eq!(call(at, "GET", "/admin/health", "").0, 200);
+    let names = ["results.lane-rate.succeeded", "results.tariff-load.declined", "forwards", "outstanding"];
+    assert!(names.iter().all(|n| figure(at, n) == 0), "counts start at 0");
+    let mut raw = Raw::connect(program.platform);
+    (1..=7).for_each(|req| assert_eq!(rows(&raw.ask(&sql(req))).len(), 1));
+    // Worth nothing in time: refused at once.
+    let heavy = sql(8).replace("timeout=20000", "timeout=20000,ms=600000");
+    assert_eq!(error(&raw.ask(&heavy))[0], "53400");
+    assert_eq!(figure(at, "results.lane-rate.succeeded"), 7);
+    assert_eq!(figure(at, "results.lane-rate.declined"), 1);
+    assert_eq!(figure(at, "forwards"), 7);
+    // The engine fails it as often as it is tried, which the class allows six times.
+    assert_eq!(error(&raw.ask(&sql(15)))[0].len(), 5);
+    let seen = engine.seen("do").len() as u64;
+    assert_eq!(figure(at, "forwards"), seen);
+    let ended = ["declined", "aborted"].map(|e| figure(at, &format!("results.lane-rate.{e}")));
+    assert_eq!(ended.iter().sum::<u64>(), 2);
+    assert_eq!((figure(at, "outstanding"), figure(at, "discovered")), (0, 1));
+}
+
+#[test]
+fn an_engine_taken_out_gets_nothing_until_the_call_back_whatever_the_list_says() {
+    let (one, two) = (Engine::echo(), Engine::echo());
+    let feed = Feed::start();
+    let program =
+        Program::with_operators(&[("s-1", one.address), ("s-2", two.address)], Some(&feed), SETTINGS);
+    let at = program.operators.expect("an address");
+    assert_eq!(call(at, "POST", "/admin/cordon", &target("s-9")).0, 404, "it was never listed");
+    assert_eq!(call(at, "POST", "/admin/uncordon", &target("s-9")).0, 404);
+    assert_eq!(call(at, "POST", "/admin/cordon", "{").0, 400);
+    for _ in 0..3 {
+        assert_eq!(call(at, "POST", "/admin/cordon", &target("s-1")).0, 200, "it may come more than once");
+    }
+    assert_eq!((figure(at, "discovered"), figure(at, "ejected")), (2, 1));
+    // The list takes it away, brings it back, and names all anew.
+    let (id, address) = ("s-1", one.address);
+    let events = [(false, "draining"), (false, "gone"), (false, "ready"), (true, "ready")];
+    let mut raw = Raw::connect(program.platform);
+    let mut req = 0;
+    let mut ask = |n: u64| {
+        for _ in 0..n {
+            req += 1;
+            assert_eq!(rows(&raw.ask(&sql(req))).len(), 1);
+        }
+    };
+    for (i, (complete, phase)) in events.into_iter().enumerate() {
+        let all = [(id, address, phase), ("s-2", two.address, "ready")];
+        feed.send(list(i + 2, complete, &all[..1 + usize::from(complete)]));
+        let wanted = format!("engine s-1 is {}", phase[..1].to_uppercase() + &phase[1..]);
+        program.wait_line(&wanted);
+        ask(20);
+    }
+    assert_eq!(one.seen("do").len(), 0);
+    assert_eq!(call(at, "POST", "/admin/uncordon", &target("s-1")).0, 200, "one call back ends it");
+    assert_eq!(figure(at, "ejected"), 0);
+    until(|| {
+        ask(5);
+        (!one.seen("do").is_empty()).then_some(())
+    });
+}
+
+/// Guards the serving path, and the second in which operators are owed an answer, against callers of every bad kind.
+#[test]
+fn bad_callers_cost_neither_operators_nor_clients() {
+    let engine = Engine::echo();
+    let program = Program::with_operators(&[("s-1", engine.address)], None, SETTINGS);
+    let at = program.operators.expect("an address");
+    let kinds: [&[u8]; 6] = [
+        b"",
+        b"GET /admin/he",
+        b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 4000\r\n\r\n{\"target\":",
+        b"\x16\x03\x01garbage\0\xff\r\n\r\n",
+        b"DELETE /admin/health HTTP/1.1\r\nHost: wm\r\n\r\n",
+        b"POST /admin/cordon HTTP/1.1\r\nHost: wm\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n{",
+    ];
+    let bad = |i: usize| {
+        let mut stream = TcpStream::connect(at).expect("connected");
+        stream.write_all(kinds[i % kinds.len()]).expect("written");
+        stream
+    };
+    let mut held: Vec<TcpStream> = (0..48).map(bad).collect();
+    let mut raw = Raw::connect(program.platform);
+    let begin = Instant::now();
+    let mut slowest = Duration::ZERO;
+    for req in 1..=100 {
+        assert_eq!(rows(&raw.ask(&sql(req))).len(), 1);
+        let asked = Instant::now();
+        assert_eq!(call(at, "GET", "/admin/health", "").0, 200);
+        slowest = slowest.max(asked.elapsed());
+        held.push(bad(req as usize));
+    }
+    assert!(slowest < Duration::from_secs(10), "{slowest:?} of {:?}", begin.elapsed());
+    assert_eq!(figure(at, "results.lane-rate.succeeded"), 100);
+    let long = format!("/admin/{}", "x".repeat(20_000));
+    assert!([414, 431, 400].contains(&call(at, "GET", &long, "").0));
+    assert_eq!(call(at, "GET", "/admin/nothing", "").0, 404);
+    assert_eq!(call(at, "POST", "/admin/health", "").0, 405);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -304,6 +304,7 @@
     lines: Arc<Mutex<Vec<String>>>,
     pub platform: SocketAddr,
     pub second: Option<SocketAddr>,
+    pub operators: Option<SocketAddr>,
     dir: std::path::PathBuf,
 }
 
@@ -334,8 +335,27 @@
         Program::launch(engines, feed, operator, (memory_mb, sockets), SETTINGS, &[])
     }
 
+    /// The same with the operators' address open.
+    pub fn with_operators(engines: &[(&str, SocketAddr)], feed: Option<&Feed>, settings: &str) -> Program {
+        let vars = [("EDGE_OPERATOR", "127.0.0.1:0")];
+        Program::launch_in(&vars, engines, feed, None, (192, 1024), settings, &[])
+    }
+
     /// The same with other settings and further arguments.
     pub fn launch(
+        engines: &[(&str, SocketAddr)],
+        feed: Option<&Feed>,
+        operator: Option<&str>,
+        limits: (usize, usize),
+        settings: &str,
+        more: &[&str],
+    ) -> Program {
+        Program::launch_in(&[], engines, feed, operator, limits, settings, more)
+    }
+
+    /// The same in an environment with these variables besides.
+    pub fn launch_in(
+        vars: &[(&str, &str)],
         engines: &[(&str, SocketAddr)],
         feed: Option<&Feed>,
         operator: Option<&str>,
@@ -355,6 +375,7 @@
         std::fs::write(dir.join("config.json"), config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sprucelink"));
         command.arg("serve").arg("--config").arg(dir.join("config.json")).args(more);
+        command.env_remove("EDGE_OPERATOR").env_remove("EDGE_FD").envs(vars.iter().copied());
         if let Some(text) = operator {
             std::fs::write(dir.join("operator.json"), text).expect("written");
             command.arg("--operator").arg(dir.join("operator.json"));
@@ -372,7 +393,7 @@
             });
         }
         let any = "127.0.0.1:0".parse().expect("an address");
-        let mut program = Program { child, lines, platform: any, second: None, dir };
+        let mut program = Program { child, lines, platform: any, second: None, operators: None, dir };
         let at = |line: String| {
             let json: Option<serde_json::Value> =
                 serde_json::from_str(&line).ok().filter(serde_json::Value::is_object);
@@ -380,6 +401,8 @@
             line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
         };
         program.platform = at(program.wait_line("serving on "));
+        let called = vars.iter().any(|v| v.0 == "EDGE_OPERATOR");
+        program.operators = called.then(|| at(program.wait_line("operators on ")));
         program.second = operator.map(|_| at(program.wait_line("second front on ")));
         program
     }
