--- /dev/null
+++ b/crates/fleetrig/src/run/figures.rs
@@ -0,0 +1,75 @@
+//! A run's figures, gathered from what stand-ins and clients counted.
+
+use super::{Outcome, Rig};
+use crate::client::Became;
+use crate::counted::Counted;
+use crate::report::{Outcomes, Report, BUCKET};
+use hdrhistogram::Histogram;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+impl Rig<'_> {
+    pub(super) fn outcome(&self, logs: Vec<String>) -> Outcome {
+        let buckets = (self.scenario.seconds / BUCKET.as_secs_f64()).ceil() as usize;
+        let none = || vec![0u32; buckets];
+        let mut requests = Outcomes { asked: none(), served: none(), refused: none(), bad: none() };
+        let mut r = Report {
+            scenario: self.scenario.name.clone(),
+            cold_start: self.program.args.iter().any(|a| a == "--cold-start"),
+            managers: self.scenario.managers,
+            up: self.up_once.iter().filter(|u| **u).count(),
+            crashed: self.crashed,
+            breaches: self.ledger.read(),
+            ..Report::default()
+        };
+        // Bounds are valid constants: microseconds up to a minute, three digits.
+        let mut took_us = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
+        for (due, became, died, took) in self.ended.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let i = ((due.as_micros() / BUCKET.as_micros()) as usize).min(buckets - 1);
+            r.asked += 1;
+            let bad = matches!(became, Became::Lost | Became::NotTaken);
+            if *died && bad {
+                r.died += 1;
+                continue;
+            }
+            requests.asked[i] += 1;
+            match became {
+                Became::Served => {
+                    (r.served, requests.served[i]) = (r.served + 1, requests.served[i] + 1);
+                    took_us.saturating_record(took.as_micros() as u64);
+                }
+                Became::Refused => {
+                    (r.refused, requests.refused[i]) = (r.refused + 1, requests.refused[i] + 1)
+                }
+                Became::Failed => (r.failed, requests.bad[i]) = (r.failed + 1, requests.bad[i] + 1),
+                Became::NotTaken => (r.not_taken, requests.bad[i]) = (r.not_taken + 1, requests.bad[i] + 1),
+                Became::Lost => (r.lost, requests.bad[i]) = (r.lost + 1, requests.bad[i] + 1),
+            }
+        }
+        r.p50_ms = took_us.value_at_quantile(0.5) as f64 / 1e3;
+        r.p99_ms = took_us.value_at_quantile(0.99) as f64 / 1e3;
+        r.serving_s = requests.seconds_to_serving(20);
+        let (mut calls, mut dials) = (Counted::default(), Counted::default());
+        self.lists.iter().for_each(|l| calls.add(&l.calls.read()));
+        let (ms100, s1) = (Duration::from_millis(100), Duration::from_secs(1));
+        for e in self.engines.iter().filter_map(|e| e.run.as_ref()) {
+            let d = e.dials.read();
+            r.dials_engine_100ms = r.dials_engine_100ms.max(d.peak(ms100));
+            r.most_threads = r.most_threads.max(e.most_threads());
+            dials.add(&d);
+        }
+        let end = Duration::from_secs_f64(self.scenario.seconds);
+        (r.calls, r.calls_100ms, r.calls_1s) = (calls.at.len(), calls.peak(ms100), calls.peak(s1));
+        r.calls_steady = calls.within(end * 2 / 3, end) as f64 / (end / 3).as_secs_f64();
+        (r.dials, r.dials_100ms, r.dials_1s) = (dials.at.len(), dials.peak(ms100), dials.peak(s1));
+        Outcome {
+            report: r,
+            requests,
+            calls: calls.buckets(BUCKET, buckets),
+            dials: dials.buckets(BUCKET, buckets),
+            logs,
+            sends: self.ledger.sends(),
+            views: self.views.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/run/load.rs
@@ -0,0 +1,83 @@
+//! Clients that ask while a run goes on.
+
+use super::{Rig, Seat};
+use crate::client::{self, Ask};
+use crate::ledger::request_id;
+use crate::runtime;
+use crate::scenario::Engines;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::time::sleep_until;
+
+/// Managers that a client of one that is down tries at most.
+const FOLLOWED: usize = 8;
+/// Requests of one manager that are open at once at most; more are not asked.
+const MOST_OPEN: usize = 2_000;
+
+/// Where a seat's manager takes new requests now.
+fn where_at(seat: &Mutex<Seat>) -> Option<SocketAddr> {
+    let s = seat.lock().unwrap_or_else(PoisonError::into_inner);
+    s.at.filter(|_| s.until.is_none_or(|u| Instant::now() < u))
+}
+
+impl Rig<'_> {
+    /// Clients that ask every manager evenly, each a Poisson stream of its own.
+    pub(super) fn ask(&self) -> Vec<tokio::task::JoinHandle<()>> {
+        let (load, Engines { light_ms, heavy_ms, .. }) = (self.scenario.load, self.scenario.engines);
+        if load.rate <= 0.0 {
+            return Vec::new();
+        }
+        let gap = self.scenario.managers as f64 / load.rate;
+        let end = self.start + Duration::from_secs_f64(self.scenario.seconds);
+        let one = |(i, seat): (usize, &Arc<Mutex<Seat>>)| {
+            let (own, ended, start) = (Arc::clone(seat), Arc::clone(&self.ended), self.start);
+            let all: Vec<_> =
+                if load.follow { self.seats.iter().map(Arc::downgrade).collect() } else { Vec::new() };
+            let mut rng = ChaCha8Rng::seed_from_u64(self.scenario.seed ^ (0xc11e << 32) ^ i as u64);
+            runtime().spawn(async move {
+                let mut due = start;
+                loop {
+                    // An exponential gap; the draw is never zero.
+                    due += Duration::from_secs_f64(-(1.0 - rng.gen::<f64>()).ln() * gap);
+                    if due >= end {
+                        return;
+                    }
+                    sleep_until(due.into()).await;
+                    let (id, key) = (request_id(i, rng.gen()), rng.gen::<u64>());
+                    let heavy = rng.gen_bool(load.heavy);
+                    let mut seat = Arc::clone(&own);
+                    for _ in 0..FOLLOWED {
+                        if where_at(&seat).is_some() || all.is_empty() {
+                            break;
+                        }
+                        seat = all[rng.gen_range(0..all.len())].upgrade().unwrap_or(seat);
+                    }
+                    let Some(at) = where_at(&seat) else { continue };
+                    if Arc::strong_count(&seat) > MOST_OPEN {
+                        continue;
+                    }
+                    let ended = Arc::clone(&ended);
+                    let ms = if heavy { heavy_ms } else { light_ms };
+                    let ask =
+                        Ask { id, heavy, key, ms, timeout: Duration::from_secs_f64(load.timeout_ms / 1e3) };
+                    tokio::spawn(async move {
+                        let (became, took) = client::ask(at, ask).await;
+                        let struck = seat.lock().unwrap_or_else(PoisonError::into_inner).struck;
+                        let died = struck.is_some_and(|t| t >= due);
+                        let row = (due.saturating_duration_since(start), became, died, took);
+                        ended.lock().unwrap_or_else(PoisonError::into_inner).push(row);
+                    });
+                }
+            })
+        };
+        self.seats.iter().enumerate().map(one).collect()
+    }
+
+    /// Requests that are open: each holds its manager's seat.
+    pub(super) fn open(&self) -> usize {
+        self.seats.iter().map(|s| Arc::strong_count(s).saturating_sub(1)).sum()
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/run/mod.rs
@@ -0,0 +1,174 @@
+//! Carries a scenario out: starts the stand-ins and the processes, does the steps when they are due, lets
+//! clients ask, and gathers what was counted. It ends every process it started, also when it fails half way.
+
+mod figures;
+mod life;
+mod load;
+mod outcome;
+mod setup;
+mod steps;
+mod views;
+
+pub use outcome::{Outcome, Views};
+
+use crate::client::Became;
+use crate::engines::CountingEngine;
+use crate::ledger::Ledger;
+use crate::lists::ListService;
+use crate::middle::{Faults, TcpPath, UdpNet};
+use crate::procs::Fleet;
+use crate::scenario::{Act, Scenario};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Between two looks at what is due.
+const LOOK: Duration = Duration::from_millis(5);
+/// Between two looks at the logs of managers that are coming up.
+const LOOK_LOGS: Duration = Duration::from_millis(25);
+
+/// What to run, besides the scenario.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The program.
+    pub path: PathBuf,
+    /// Further arguments of `serve`.
+    pub args: Vec<String>,
+    /// Folder for configurations and logs.
+    pub dir: PathBuf,
+}
+
+/// Where a manager is reached now, and when it was last ended or stopped by the rig.
+#[derive(Default)]
+struct Seat {
+    at: Option<SocketAddr>,
+    until: Option<Instant>,
+    struck: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Unborn,
+    Starting,
+    Up,
+    Ending(Instant),
+    Paused,
+    Dead,
+}
+
+struct Engine {
+    id: String,
+    run: Option<CountingEngine>,
+    /// Where each group reaches it.
+    at: Vec<SocketAddr>,
+    paths: Vec<TcpPath>,
+    phase: &'static str,
+    since_ms: u128,
+}
+
+/// One ended request: due, what became of it, how long it took.
+type Ended = (Duration, Became, bool, Duration);
+
+struct Rig<'a> {
+    scenario: &'a Scenario,
+    program: &'a Program,
+    start: Instant,
+    faults: Faults,
+    ledger: Ledger,
+    engines: Vec<Engine>,
+    lists: Vec<ListService>,
+    /// Keeps the ways to the list services open.
+    list_paths: Vec<TcpPath>,
+    feeds: Vec<SocketAddr>,
+    revision: u64,
+    fleet: Fleet,
+    lives: Vec<Life>,
+    seats: Vec<Arc<Mutex<Seat>>>,
+    up_once: Vec<bool>,
+    crashed: usize,
+    settings: String,
+    /// Where managers reach each other, and where each listens itself.
+    net: UdpNet,
+    members: Vec<SocketAddr>,
+    real: Vec<Option<SocketAddr>>,
+    views: Vec<Views>,
+    ended: Arc<Mutex<Vec<Ended>>>,
+}
+
+fn io(what: &str) -> impl Fn(std::io::Error) -> String + '_ {
+    move |e| format!("{what}: {e}")
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+}
+
+/// Carries a scenario out with a program.
+///
+/// # Errors
+/// In words, where a stand-in, a file or a process could not be started.
+pub fn run(scenario: &Scenario, program: &Program) -> Result<Outcome, String> {
+    scenario.check()?;
+    let began = unix_ms() as f64 / 1e3;
+    let mut rig = Rig::new(scenario, program)?;
+    let mut timeline = rig.timeline();
+    let load = rig.ask();
+    let done = rig.play(&mut timeline);
+    load.iter().for_each(|t| t.abort());
+    // What is asked has its end within its time; more is not waited for.
+    let last = Duration::from_secs_f64(scenario.load.timeout_ms / 1e3) + Duration::from_secs(1);
+    let until = Instant::now() + last;
+    while done.is_ok() && rig.open() > 0 && Instant::now() < until {
+        rig.look();
+        std::thread::sleep(LOOK);
+    }
+    let logs = (0..rig.fleet.managers.len()).map(|i| rig.fleet.log(i)).collect();
+    let used: Vec<f64> = (0..rig.fleet.managers.len()).filter_map(|i| rig.fleet.cpu(i)).collect();
+    let cpu = used.iter().sum::<f64>() / used.len().max(1) as f64;
+    rig.fleet.end_all();
+    done?;
+    let mut got = rig.outcome(logs);
+    got.report.cpu_s = cpu;
+    if let Some(watch) = &scenario.watch {
+        got.watched(scenario, watch, began);
+    }
+    got.report.crossing = got.crossing(scenario, 0.0, scenario.seconds);
+    got.report.agreed_s = got.agreed(0.0, scenario.seconds).unwrap_or(f64::NAN);
+    Ok(got)
+}
+
+impl Rig<'_> {
+    fn play(&mut self, timeline: &mut Vec<(Duration, Act)>) -> Result<(), String> {
+        let end = Duration::from_secs_f64(self.scenario.seconds);
+        let (mut next_logs, mut next_views) = (Instant::now(), Instant::now());
+        while self.start.elapsed() < end {
+            while timeline.last().is_some_and(|(at, _)| *at <= self.start.elapsed()) {
+                if let Some((_, act)) = timeline.pop() {
+                    self.act(&act)?;
+                }
+            }
+            if Instant::now() >= next_logs {
+                next_logs = Instant::now() + LOOK_LOGS;
+                self.look();
+                self.come_back()?;
+                if self.scenario.membership.is_some() && Instant::now() >= next_views {
+                    next_views = Instant::now() + views::LOOK_VIEWS;
+                    self.poll();
+                }
+            }
+            std::thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+}
+
+/// A folder of the rig's own for configurations and logs, under the system's folder for such.
+pub fn scratch(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("sprucelink-fleet-{}-{name}", std::process::id()))
+}
+
+/// Removes a folder of [`scratch`], whatever became of it.
+pub fn clear(dir: &Path) {
+    let _ = std::fs::remove_dir_all(dir);
+}
--- /dev/null
+++ b/crates/fleetrig/src/run/setup.rs
@@ -0,0 +1,190 @@
+//! The stand-ins and files of a run before it begins, and engines that come later.
+
+use super::{io, unix_ms, Engine, Life, Program, Rig};
+use crate::engines::{CountingEngine, Spec};
+use crate::ledger::Ledger;
+use crate::lists::{ListService, Mood};
+use crate::middle::{self, Faults, UdpNet};
+use crate::procs::{self, Fleet, Row};
+use crate::scenario::{Engines, Lists, Scenario, GROUPS, HALLS};
+use sprucelink_membership::terms::Settings as Membership;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long an engine is cold, in seconds: the settings' own. How much slower a slow one is.
+pub(super) const COLD_FOR: f64 = 15.0;
+const SLOW: f64 = 10.0;
+/// Managers that all others know as seeds.
+const SEEDS: usize = 3;
+
+impl<'a> Rig<'a> {
+    pub(super) fn new(scenario: &'a Scenario, program: &'a Program) -> Result<Rig<'a>, String> {
+        let start = Instant::now();
+        let faults = Faults::new(scenario.seed);
+        let fleet = Fleet::new(&program.path, &program.dir).map_err(io("the rig's folder"))?;
+        let n = scenario.managers;
+        let mut rig = Rig {
+            scenario,
+            program,
+            start,
+            faults,
+            ledger: Ledger::with_grace(Duration::from_secs_f64(scenario.drain_grace_ms / 1e3)),
+            engines: Vec::new(),
+            lists: Vec::new(),
+            list_paths: Vec::new(),
+            feeds: Vec::new(),
+            revision: 1,
+            fleet,
+            lives: vec![Life::Unborn; n],
+            seats: (0..n).map(|_| Arc::default()).collect(),
+            up_once: vec![false; n],
+            crashed: 0,
+            settings: procs::settings(n).replace(
+                r#""zones":["hall-a","hall-b"]"#,
+                &format!(r#""zones":{:?}"#, &HALLS[..scenario.zones]),
+            ),
+            net: UdpNet::new(&Faults::new(0)),
+            members: Vec::new(),
+            real: vec![None; n],
+            views: Vec::new(),
+            ended: Arc::default(),
+        };
+        let Engines { count, cold, missing, .. } = scenario.engines;
+        for i in 0..count {
+            rig.add_engine(i < cold)?;
+            if i + missing >= count {
+                rig.stop_engine(i);
+            }
+        }
+        for (group, name) in GROUPS.iter().enumerate().take(scenario.groups.len()) {
+            let first = procs::event(1, 1, true, &rig.rows(group));
+            let service = ListService::start(first, start).map_err(io("list service"))?;
+            let mut feed = service.address;
+            if scenario.through_middle() {
+                let path = middle::tcp(&rig.faults, name, "lists", feed).map_err(io("fault middle"))?;
+                feed = path.address;
+                rig.list_paths.push(path);
+            }
+            rig.lists.push(service);
+            rig.feeds.push(feed);
+        }
+        rig.ledger.date(start);
+        rig.set_lists(scenario.lists);
+        if scenario.membership.is_some() {
+            rig.net = UdpNet::new(&rig.faults);
+            for i in 0..n {
+                let group = GROUPS[scenario.group_of(i)];
+                rig.members.push(rig.net.reserve(group).map_err(io("fault middle"))?);
+            }
+        }
+        Ok(rig)
+    }
+
+    pub(super) fn add_engine(&mut self, cold: bool) -> Result<(), String> {
+        let e = &self.scenario.engines;
+        let times = if self.engines.len() < e.slow { SLOW } else { 1.0 };
+        let (light, heavy) = (times * e.light_ms / 1e3, times * e.heavy_ms / 1e3);
+        let cold_for = if cold { COLD_FOR } else { 0.0 };
+        let spec = Spec { cores: e.cores, light, heavy, cold_for, ..Spec::default() };
+        let number = self.engines.len();
+        let run =
+            CountingEngine::start_as(spec, number, self.ledger.clone(), self.start).map_err(io("engine"))?;
+        let (mut at, mut paths) = (vec![run.address; self.scenario.groups.len()], Vec::new());
+        if self.scenario.through_middle() {
+            for (group, at) in at.iter_mut().enumerate() {
+                let path = middle::tcp(
+                    &self.faults,
+                    GROUPS[group],
+                    HALLS[number % self.scenario.zones],
+                    run.address,
+                );
+                let path = path.map_err(io("fault middle"))?;
+                *at = path.address;
+                paths.push(path);
+            }
+        }
+        let since_ms = if cold { unix_ms() } else { 0 };
+        let id = format!("s-{number:04}");
+        self.engines.push(Engine { id, run: Some(run), at, paths, phase: "ready", since_ms });
+        Ok(())
+    }
+
+    pub(super) fn stop_engine(&mut self, i: usize) {
+        let engine = &mut self.engines[i];
+        engine.paths.clear();
+        if let Some(run) = &engine.run {
+            run.stop();
+        }
+    }
+
+    /// The engines as a group's list names them.
+    pub(super) fn rows(&self, group: usize) -> Vec<Row> {
+        (0..self.engines.len()).map(|i| self.row(group, i)).collect()
+    }
+
+    pub(super) fn row(&self, group: usize, i: usize) -> Row {
+        let e = &self.engines[i];
+        let zone = HALLS[i % self.scenario.zones].into();
+        Row { id: e.id.clone(), at: e.at[group], zone, phase: e.phase, since_ms: e.since_ms }
+    }
+
+    /// Tells every group what changed.
+    pub(super) fn tell(&mut self, changed: &[usize]) -> Result<(), String> {
+        self.revision += 1;
+        for group in 0..self.lists.len() {
+            let rows: Vec<Row> = changed.iter().map(|i| self.row(group, *i)).collect();
+            self.lists[group].tell(|n| procs::event(n, self.revision, false, &rows))?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn set_lists(&self, how: Lists) {
+        let mood = match how {
+            Lists::Serve => Mood::Serving,
+            Lists::Refuse => Mood::Refusing,
+            Lists::Stall => Mood::Stalling,
+        };
+        self.lists.iter().for_each(|l| l.set_mood(mood));
+    }
+
+    pub(super) fn config(&self, i: usize) -> String {
+        let group = self.scenario.group_of(i);
+        let starts = self.fleet.managers.get(i).map_or(0, |m| m.starts);
+        let seed = self.scenario.seed.wrapping_mul(1_000_003) ^ (i as u64) << 16 ^ u64::from(starts);
+        let known = self.lists[group].known();
+        let settings = match self.scenario.told_zone {
+            // The zone by number, as the platform words it.
+            true => self.settings.replacen('{', &format!("{{\"az\":{group},"), 1),
+            false => self.settings.clone(),
+        };
+        procs::config(&format!("n{i}"), seed, self.feeds[group], &known, &settings)
+    }
+
+    /// A manager's arguments: its own file of the membership among them, where the fleet keeps a view.
+    pub(super) fn args(&self, i: usize) -> Result<Vec<String>, String> {
+        let mut args = self.program.args.clone();
+        if let Some(failover) = &self.scenario.failover {
+            let file = self.program.dir.join(format!("n{i}.failover.json5"));
+            std::fs::write(&file, failover.to_string()).map_err(io("failover"))?;
+            args.extend(["--failover".to_owned(), file.display().to_string()]);
+        }
+        if let Some(m) = &self.scenario.membership {
+            let set = Membership {
+                enabled: true,
+                listen: "127.0.0.1:0".into(),
+                advertise: Some(self.members[i].to_string()),
+                seeds: self.members.iter().take(SEEDS).map(SocketAddr::to_string).collect(),
+                zone: HALLS[self.scenario.group_of(i)].into(),
+                region: "rig".into(),
+                protocol: m.protocol,
+                share: m.share,
+            };
+            let file = self.program.dir.join(format!("n{i}.membership.json5"));
+            let text = serde_json::to_string(&set).map_err(|e| e.to_string())?;
+            std::fs::write(&file, text).map_err(io("membership"))?;
+            args.extend(["--membership".to_owned(), file.display().to_string()]);
+        }
+        Ok(args)
+    }
+}
