--- a/crates/fleetrig/src/bin/sprucelink-fleet.rs
+++ b/crates/fleetrig/src/bin/sprucelink-fleet.rs
@@ -4,6 +4,8 @@
 #![deny(missing_docs)]
 
 use lexopt::prelude::*;
+use sprucelink_checker::Verdict;
+use sprucelink_fleetrig::history;
 use sprucelink_fleetrig::report::{chart, Report, Series, BUCKET};
 use sprucelink_fleetrig::run::{self, Outcome, Program, Views};
 use sprucelink_fleetrig::scenario::Scenario;
@@ -14,7 +16,9 @@
                         [--seed N] [--repeat N] [--out DIR] [--format csv|json] [--program PATH]
                         [--keep-logs DIR] [--share none|ration|parts|all]
                         [--failover on|off] [--arg ARG]...
+                        [--history DIR]
        sprucelink-fleet check SCENARIO.json5...
+       sprucelink-fleet judge SCENARIO.json5 HISTORY.jsonl...
 
 run    Starts the managers, stand-ins and clients of a scenario, does its steps, and prints one line of figures.
        --cold-start FILE  managers run with these settings of the cold start
@@ -28,9 +32,12 @@
        --arg ARG          a further argument of the managers' serve, such as --arg=--log-level --arg=debug
        --failover off     without the failover between zones that the scenario sets (on: as it sets it)
        --share WHAT       what managers that keep a view spend as a fleet, instead of what the scenario says
+       --history DIR      what processes did goes to DIR/NAME-SEED-on.jsonl and -off.jsonl
 check  Reads scenarios and says whether they will do.
+judge  Holds histories against a scenario's terms (its `check`) anew.
 
-Exit status: 0 done, 1 a run could not be carried out, 2 a bad command line or scenario.
+Exit status: 0 done, 1 a run could not be carried out, 2 a bad command line or scenario, 3 a rule of the journal was
+broken.
 ";
 
 struct Ask {
@@ -47,7 +54,15 @@
     share: Option<(bool, bool)>,
     no_failover: bool,
     args: Vec<String>,
-    only_check: bool,
+    history: Option<PathBuf>,
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Command {
+    Run,
+    Check,
+    Judge,
 }
 
 fn text(p: &mut lexopt::Parser) -> Result<String, String> {
@@ -81,7 +96,8 @@
         share: None,
         no_failover: false,
         args: Vec::new(),
-        only_check: false,
+        history: None,
+        command: Command::Run,
     };
     let mut command: Option<String> = None;
     while let Some(arg) = p.next().map_err(|e| e.to_string())? {
@@ -100,6 +116,7 @@
             },
             Long("program") => ask.program = text(&mut p)?.into(),
             Long("keep-logs") => ask.logs = Some(text(&mut p)?.into()),
+            Long("history") => ask.history = Some(text(&mut p)?.into()),
             Long("arg") if ask.args.len() < 32 => ask.args.push(text(&mut p)?),
             Long("failover") => match text(&mut p)?.as_str() {
                 "on" => ask.no_failover = false,
@@ -123,7 +140,9 @@
     }
     match command.as_deref() {
         Some("run") if ask.files.len() == 1 => Ok(ask),
-        Some("check") if !ask.files.is_empty() => Ok(Ask { only_check: true, ..ask }),
+        Some("check") if !ask.files.is_empty() => Ok(Ask { command: Command::Check, ..ask }),
+        Some("judge") if ask.files.len() > 1 => Ok(Ask { command: Command::Judge, ..ask }),
+        Some("judge") => Err("which SCENARIO.json5 and HISTORY.jsonl?".into()),
         Some("run" | "check") => Err("which SCENARIO.json5?".into()),
         Some(other) => Err(format!("no command {other:?}")),
         None => Err("which command?".into()),
@@ -141,9 +160,13 @@
         Err(e) if e == "help" => return print!("{USAGE}"),
         Err(e) => bad(&format!("{e}\n\n{USAGE}")),
     };
+    let files = if ask.command == Command::Judge { &ask.files[..1] } else { &ask.files[..] };
     let scenarios: Vec<Scenario> =
-        ask.files.iter().map(|f| read(f)).map(|s| s.unwrap_or_else(|e| bad(&e))).collect();
-    if ask.only_check {
+        files.iter().map(|f| read(f)).map(|s| s.unwrap_or_else(|e| bad(&e))).collect();
+    if ask.command == Command::Judge {
+        return judge(&scenarios[0], &ask.files[1..]);
+    }
+    if ask.command == Command::Check {
         for s in &scenarios {
             println!(
                 "{} will do: {} managers, {} engines, {} s",
@@ -164,10 +187,45 @@
         let m = scenario.membership.get_or_insert_default();
         (m.share.ration, m.share.parts) = (ration, parts);
     }
+    if ask.history.is_some() {
+        scenario.history.get_or_insert_default();
+    }
     scenario.check().unwrap_or_else(|e| bad(&e));
-    if let Err(e) = carry_out(&ask, &scenario) {
-        eprintln!("sprucelink-fleet: {e}");
-        std::process::exit(1);
+    match carry_out(&ask, &scenario) {
+        Ok(true) => {}
+        Ok(false) => std::process::exit(3),
+        Err(e) => {
+            eprintln!("sprucelink-fleet: {e}");
+            std::process::exit(1);
+        }
+    }
+}
+
+/// Tells what a verdict found, on standard error; whether no rule was broken.
+fn tell(verdict: &Verdict) -> bool {
+    for (name, found) in &verdict.found {
+        for v in &found.violations {
+            eprintln!("{name}: {:.6} s: {}", v.at_us as f64 / 1e6, v.what);
+        }
+        if found.more > 0 {
+            eprintln!("{name}: {} more", found.more);
+        }
+    }
+    let seen: Vec<String> = verdict.found.iter().map(|(name, f)| format!("{name} {}", f.seen)).collect();
+    eprintln!("judged: {}", seen.join(", "));
+    verdict.passed()
+}
+
+fn judge(scenario: &Scenario, files: &[PathBuf]) {
+    let Some(terms) = &scenario.check else { bad("the scenario has no `check`") };
+    let mut passed = true;
+    for file in files {
+        let lines = history::read(file).unwrap_or_else(|e| bad(&e));
+        println!("{}: {} lines", file.display(), lines.len());
+        passed &= tell(&sprucelink_checker::check(&lines, terms));
+    }
+    if !passed {
+        std::process::exit(3);
     }
 }
 
@@ -176,7 +234,9 @@
     std::process::exit(2)
 }
 
-fn carry_out(ask: &Ask, scenario: &Scenario) -> Result<(), String> {
+/// Whether no rule was broken in any run.
+fn carry_out(ask: &Ask, scenario: &Scenario) -> Result<bool, String> {
+    let mut passed = true;
     if !ask.json {
         println!("{},seed", Report::head());
     }
@@ -188,23 +248,35 @@
             let dir = ask.logs.clone().unwrap_or_else(|| run::scratch(&scenario.name));
             let program = Program { path: ask.program.clone(), args, dir: dir.clone() };
             let got = run::run(&scenario, &program);
+            let how = if settings.is_some() { "on" } else { "off" };
+            if let (Some(out), Ok(got)) = (&ask.history, &got) {
+                keep(got, &out.join(format!("{}-{}-{how}.jsonl", scenario.name, scenario.seed)))?;
+            }
             if ask.logs.is_none() {
                 run::clear(&dir);
             }
             let got = got?;
+            passed &= got.verdict.as_ref().is_none_or(tell);
             match ask.json {
                 true => println!("{}", got.report.json()),
                 false => println!("{},{}", got.report.line(), scenario.seed),
             }
             if let Some(out) = &ask.out {
                 std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
-                let how = if settings.is_some() { "on" } else { "off" };
                 let file = out.join(format!("{}-{}-{how}.svg", scenario.name, scenario.managers));
                 draw(&file, &scenario, how, &got)?;
             }
         }
     }
-    Ok(())
+    Ok(passed)
+}
+
+/// Leaves a run's history there.
+fn keep(got: &Outcome, file: &Path) -> Result<(), String> {
+    let Some(from) = &got.history else { return Err("--history: the scenario records none".into()) };
+    let named = |e: std::io::Error| format!("{}: {e}", file.display());
+    file.parent().map_or(Ok(()), std::fs::create_dir_all).map_err(named)?;
+    std::fs::copy(from, file).map(|_| ()).map_err(named)
 }
 
 /// Managers asked, those whose view is right, and different views, each bucket with what was last seen.
--- /dev/null
+++ b/crates/fleetrig/src/engines/machine.rs
@@ -0,0 +1,155 @@
+//! What an engine knows of itself, with time as argument.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// An engine that was pushed over refuses for so long.
+const DOWN_FOR: Duration = Duration::from_secs(2);
+
+/// What an engine is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spec {
+    /// Its cores.
+    pub cores: f64,
+    /// Work of a light query (one thread), in seconds on one core.
+    pub light: f64,
+    /// Work of a load (two threads), in seconds on one core.
+    pub heavy: f64,
+    /// It starts cold: so many seconds to all of its cores. Zero: it is warm.
+    pub cold_for: f64,
+    /// Share of its cores that it starts with.
+    pub start_share: f64,
+    /// Work sent within `fall_span` over this multiple of what it can do in that span pushes it over while cold.
+    pub fall_multiple: f64,
+    /// In seconds.
+    pub fall_span: f64,
+}
+
+impl Default for Spec {
+    /// A warm engine of 8 cores that answers at once.
+    fn default() -> Spec {
+        Spec {
+            cores: 8.0,
+            light: 0.0,
+            heavy: 0.0,
+            cold_for: 0.0,
+            start_share: 0.3,
+            fall_multiple: 2.5,
+            fall_span: 2.0,
+        }
+    }
+}
+
+/// What an engine knows of itself, with time as argument: its warmth, what runs, and when it falls over.
+#[derive(Debug)]
+pub struct Machine {
+    pub(super) spec: Spec,
+    born: Instant,
+    sent: VecDeque<(Instant, f64)>,
+    threads: f64,
+    queries: u32,
+    /// Threads at work at most so far.
+    pub most_threads: f64,
+    down_until: Option<Instant>,
+}
+
+impl Machine {
+    /// An engine that starts now.
+    pub fn new(spec: Spec, now: Instant) -> Machine {
+        Machine {
+            spec,
+            born: now,
+            sent: VecDeque::new(),
+            threads: 0.0,
+            queries: 0,
+            most_threads: 0.0,
+            down_until: None,
+        }
+    }
+
+    /// Share of its cores that it has by now.
+    pub fn warmth(&self, now: Instant) -> f64 {
+        if self.spec.cold_for <= 0.0 {
+            return 1.0;
+        }
+        let age = now.saturating_duration_since(self.born).as_secs_f64() / self.spec.cold_for;
+        self.spec.start_share + (1.0 - self.spec.start_share) * age.min(1.0)
+    }
+
+    /// Whether it is down after a fall.
+    pub fn down(&self, now: Instant) -> bool {
+        self.down_until.is_some_and(|t| now < t)
+    }
+
+    /// Takes a query of `work` seconds on `threads`: how long it runs, or `None` if this pushes it over.
+    pub fn take(&mut self, now: Instant, work: f64, threads: f64) -> Option<Duration> {
+        let span = Duration::from_secs_f64(self.spec.fall_span);
+        while self.sent.front().is_some_and(|(t, _)| now.saturating_duration_since(*t) > span) {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((now, work));
+        let warmth = self.warmth(now);
+        let recent: f64 = self.sent.iter().map(|(_, w)| w).sum();
+        let bears = self.spec.fall_multiple * warmth * self.spec.cores * self.spec.fall_span;
+        if warmth < 1.0 && recent > bears {
+            // It comes back as cold as it was at first.
+            (self.down_until, self.born) = (Some(now + DOWN_FOR), now + DOWN_FOR);
+            self.sent.clear();
+            (self.threads, self.queries) = (0.0, 0);
+            return None;
+        }
+        self.threads += threads;
+        self.queries += 1;
+        self.most_threads = self.most_threads.max(self.threads);
+        let crowding = (self.threads / (self.spec.cores * warmth)).max(1.0);
+        Some(Duration::from_secs_f64(work / threads.max(1.0) * crowding))
+    }
+
+    /// A query of so many threads has ended.
+    pub fn release(&mut self, threads: f64) {
+        self.threads = (self.threads - threads).max(0.0);
+        self.queries = self.queries.saturating_sub(1);
+    }
+
+    /// Queries in hand: what load reports count.
+    pub fn queries(&self) -> u32 {
+        self.queries
+    }
+
+    /// Threads at work.
+    pub fn threads(&self) -> f64 {
+        self.threads
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_cold_machine_falls_over_under_the_sum_and_a_warm_one_does_not() {
+        let t = Instant::now();
+        let cold = Spec { cold_for: 15.0, ..Spec::default() };
+        let mut m = Machine::new(cold, t);
+        // 2.5 x 0.3 x 8 cores x 2 s = 12 s of work in 2 s.
+        assert!((0..12).all(|_| m.take(t, 1.0, 1.0).is_some()));
+        assert!(m.take(t, 1.0, 1.0).is_none() && m.down(t) && !m.down(t + DOWN_FOR));
+        let mut m = Machine::new(cold, t);
+        assert!(
+            (0..20).all(|s| m.take(t + Duration::from_secs(s), 5.0, 1.0).is_some()),
+            "spread out it stands"
+        );
+        let mut warm = Machine::new(Spec::default(), t);
+        assert!((0..500).all(|_| warm.take(t, 1.0, 1.0).is_some()));
+    }
+
+    #[test]
+    fn what_runs_shares_the_cores() {
+        let t = Instant::now();
+        let mut m = Machine::new(Spec { cores: 2.0, ..Spec::default() }, t);
+        let runs: Vec<f64> = (0..4).map(|_| m.take(t, 0.1, 1.0).expect("taken").as_secs_f64()).collect();
+        assert_eq!(runs, [0.1, 0.1, 0.15, 0.2]);
+        (0..4).for_each(|_| m.release(1.0));
+        assert_eq!((m.threads(), m.most_threads), (0.0, 4.0));
+    }
+}
--- a/crates/fleetrig/src/engines.rs
+++ b/crates/fleetrig/src/engines/mod.rs
@@ -5,145 +5,29 @@
 //!
 //! Left out, and said in docs/design/cold-start.md: memory, pages, priorities, notes, data sets.
 
+mod machine;
+mod wire;
+
+pub use machine::{Machine, Spec};
+
 use crate::counted::Tally;
-use crate::ledger::Ledger;
+use crate::history::Recorder;
+use crate::ledger::{manager_of, Ledger};
 use crate::runtime;
-use std::collections::{BTreeMap, VecDeque};
+use sprucelink_checker::event::Event;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
+use wire::{array, command};
 
-/// The longest part of a command that is read: far over any statement of the rig's.
-const MOST_PART: usize = 1 << 20;
-/// Parts of a command at most.
-const MOST_PARTS: usize = 16;
-/// Longest line of a command's head.
-const MOST_LINE: u64 = 64;
 /// Connections an engine holds at most.
 const MOST_CONNECTIONS: usize = 5_000;
-/// An engine that was pushed over refuses for so long.
-const DOWN_FOR: Duration = Duration::from_secs(2);
-
-/// What an engine is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Spec {
-    /// Its cores.
-    pub cores: f64,
-    /// Work of a light query (one thread), in seconds on one core.
-    pub light: f64,
-    /// Work of a load (two threads), in seconds on one core.
-    pub heavy: f64,
-    /// It starts cold: so many seconds to all of its cores. Zero: it is warm.
-    pub cold_for: f64,
-    /// Share of its cores that it starts with.
-    pub start_share: f64,
-    /// Work sent within `fall_span` over this multiple of what it can do in that span pushes it over while cold.
-    pub fall_multiple: f64,
-    /// In seconds.
-    pub fall_span: f64,
-}
-
-impl Default for Spec {
-    /// A warm engine of 8 cores that answers at once.
-    fn default() -> Spec {
-        Spec {
-            cores: 8.0,
-            light: 0.0,
-            heavy: 0.0,
-            cold_for: 0.0,
-            start_share: 0.3,
-            fall_multiple: 2.5,
-            fall_span: 2.0,
-        }
-    }
-}
-
-/// What an engine knows of itself, with time as argument: its warmth, what runs, and when it falls over.
-#[derive(Debug)]
-pub struct Machine {
-    spec: Spec,
-    born: Instant,
-    sent: VecDeque<(Instant, f64)>,
-    threads: f64,
-    queries: u32,
-    /// Threads at work at most so far.
-    pub most_threads: f64,
-    down_until: Option<Instant>,
-}
-
-impl Machine {
-    /// An engine that starts now.
-    pub fn new(spec: Spec, now: Instant) -> Machine {
-        Machine {
-            spec,
-            born: now,
-            sent: VecDeque::new(),
-            threads: 0.0,
-            queries: 0,
-            most_threads: 0.0,
-            down_until: None,
-        }
-    }
-
-    /// Share of its cores that it has by now.
-    pub fn warmth(&self, now: Instant) -> f64 {
-        if self.spec.cold_for <= 0.0 {
-            return 1.0;
-        }
-        let age = now.saturating_duration_since(self.born).as_secs_f64() / self.spec.cold_for;
-        self.spec.start_share + (1.0 - self.spec.start_share) * age.min(1.0)
-    }
-
-    /// Whether it is down after a fall.
-    pub fn down(&self, now: Instant) -> bool {
-        self.down_until.is_some_and(|t| now < t)
-    }
-
-    /// Takes a query of `work` seconds on `threads`: how long it runs, or `None` if this pushes it over.
-    pub fn take(&mut self, now: Instant, work: f64, threads: f64) -> Option<Duration> {
-        let span = Duration::from_secs_f64(self.spec.fall_span);
-        while self.sent.front().is_some_and(|(t, _)| now.saturating_duration_since(*t) > span) {
-            self.sent.pop_front();
-        }
-        self.sent.push_back((now, work));
-        let warmth = self.warmth(now);
-        let recent: f64 = self.sent.iter().map(|(_, w)| w).sum();
-        let bears = self.spec.fall_multiple * warmth * self.spec.cores * self.spec.fall_span;
-        if warmth < 1.0 && recent > bears {
-            // It comes back as cold as it was at first.
-            (self.down_until, self.born) = (Some(now + DOWN_FOR), now + DOWN_FOR);
-            self.sent.clear();
-            (self.threads, self.queries) = (0.0, 0);
-            return None;
-        }
-        self.threads += threads;
-        self.queries += 1;
-        self.most_threads = self.most_threads.max(self.threads);
-        let crowding = (self.threads / (self.spec.cores * warmth)).max(1.0);
-        Some(Duration::from_secs_f64(work / threads.max(1.0) * crowding))
-    }
-
-    /// A query of so many threads has ended.
-    pub fn release(&mut self, threads: f64) {
-        self.threads = (self.threads - threads).max(0.0);
-        self.queries = self.queries.saturating_sub(1);
-    }
-
-    /// Queries in hand: what load reports count.
-    pub fn queries(&self) -> u32 {
-        self.queries
-    }
-
-    /// Threads at work.
-    pub fn threads(&self) -> f64 {
-        self.threads
-    }
-}
 
 struct Shared {
     number: usize,
@@ -152,6 +36,7 @@
     dials: Tally,
     work: Tally,
     ledger: Ledger,
+    history: Recorder,
     connections: AtomicUsize,
     next: AtomicU64,
     /// Raised when all connections are to end: a fall, or the engine's end.
@@ -159,11 +44,20 @@
 }
 
 impl Shared {
+    fn name(&self) -> String {
+        name_of(self.number)
+    }
+
     fn machine<T>(&self, f: impl FnOnce(&mut Machine) -> T) -> T {
         f(&mut self.machine.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
 
+/// The id of a rig's engine, by its number.
+pub fn name_of(number: usize) -> String {
+    format!("s-{number:04}")
+}
+
 /// An engine, running on a port of its own until it is stopped or the process ends.
 pub struct CountingEngine {
     /// Where it listens.
@@ -182,10 +76,10 @@
     /// # Errors
     /// Those of binding a loopback port.
     pub fn start(start: Instant) -> std::io::Result<CountingEngine> {
-        CountingEngine::start_as(Spec::default(), 0, Ledger::default(), start)
+        CountingEngine::start_as(Spec::default(), 0, Ledger::default(), Recorder::default(), start)
     }
 
-    /// Starts engine `number` of a rig, which writes what reaches it in `ledger`.
+    /// Starts engine `number` of a rig, which writes what reaches it in `ledger` and in `history`.
     ///
     /// # Errors
     /// Those of binding a loopback port.
@@ -193,6 +87,7 @@
         spec: Spec,
         number: usize,
         ledger: Ledger,
+        history: Recorder,
         start: Instant,
     ) -> std::io::Result<CountingEngine> {
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
@@ -205,6 +100,7 @@
             dials: Tally::default(),
             work: Tally::default(),
             ledger,
+            history,
             connections: AtomicUsize::new(0),
             next: AtomicU64::new(0),
             ends: watch::channel(0).0,
@@ -257,42 +153,9 @@
     }
 }
 
-fn bulk(out: &mut Vec<u8>, part: &[u8]) {
-    out.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
-    out.extend_from_slice(part);
-    out.extend_from_slice(b"\r\n");
-}
-
-fn array(parts: &[&[u8]]) -> Vec<u8> {
-    let mut out = format!("*{}\r\n", parts.len()).into_bytes();
-    parts.iter().for_each(|p| bulk(&mut out, p));
-    out
-}
-
-/// Reads the number of one head line (`*3`, `$12`); `None` at the end or on what cannot be read.
-async fn number<R: AsyncBufReadExt + Unpin>(input: &mut R, mark: char, most: usize) -> Option<usize> {
-    let mut line = Vec::new();
-    input.take(MOST_LINE).read_until(b'\n', &mut line).await.ok()?;
-    let text = std::str::from_utf8(&line).ok()?.trim_end().strip_prefix(mark)?;
-    text.parse().ok().filter(|n| *n <= most)
-}
-
-/// Reads one RESP array of bulk strings; `None` at the end or on what cannot be read.
-async fn command<R: AsyncBufReadExt + Unpin>(input: &mut R) -> Option<Vec<Vec<u8>>> {
-    let n = number(input, '*', MOST_PARTS).await?;
-    let mut parts = Vec::with_capacity(n);
-    for _ in 0..n {
-        let len = number(input, '$', MOST_PART).await?;
-        let mut part = vec![0; len + 2];
-        input.read_exact(&mut part).await.ok()?;
-        part.truncate(len);
-        parts.push(part);
-    }
-    Some(parts)
-}
-
 async fn connection(engine: &Arc<Shared>, stream: TcpStream) {
     let connection = engine.next.fetch_add(1, Ordering::Relaxed);
+    engine.history.note_engine(|| Event::Dial { engine: engine.name(), connection });
     let _ = stream.set_nodelay(true);
     let (reader, mut writer) = stream.into_split();
     let (answers, mut outbox) = mpsc::unbounded_channel::<Vec<u8>>();
@@ -304,6 +167,12 @@
         while let Some(parts) = command(&mut input).await {
             let id = parts.get(1).and_then(|p| std::str::from_utf8(p).ok());
             let id = id.and_then(|t| u64::from_str_radix(t, 16).ok());
+            engine.history.note_engine(|| Event::Command {
+                engine: engine.name(),
+                connection,
+                word: parts.first().map_or(String::new(), |w| word(w)),
+                manager: id.map(|id| format!("n{}", manager_of(id))),
+            });
             match (parts.first().map(Vec::as_slice), id) {
                 (Some(b"do"), Some(id)) if parts.len() == 4 => {
                     if !begin(engine, connection, id, &parts[2], &open, &answers) {
@@ -332,6 +201,12 @@
     }
     let left: Vec<u64> = open.lock().unwrap_or_else(PoisonError::into_inner).keys().copied().collect();
     left.iter().for_each(|id| end(engine, connection, *id, &open));
+    engine.history.note_engine(|| Event::Hangup { engine: engine.name(), connection });
+}
+
+/// A command's word as a history has it: words are short, and what is longer is none.
+fn word(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(&bytes[..bytes.len().min(16)]).into_owned()
 }
 
 /// Ends what is open under an id on a connection, once.
@@ -381,35 +256,3 @@
     });
     true
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_cold_machine_falls_over_under_the_sum_and_a_warm_one_does_not() {
-        let t = Instant::now();
-        let cold = Spec { cold_for: 15.0, ..Spec::default() };
-        let mut m = Machine::new(cold, t);
-        // 2.5 x 0.3 x 8 cores x 2 s = 12 s of work in 2 s.
-        assert!((0..12).all(|_| m.take(t, 1.0, 1.0).is_some()));
-        assert!(m.take(t, 1.0, 1.0).is_none() && m.down(t) && !m.down(t + DOWN_FOR));
-        let mut m = Machine::new(cold, t);
-        assert!(
-            (0..20).all(|s| m.take(t + Duration::from_secs(s), 5.0, 1.0).is_some()),
-            "spread out it stands"
-        );
-        let mut warm = Machine::new(Spec::default(), t);
-        assert!((0..500).all(|_| warm.take(t, 1.0, 1.0).is_some()));
-    }
-
-    #[test]
-    fn what_runs_shares_the_cores() {
-        let t = Instant::now();
-        let mut m = Machine::new(Spec { cores: 2.0, ..Spec::default() }, t);
-        let runs: Vec<f64> = (0..4).map(|_| m.take(t, 0.1, 1.0).expect("taken").as_secs_f64()).collect();
-        assert_eq!(runs, [0.1, 0.1, 0.15, 0.2]);
-        (0..4).for_each(|_| m.release(1.0));
-        assert_eq!((m.threads(), m.most_threads), (0.0, 4.0));
-    }
-}
--- /dev/null
+++ b/crates/fleetrig/src/history.rs
@@ -0,0 +1,133 @@
+//! The history of a run: what processes did, seen from outside, one JSON line each, timed by the rig's one clock. The
+//! file has a bound; what would go beyond it is not written and the run fails for it, since a judgement of half a
+//! history is none.
+
+use sprucelink_checker::event::{Event, Line};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+/// The file's name in a run's folder.
+pub const NAME: &str = "history.jsonl";
+/// Bytes that wait to be written.
+const BUFFER: usize = 1 << 20;
+/// Bytes of a record's data that are kept at most, for whoever reads a history; judged is its digest.
+pub const MOST_DATA: usize = 1_024;
+
+struct Inner {
+    file: BufWriter<File>,
+    start: Instant,
+    room: u64,
+    /// Why no more is written, if so.
+    cut: Option<String>,
+}
+
+/// Where stand-ins note what they see; one that records nothing takes all and keeps none.
+#[derive(Clone, Default)]
+pub struct Recorder {
+    inner: Option<Arc<Mutex<Inner>>>,
+    engines: bool,
+}
+
+impl Recorder {
+    /// A recorder into `dir`'s [`NAME`], of at most `most` bytes, with times from `start` on; `engines`: connections and
+    /// commands at engines, too.
+    ///
+    /// # Errors
+    /// Those of making the file.
+    pub fn start(dir: &Path, start: Instant, most: u64, engines: bool) -> std::io::Result<Recorder> {
+        let file = BufWriter::with_capacity(BUFFER, File::create(dir.join(NAME))?);
+        let inner = Inner { file, start, room: most, cut: None };
+        Ok(Recorder { inner: Some(Arc::new(Mutex::new(inner))), engines })
+    }
+
+    /// Whether anything is recorded.
+    pub fn on(&self) -> bool {
+        self.inner.is_some()
+    }
+
+    /// Notes what is seen now. Times are taken in the order of the lines.
+    pub fn note(&self, event: Event) {
+        let Some(inner) = &self.inner else { return };
+        let mut i = inner.lock().unwrap_or_else(PoisonError::into_inner);
+        if i.cut.is_some() {
+            return;
+        }
+        // The cast holds for half a million years.
+        let at_us = i.start.elapsed().as_micros() as u64;
+        let line = serde_json::to_string(&Line { at_us, event }).map_err(|e| e.to_string());
+        let written = line.and_then(|line| {
+            let need = line.len() as u64 + 1;
+            let room = i.room.checked_sub(need).ok_or("it is full (history.most_mb)".to_owned())?;
+            i.room = room;
+            i.file
+                .write_all(line.as_bytes())
+                .and_then(|()| i.file.write_all(b"\n"))
+                .map_err(|e| e.to_string())
+        });
+        i.cut = written.err();
+    }
+
+    /// Notes what an engine sees, where that is recorded.
+    pub fn note_engine(&self, event: impl FnOnce() -> Event) {
+        if self.engines && self.on() {
+            self.note(event());
+        }
+    }
+
+    /// Ends the history: its lines are in the file, and what comes later is not written.
+    ///
+    /// # Errors
+    /// Where it is not whole.
+    pub fn end(&self) -> Result<(), String> {
+        let Some(inner) = &self.inner else { return Ok(()) };
+        let mut i = inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let flushed = i.file.flush().map_err(|e| e.to_string());
+        match i.cut.replace("it has ended".into()) {
+            Some(why) => Err(format!("the history was cut: {why}")),
+            None => flushed.map_err(|e| format!("the history was cut: {e}")),
+        }
+    }
+}
+
+/// Reads a history's file.
+///
+/// # Errors
+/// Its path, and the line and what is wrong with it.
+pub fn read(path: &PathBuf) -> Result<Vec<Line>, String> {
+    let named = |e: String| format!("{}: {e}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
+    sprucelink_checker::read::lines(text.lines()).map_err(named)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn up(i: usize) -> Event {
+        Event::Up { process: format!("n{i}") }
+    }
+
+    #[test]
+    fn a_history_is_written_in_order_and_one_that_is_full_says_so() {
+        let dir = std::env::temp_dir().join(format!("sprucelink-history-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let r = Recorder::start(&dir, Instant::now(), 10_000, false).expect("a file");
+        (0..50).for_each(|i| r.note(up(i)));
+        r.note_engine(|| Event::Hangup { engine: "s".into(), connection: 1 });
+        r.end().expect("whole");
+        r.note(up(99));
+        let lines = read(&dir.join(NAME)).expect("read");
+        assert_eq!(lines.len(), 50);
+        assert_eq!(lines[49].event, up(49));
+        let r = Recorder::start(&dir, Instant::now(), 100, false).expect("a file");
+        (0..5).for_each(|i| r.note(up(i)));
+        assert!(r.end().unwrap_err().contains("full"));
+        std::fs::remove_dir_all(&dir).expect("removed");
+        let none = Recorder::default();
+        none.note(up(1));
+        assert_eq!(none.end(), Ok(()));
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/http.rs
@@ -0,0 +1,62 @@
+//! Calls of managers' ports over HTTP/1.1, bounded in time and length.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A connection and the head of an answer must be there within this: far over a loopback's way, and under the time in
+/// which a run's steps follow one another.
+const LONGEST_HEAD: Duration = Duration::from_secs(5);
+/// And the whole answer of a call within this.
+const LONGEST_CALL: Duration = Duration::from_secs(10);
+/// Bytes of a call's answer at most.
+const MOST_ANSWER: usize = 1 << 20;
+
+/// Connects, asks, and gives the answer's head; its body comes as it is read. The connection ends with the body.
+///
+/// # Errors
+/// In words: what did not come up or was not answered in time.
+pub async fn ask(at: SocketAddr, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, String> {
+    let asked = async {
+        let stream = TcpStream::connect(at).await.map_err(|e| format!("no connection: {e}"))?;
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        // It ends by itself when the answer's body is dropped or over.
+        tokio::spawn(connection);
+        sender.send_request(request).await.map_err(|e| format!("no answer: {e}"))
+    };
+    timeout(LONGEST_HEAD, asked).await.unwrap_or_else(|_| Err("no answer in time".into()))
+}
+
+/// A whole call: the status and the body as text.
+///
+/// # Errors
+/// In words, as for [`ask`], and where the answer is too long.
+pub async fn call(
+    at: SocketAddr,
+    method: &str,
+    path: &str,
+    body: Option<String>,
+) -> Result<(u16, String), String> {
+    let request = Request::builder().method(method).uri(path).header("host", at.to_string());
+    let request = match &body {
+        Some(_) => request.header("content-type", "application/json"),
+        None => request,
+    };
+    let request = request.body(Full::from(body.unwrap_or_default())).map_err(|e| e.to_string())?;
+    let whole = async {
+        let answer = ask(at, request).await?;
+        let status = answer.status().as_u16();
+        let body =
+            Limited::new(answer.into_body(), MOST_ANSWER).collect().await.map_err(|e| e.to_string())?;
+        Ok((status, String::from_utf8_lossy(&body.to_bytes()).into_owned()))
+    };
+    timeout(LONGEST_CALL, whole).await.unwrap_or_else(|_| Err("no whole answer in time".into()))
+}
--- a/crates/fleetrig/src/ledger.rs
+++ b/crates/fleetrig/src/ledger.rs
@@ -37,6 +37,11 @@
     (manager as u64) << MANAGER_SHIFT | drawn >> (64 - MANAGER_SHIFT)
 }
 
+/// The manager that a request was asked of, by its id.
+pub fn manager_of(id: u64) -> u16 {
+    (id >> MANAGER_SHIFT) as u16
+}
+
 /// An attempt that reached an engine: when since the start, of which manager, at which engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sent {
@@ -98,7 +103,7 @@
         self.with(|l| {
             l.counts.attempts += 1;
             if let Some(start) = l.start.filter(|_| l.sends.len() < MOST_SENDS) {
-                let (manager, engine) = ((request >> MANAGER_SHIFT) as u16, engine as u16);
+                let (manager, engine) = (manager_of(request), engine as u16);
                 l.sends.push(Sent { at: at.saturating_duration_since(start), manager, engine });
             }
             let first = l.seen.len() >= MOST_SEEN || l.seen.insert(request);
--- a/crates/fleetrig/src/lib.rs
+++ b/crates/fleetrig/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`middle`]: TCP and UDP between groups of processes, with faults on command;
 //! - [`procs::Fleet`]: processes started, signalled and restarted by their own ids only;
 //! - [`client`]: open-loop clients of the platform's front;
+//! - [`subscribers`]: stand-in subscribers of the fleet's journal, over many managers;
+//! - [`history`]: what processes did, as a file that `sprucelink-checker` judges;
 //! - [`scenario`] says what a run does, [`run`] carries it out, [`report`] gives its table and chart.
 //!
 //! A run is bounded in time and in everything it counts, and ends every process it started.
@@ -15,6 +17,8 @@
 pub mod client;
 pub mod counted;
 pub mod engines;
+pub mod history;
+pub mod http;
 pub mod ledger;
 pub mod lists;
 pub mod middle;
@@ -22,6 +26,8 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod subscribers;
+pub mod template;
 
 pub use client::ask_once;
 
--- a/crates/fleetrig/src/lists.rs
+++ b/crates/fleetrig/src/lists.rs
@@ -4,7 +4,9 @@
 //! older and contradictory ones too.
 
 use crate::counted::Tally;
+use crate::history::Recorder;
 use crate::runtime;
+use sprucelink_checker::event::Event;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -53,18 +55,32 @@
     /// # Errors
     /// Those of binding a loopback port.
     pub fn start(first: String, start: Instant) -> std::io::Result<ListService> {
+        ListService::start_as(first, start, "", Recorder::default())
+    }
+
+    /// As [`ListService::start`], for the party of this name; each call is noted in `history`.
+    ///
+    /// # Errors
+    /// Those of binding a loopback port.
+    pub fn start_as(
+        first: String,
+        start: Instant,
+        name: &str,
+        history: Recorder,
+    ) -> std::io::Result<ListService> {
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (state, look) = watch::channel((Mood::Serving, 1));
         let (calls, events) = (Tally::default(), Arc::new(Mutex::new(vec![first])));
         let (c, e) = (calls.clone(), Arc::clone(&events));
+        let seen = Arc::new((name.to_owned(), history));
         runtime().spawn(async move {
             let Ok(listener) = TcpListener::from_std(listener) else { return };
             while let Ok((stream, _)) = listener.accept().await {
-                let (c, e, look) = (c.clone(), Arc::clone(&e), look.clone());
+                let (c, e, look, seen) = (c.clone(), Arc::clone(&e), look.clone(), Arc::clone(&seen));
                 tokio::spawn(async move {
-                    let _ = timeout(LONGEST_CALL, serve(stream, start, &c, look, &e)).await;
+                    let _ = timeout(LONGEST_CALL, serve(stream, start, &c, look, &e, &seen)).await;
                 });
             }
         });
@@ -119,11 +135,20 @@
     calls: &Tally,
     mut look: watch::Receiver<State>,
     events: &Mutex<Vec<String>>,
+    seen: &(String, Recorder),
 ) -> Option<()> {
     let head = timeout(Duration::from_secs(5), head(&mut stream)).await.ok()??;
     calls.note(start);
     let field =
         head.lines().find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id:").map(str::to_owned));
+    let answer = match look.borrow().0 {
+        Mood::Serving => "serving",
+        Mood::Refusing => "refusing",
+        Mood::Stalling => "stalling",
+    };
+    let (service, answer, cursor) =
+        (seen.0.clone(), answer.to_owned(), field.as_ref().map(|v| v.trim().to_owned()));
+    seen.1.note(Event::ListCall { service, cursor, answer });
     let mut told: usize = field.and_then(|v| v.trim().parse().ok()).unwrap_or(0);
     let mut opened = false;
     loop {
--- /dev/null
+++ b/crates/fleetrig/src/middle/tcp.rs
@@ -0,0 +1,175 @@
+//! TCP between groups.
+
+use super::{Cut, Faults, CHUNK};
+use crate::runtime;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// A connection that leads nowhere is held so long at most: the longest run.
+const LONGEST_SWALLOWED: Duration = Duration::from_secs(600);
+
+/// A way for one group to one target: connections to the returned address lead to `target`.
+pub struct TcpPath {
+    /// Where the group connects.
+    pub address: SocketAddr,
+    listening: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for TcpPath {
+    fn drop(&mut self) {
+        self.listening.abort();
+    }
+}
+
+/// Where a way leads: nowhere as long as its process has not said where it listens.
+pub type Target = Arc<Mutex<Option<SocketAddr>>>;
+
+/// Opens a way from `from` to `target`, which counts as of group `to`.
+///
+/// # Errors
+/// Those of binding a loopback port.
+pub fn tcp(faults: &Faults, from: &str, to: &str, target: SocketAddr) -> std::io::Result<TcpPath> {
+    tcp_to(faults, from, to, Arc::new(Mutex::new(Some(target))))
+}
+
+/// As [`tcp`], to where `target` says when a connection comes; it is closed where that is nowhere.
+///
+/// # Errors
+/// Those of binding a loopback port.
+pub fn tcp_to(faults: &Faults, from: &str, to: &str, target: Target) -> std::io::Result<TcpPath> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let (faults, from, to) = (faults.clone(), from.to_owned(), to.to_owned());
+    let listening = runtime().spawn(async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        while let Ok((client, _)) = listener.accept().await {
+            let rule = faults.rule(&from, &to);
+            let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
+            let Some(target) = target.filter(|_| !rule.refuse) else { continue };
+            let (faults, from, to) = (faults.clone(), from.clone(), to.clone());
+            tokio::spawn(async move {
+                if rule.blackhole {
+                    return swallow(client).await;
+                }
+                let Ok(server) = TcpStream::connect(target).await else { return };
+                carry(&faults, &from, &to, client, server).await;
+            });
+        }
+    });
+    Ok(TcpPath { address, listening })
+}
+
+/// A connection that leads nowhere: it is held, and nothing of it is read, until its client lets go.
+async fn swallow(client: TcpStream) {
+    let _ = timeout(LONGEST_SWALLOWED, client.ready(Interest::ERROR)).await;
+}
+
+async fn carry(faults: &Faults, from: &str, to: &str, mut client: TcpStream, mut server: TcpStream) {
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    if joined(faults, from, to, &mut client, &mut server).await == Way::Reset {
+        let _ = (client.set_zero_linger(), server.set_zero_linger());
+    }
+}
+
+/// Carries both ways until both have ended, or one was cut or broke.
+async fn joined(
+    faults: &Faults,
+    from: &str,
+    to: &str,
+    client: &mut TcpStream,
+    server: &mut TcpStream,
+) -> Way {
+    let (client_in, client_out) = client.split();
+    let (server_in, server_out) = server.split();
+    let there = pump(faults, from, to, client_in, server_out);
+    let back = pump(faults, to, from, server_in, client_out);
+    tokio::pin!(there, back);
+    let (mut there_over, mut back_over) = (false, false);
+    while !(there_over && back_over) {
+        // A way that ended in order leaves the other open; one that was cut or broke ends both.
+        let ended = tokio::select! {
+            e = &mut there, if !there_over => { there_over = true; e }
+            e = &mut back, if !back_over => { back_over = true; e }
+        };
+        if ended != Way::Ended {
+            return ended;
+        }
+    }
+    Way::Ended
+}
+
+#[derive(PartialEq, Eq)]
+enum Way {
+    Ended,
+    Broken,
+    Reset,
+}
+
+async fn pump<R, W>(faults: &Faults, from: &str, to: &str, mut input: R, mut output: W) -> Way
+where
+    R: AsyncReadExt + Unpin,
+    W: AsyncWriteExt + Unpin,
+{
+    let mut changed = faults.changed.subscribe();
+    let first = faults.cuts(from, to).0;
+    let mut bytes = vec![0u8; CHUNK];
+    loop {
+        let cut = || {
+            let (n, how) = faults.cuts(from, to);
+            how.filter(|_| n != first)
+        };
+        match cut() {
+            Some(Cut::Close) => return Way::Broken,
+            Some(Cut::Reset) => return Way::Reset,
+            Some(Cut::HalfClose) => {
+                let _ = output.shutdown().await;
+                return Way::Ended;
+            }
+            None => {}
+        }
+        if faults.rule(from, to).partition {
+            if changed.changed().await.is_err() {
+                return Way::Broken;
+            }
+            continue;
+        }
+        let piece = faults.rule(from, to).piece();
+        let n = tokio::select! {
+            read = input.read(&mut bytes[..piece]) => match read {
+                Ok(0) => {
+                    let _ = output.shutdown().await;
+                    return Way::Ended;
+                }
+                Ok(n) => n,
+                Err(_) => return Way::Broken,
+            },
+            c = changed.changed() => match c {
+                Ok(()) => continue,
+                Err(_) => return Way::Broken,
+            },
+        };
+        let mut rule = faults.rule(from, to);
+        let delay = faults.delay(&rule) + faults.pace(from, to, &rule, n);
+        if delay > Duration::ZERO {
+            sleep(delay).await;
+        }
+        while rule.partition {
+            if cut() == Some(Cut::Reset) {
+                return Way::Reset;
+            }
+            if cut().is_some() || changed.changed().await.is_err() {
+                return Way::Broken;
+            }
+            rule = faults.rule(from, to);
+        }
+        faults.garble(&rule, &mut bytes[..n]);
+        if output.write_all(&bytes[..n]).await.is_err() {
+            return Way::Broken;
+        }
+    }
+}
--- a/crates/fleetrig/src/procs.rs
+++ b/crates/fleetrig/src/procs.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -15,6 +16,8 @@
 
 /// Bytes of a log that are read at most.
 const MOST_LOG: u64 = 4 << 20;
+/// Bytes of a log that one look at its news takes in at most.
+pub const MOST_NEWS: u64 = 1 << 20;
 
 /// The settings of the rig's deployment for `managers` managers: two classes, two tenants, engines of 8
 /// cores, as the platform words them.
@@ -85,14 +88,24 @@
     )
 }
 
+/// How a process ended: its exit status, or the signal that ended it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Its status.
+    pub status: Option<i32>,
+    /// The signal.
+    pub signal: Option<i32>,
+}
+
 /// One manager: its process and where its log goes.
 pub struct Manager {
     /// Its name, the same after a restart.
     pub name: String,
+    /// Further arguments of `serve`, from its next start on.
+    pub args: Vec<String>,
     child: Option<Child>,
     log: PathBuf,
     config: PathBuf,
-    args: Vec<String>,
     /// Starts so far.
     pub starts: u32,
 }
@@ -121,7 +134,7 @@
         std::fs::write(&path, config)?;
         let log = self.dir.join(format!("{name}.log"));
         let mut m =
-            Manager { name: name.to_owned(), child: None, log, config: path, args: args.to_vec(), starts: 0 };
+            Manager { name: name.to_owned(), args: args.to_vec(), child: None, log, config: path, starts: 0 };
         spawn(&self.program, &mut m)?;
         self.managers.push(m);
         Ok(self.managers.len() - 1)
@@ -153,10 +166,11 @@
         spawn(&self.program, m)
     }
 
-    /// How manager `i` ended, if it has by itself: its exit status (none where a signal ended it).
-    pub fn ended(&mut self, i: usize) -> Option<Option<i32>> {
+    /// How manager `i` ended, if it has by itself.
+    pub fn ended(&mut self, i: usize) -> Option<Ended> {
         let child = self.managers.get_mut(i)?.child.as_mut()?;
-        child.try_wait().ok().flatten().map(|s| s.code())
+        let status = child.try_wait().ok().flatten()?;
+        Some(Ended { status: status.code(), signal: status.signal() })
     }
 
     /// Processor time that manager `i`'s process has used so far, in seconds, as the kernel accounts it.
@@ -175,6 +189,16 @@
         self.managers.get(i).is_some_and(|m| m.child.is_some())
     }
 
+    /// Where manager `i` keeps what outlives its process: a folder of its own, there from its first start on.
+    pub fn folder(&self, i: usize) -> PathBuf {
+        self.dir.join(format!("n{i}"))
+    }
+
+    /// The file that manager `i`'s log of this start goes to.
+    pub fn log_file(&self, i: usize) -> Option<&Path> {
+        self.managers.get(i).map(|m| m.log.as_path())
+    }
+
     /// Manager `i`'s log of this start, up to [`MOST_LOG`] bytes of it.
     pub fn log(&self, i: usize) -> String {
         let mut log = Vec::new();
@@ -212,6 +236,37 @@
     }
 }
 
+/// Reads a log as it grows: each whole line once.
+pub struct Tail {
+    file: File,
+    part: Vec<u8>,
+}
+
+impl Tail {
+    /// Begins at a log's beginning.
+    ///
+    /// # Errors
+    /// Those of opening it.
+    pub fn open(log: &Path) -> std::io::Result<Tail> {
+        Ok(Tail { file: File::open(log)?, part: Vec::new() })
+    }
+
+    /// The lines that came since the last look, at most [`MOST_NEWS`] bytes of them; a longer line is cut there.
+    pub fn news(&mut self) -> Vec<String> {
+        let read = std::io::Read::by_ref(&mut self.file).take(MOST_NEWS).read_to_end(&mut self.part);
+        if !matches!(read, Ok(n) if n > 0) {
+            return Vec::new();
+        }
+        let end = match self.part.iter().rposition(|b| *b == b'\n') {
+            Some(at) => at + 1,
+            None if self.part.len() as u64 >= MOST_NEWS => self.part.len(),
+            None => return Vec::new(),
+        };
+        let whole: Vec<u8> = self.part.drain(..end).collect();
+        String::from_utf8_lossy(&whole).lines().map(str::to_owned).collect()
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.end_all();
--- a/crates/fleetrig/src/report.rs
+++ b/crates/fleetrig/src/report.rs
@@ -128,6 +128,8 @@
     pub agreed_s: f64,
     /// What the engines saw.
     pub breaches: Breaches,
+    /// Rules of the journal that the checker found broken; none where no history was judged.
+    pub violations: Option<usize>,
 }
 
 impl Report {
@@ -176,6 +178,7 @@
             ("second_attempts", b.second_attempts.to_string()),
             ("after_drain", b.after_drain.to_string()),
             ("pushed_over", b.pushed_over.to_string()),
+            ("violations", self.violations.map_or("-".to_owned(), |n| n.to_string())),
         ]
     }
 
--- /dev/null
+++ b/crates/fleetrig/src/run/calls.rs
@@ -0,0 +1,62 @@
+//! An operator's calls of managers: each is made once, and what is answered goes into the history.
+
+use super::Rig;
+use crate::history::Recorder;
+use crate::http;
+use crate::runtime;
+use crate::scenario::Call;
+use serde_json::Value;
+use sprucelink_checker::cursor::Cursor;
+use sprucelink_checker::event::Event;
+
+impl Rig<'_> {
+    /// Makes a call; it is not waited for.
+    pub(super) fn call(&mut self, call: &Call) -> Result<(), String> {
+        for i in self.who(&call.to) {
+            let mut values = self.values(i);
+            let op = call.op.as_ref().map(|op| {
+                let n = self.ops.entry(op.clone()).or_insert(0);
+                *n += 1;
+                format!("{op}-{}", *n - 1)
+            });
+            values.words.insert("op", op.clone().unwrap_or_default());
+            let path = values.fill(&call.path)?;
+            let body = match &call.body {
+                Value::Null => None,
+                body => Some(values.fill_value(body)?.to_string()),
+            };
+            let (method, cursor_at) = (call.method.clone(), call.cursor_at.clone());
+            let (at, history) = (self.peers.real(&call.port, i), self.history.clone());
+            runtime().spawn(async move {
+                let got = match at {
+                    Some(at) => http::call(at, &method, &path, body).await,
+                    None => Err("it has no such port".into()),
+                };
+                note(&history, &format!("{method} {path}"), i, op, cursor_at.as_deref(), got);
+            });
+        }
+        Ok(())
+    }
+}
+
+/// An answer of 2xx acknowledges the operation; any other and none do not.
+fn note(
+    history: &Recorder,
+    what: &str,
+    i: usize,
+    op: Option<String>,
+    cursor_at: Option<&str>,
+    got: Result<(u16, String), String>,
+) {
+    let word = match &got {
+        Ok((status, _)) => format!("status {status}"),
+        Err(e) => e.clone(),
+    };
+    history.note(Event::Act { act: format!("call {what}: {word}"), on: vec![format!("n{i}")] });
+    if let (Some(op), Ok((200..=299, body))) = (op, got) {
+        let told: Option<Value> = serde_json::from_str(&body).ok();
+        let text = told.as_ref().zip(cursor_at).and_then(|(v, at)| v.pointer(at)).and_then(Value::as_str);
+        let cursor: Option<Cursor> = text.and_then(|t| t.parse().ok());
+        history.note(Event::Ack { op, cursor });
+    }
+}
--- a/crates/fleetrig/src/run/figures.rs
+++ b/crates/fleetrig/src/run/figures.rs
@@ -70,6 +70,8 @@
             logs,
             sends: self.ledger.sends(),
             views: self.views.clone(),
+            history: None,
+            verdict: None,
         }
     }
 }
--- a/crates/fleetrig/src/run/life.rs
+++ b/crates/fleetrig/src/run/life.rs
@@ -1,6 +1,8 @@
 //! The managers' processes during a run: begun, looked after, started anew.
 
-use super::{io, Life, Rig, Seat};
+use super::{Life, Rig, Seat};
+use crate::procs::Ended;
+use sprucelink_checker::event::{Cause, Event, NEXT_VERSION};
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
@@ -20,20 +22,6 @@
         self.seat(i, |s| (s.at, s.until, s.struck) = (None, None, Some(Instant::now())));
     }
 
-    pub(super) fn begin(&mut self, i: usize) -> Result<(), String> {
-        self.strike(i);
-        let config = self.config(i);
-        let args = self.args(i)?;
-        self.real[i] = None;
-        if i < self.fleet.managers.len() {
-            self.fleet.restart(i, &config).map_err(io("restart"))?;
-        } else {
-            self.fleet.start(&format!("n{i}"), &config, &args).map_err(io("start"))?;
-        }
-        self.lives[i] = Life::Starting;
-        Ok(())
-    }
-
     /// Looks which managers have come up, and which have ended by themselves.
     pub(super) fn look(&mut self) {
         for i in 0..self.fleet.managers.len() {
@@ -42,20 +30,37 @@
                     if let Some(at) = self.fleet.serving(i) {
                         self.seat(i, |s| (s.at, s.until) = (Some(at), None));
                         (self.lives[i], self.up_once[i]) = (Life::Up, true);
+                        self.history.note(Event::Up { process: format!("n{i}") });
                         self.bind(i);
                     }
                 }
                 Life::Up => {}
                 _ => continue,
             }
-            if self.fleet.ended(i).is_some() {
-                self.crashed += 1;
-                self.strike(i);
-                self.lives[i] = Life::Dead;
+            if let Some(how) = self.fleet.ended(i) {
+                self.has_ended(i, how);
             }
         }
     }
 
+    /// A process has ended by itself: it is brought back where its supervisor does that.
+    fn has_ended(&mut self, i: usize, how: Ended) {
+        self.strike(i);
+        let asked = how.status == Some(NEXT_VERSION);
+        let next = if asked { self.next_version(i).ok() } else { None };
+        self.over(i, how, Cause::Own, next.clone());
+        let supervise = self.scenario.supervise;
+        let back = next.is_some() || supervise.crashed;
+        // One that asks for a version it does not name has crashed, too.
+        self.crashed += usize::from(next.is_none());
+        self.procs[i].version = next.unwrap_or(std::mem::take(&mut self.procs[i].version));
+        self.lives[i] = Life::Dead;
+        if back && self.procs[i].brought_back < supervise.most {
+            self.procs[i].brought_back += 1;
+            self.lives[i] = Life::Waiting(Instant::now() + Duration::from_secs_f64(supervise.back_ms / 1e3));
+        }
+    }
+
     /// Lets the middle know where a manager that has come up listens for others.
     pub(super) fn bind(&mut self, i: usize) {
         if self.members.is_empty() {
@@ -70,14 +75,22 @@
         }
     }
 
-    /// Starts those anew that have ended after SIGTERM.
+    /// Starts those anew that have ended after SIGTERM, and those that their supervisor brings back.
     pub(super) fn come_back(&mut self) -> Result<(), String> {
         for i in 0..self.fleet.managers.len() {
-            let Life::Ending(since) = self.lives[i] else { continue };
+            let since = match self.lives[i] {
+                Life::Ending(since) => since,
+                Life::Waiting(until) if Instant::now() >= until => {
+                    self.begin(i, false)?;
+                    continue;
+                }
+                _ => continue,
+            };
             match self.fleet.ended(i) {
-                Some(code) => {
-                    self.crashed += usize::from(code != Some(0));
-                    self.begin(i)?;
+                Some(how) => {
+                    self.crashed += usize::from(how.status != Some(0));
+                    self.over(i, how, Cause::Nemesis, None);
+                    self.begin(i, false)?;
                 }
                 // It had its time: what is open there is lost by its own fault, so it is not struck.
                 None if since.elapsed() > LONGEST_END => self.fleet.kill(i),
--- a/crates/fleetrig/src/run/mod.rs
+++ b/crates/fleetrig/src/run/mod.rs
@@ -1,27 +1,39 @@
 //! Carries a scenario out: starts the stand-ins and the processes, does the steps when they are due, lets
 //! clients ask, and gathers what was counted. It ends every process it started, also when it fails half way.
 
+mod calls;
 mod figures;
 mod life;
 mod load;
 mod outcome;
+mod peers;
+mod process;
 mod setup;
 mod steps;
+mod strikes;
 mod views;
+mod ways;
 
 pub use outcome::{Outcome, Views};
+pub use process::NEXT_VERSION_FILE;
 
 use crate::client::Became;
 use crate::engines::CountingEngine;
+use crate::history::Recorder;
 use crate::ledger::Ledger;
 use crate::lists::ListService;
 use crate::middle::{Faults, TcpPath, UdpNet};
 use crate::procs::Fleet;
 use crate::scenario::{Act, Scenario};
+use crate::subscribers::Subscribers;
+use peers::Peers;
+use process::Proc;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use strikes::Strikes;
 
 /// Between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(5);
@@ -54,13 +66,15 @@
     Up,
     Ending(Instant),
     Paused,
+    /// It has ended by itself and is brought back then.
+    Waiting(Instant),
     Dead,
 }
 
 struct Engine {
     id: String,
     run: Option<CountingEngine>,
-    /// Where each group reaches it.
+    /// Where each party reaches it.
     at: Vec<SocketAddr>,
     paths: Vec<TcpPath>,
     phase: &'static str,
@@ -94,6 +108,21 @@
     real: Vec<Option<SocketAddr>>,
     views: Vec<Views>,
     ended: Arc<Mutex<Vec<Ended>>>,
+    /// Whom the middle tells apart among managers.
+    parties: Vec<String>,
+    history: Recorder,
+    peers: Peers,
+    procs: Vec<Proc>,
+    strikes: Strikes,
+    /// What follows strikes, and when.
+    later: Vec<(Instant, Act)>,
+    subscribers: Option<Subscribers>,
+    /// Ways that are silent by a rule.
+    silenced: BTreeSet<(String, String)>,
+    /// Calls made so far, by the operation's name.
+    ops: BTreeMap<String, u64>,
+    /// Times that managers were drawn.
+    draws: u64,
 }
 
 fn io(what: &str) -> impl Fn(std::io::Error) -> String + '_ {
@@ -126,9 +155,14 @@
     let logs = (0..rig.fleet.managers.len()).map(|i| rig.fleet.log(i)).collect();
     let used: Vec<f64> = (0..rig.fleet.managers.len()).filter_map(|i| rig.fleet.cpu(i)).collect();
     let cpu = used.iter().sum::<f64>() / used.len().max(1) as f64;
+    // What the rig ends now is no part of the run.
+    rig.subscribers = None;
+    let recorded = rig.history.end();
     rig.fleet.end_all();
     done?;
+    recorded?;
     let mut got = rig.outcome(logs);
+    got.judge(scenario, &program.dir)?;
     got.report.cpu_s = cpu;
     if let Some(watch) = &scenario.watch {
         got.watched(scenario, watch, began);
@@ -157,6 +191,8 @@
                     self.poll();
                 }
             }
+            self.read_news()?;
+            self.follow_up()?;
             std::thread::sleep(LOOK);
         }
         Ok(())
--- a/crates/fleetrig/src/run/outcome.rs
+++ b/crates/fleetrig/src/run/outcome.rs
@@ -1,9 +1,12 @@
 //! What a run gives, and what can be read from it afterwards.
 
+use crate::history;
 use crate::ledger::Sent;
 use crate::report::{Outcomes, Report};
 use crate::scenario::{Scenario, Watch, HALLS};
+use sprucelink_checker::Verdict;
 use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
 
 /// What a run gives.
 #[derive(Clone, Debug)]
@@ -22,6 +25,10 @@
     pub sends: Vec<Sent>,
     /// How far the managers' views of the fleet agreed, over time; empty where they keep none.
     pub views: Vec<Views>,
+    /// Where the history is, if one was recorded.
+    pub history: Option<PathBuf>,
+    /// What the checker found in it, if it was held against terms.
+    pub verdict: Option<Verdict>,
 }
 
 /// The managers' views of the fleet at a moment.
@@ -40,6 +47,21 @@
 }
 
 impl Outcome {
+    /// Holds the history against the scenario's terms.
+    pub(super) fn judge(&mut self, scenario: &Scenario, dir: &Path) -> Result<(), String> {
+        if !scenario.records() {
+            return Ok(());
+        }
+        let path = dir.join(history::NAME);
+        if let Some(terms) = &scenario.check {
+            let verdict = sprucelink_checker::check(&history::read(&path)?, terms);
+            self.report.violations = Some(verdict.violations().count());
+            self.verdict = Some(verdict);
+        }
+        self.history = Some(path);
+        Ok(())
+    }
+
     /// Share of the attempts that left from one time up to another, in seconds, which crossed zones; 0 where managers
     /// are told none.
     pub fn crossing(&self, scenario: &Scenario, from: f64, to: f64) -> f64 {
--- /dev/null
+++ b/crates/fleetrig/src/run/process.rs
@@ -0,0 +1,227 @@
+//! A manager's process: its folder and files, its start and its end, and what of it goes into the history.
+
+use super::{io, Life, Rig};
+use crate::procs::{Ended, Tail};
+use crate::scenario::{GROUPS, HALLS};
+use crate::template::Values;
+use sprucelink_checker::event::{Cause, Event};
+use sprucelink_points::file::{self, Disk, FaultFile};
+use std::path::Path;
+
+/// The file in a process's folder that names the version its supervisor is to start next.
+pub const NEXT_VERSION_FILE: &str = "next-version";
+/// Longest name of a version.
+const LONGEST_VERSION: usize = 64;
+/// Files of a folder that are copied at most, and their bytes together.
+const MOST_COPIED: usize = 1_000;
+const MOST_COPIED_BYTES: u64 = 256 << 20;
+
+/// What the rig keeps of one manager beside its process.
+pub(super) struct Proc {
+    /// The version it is started as.
+    pub(super) version: String,
+    /// Whether it runs, by the history.
+    pub(super) alive: bool,
+    /// How often the supervisor brought it back.
+    pub(super) brought_back: usize,
+    /// Its log as it grows, where something is looked for there.
+    pub(super) tail: Option<Tail>,
+    /// Ports whose address its log has not told yet, by their place among the scenario's.
+    pub(super) unbound: Vec<usize>,
+    /// Faults of the disk under its store, from its next start on.
+    pub(super) disk: Disk,
+}
+
+impl Proc {
+    pub(super) fn new(version: &str) -> Proc {
+        let (version, disk) = (version.to_owned(), Disk::default());
+        Proc { version, alive: false, brought_back: 0, tail: None, unbound: Vec::new(), disk }
+    }
+}
+
+impl Rig<'_> {
+    /// Starts manager `i`, killed first where it runs.
+    pub(super) fn begin(&mut self, i: usize, emptied: bool) -> Result<(), String> {
+        self.kill(i);
+        self.lives[i] = Life::Starting;
+        let folder = self.fleet.folder(i);
+        if emptied {
+            match std::fs::remove_dir_all(&folder) {
+                Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(io("a folder")(e)),
+                _ => {}
+            }
+        }
+        std::fs::create_dir_all(&folder).map_err(io("a folder"))?;
+        self.scenario.ports.iter().for_each(|p| self.peers.bind(&p.name, i, None));
+        let values = self.values(i);
+        for (name, value) in &self.scenario.files {
+            let text = values.fill_value(value)?.to_string();
+            std::fs::write(folder.join(name), text).map_err(io(name))?;
+        }
+        self.write_faults(i, &folder)?;
+        let config = self.config(i);
+        let mut args = self.args(i)?;
+        for arg in &self.scenario.args {
+            args.push(values.fill(arg)?);
+        }
+        self.real[i] = None;
+        if let Some(m) = self.fleet.managers.get_mut(i) {
+            m.args = args;
+            self.fleet.restart(i, &config).map_err(io("restart"))?;
+        } else {
+            self.fleet.start(&format!("n{i}"), &config, &args).map_err(io("start"))?;
+        }
+        let looked_for = !self.scenario.ports.is_empty() || !self.scenario.strikes.is_empty();
+        let tail = self.fleet.log_file(i).filter(|_| looked_for).map(Tail::open).transpose();
+        let p = &mut self.procs[i];
+        p.tail = tail.map_err(io("a log"))?;
+        p.unbound = (0..self.scenario.ports.len()).collect();
+        p.alive = true;
+        let (process, version) = (format!("n{i}"), p.version.clone());
+        self.history.note(Event::Start {
+            process,
+            version,
+            clock_offset_ms: self.scenario.clock_of(i),
+            emptied,
+        });
+        Ok(())
+    }
+
+    /// Kills manager `i` outright, if it runs: nobody is sent to it any more.
+    pub(super) fn kill(&mut self, i: usize) {
+        self.strike(i);
+        self.fleet.kill(i);
+        self.over(i, Ended { status: None, signal: Some(9) }, Cause::Nemesis, None);
+        self.lives[i] = Life::Dead;
+    }
+
+    /// Notes a process's end, once.
+    pub(super) fn over(&mut self, i: usize, how: Ended, cause: Cause, next: Option<String>) {
+        if std::mem::take(&mut self.procs[i].alive) {
+            let (process, Ended { status, signal }) = (format!("n{i}"), how);
+            self.history.note(Event::Exit { process, status, signal, cause, next });
+        }
+    }
+
+    /// The version that a process has named for its next start.
+    pub(super) fn next_version(&self, i: usize) -> Result<String, String> {
+        let path = self.fleet.folder(i).join(NEXT_VERSION_FILE);
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let name = text.trim();
+        let sign = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+        let good = !name.is_empty() && name.len() <= LONGEST_VERSION && name.chars().all(sign);
+        good.then(|| name.to_owned()).ok_or_else(|| format!("{}: no version's name", path.display()))
+    }
+
+    /// What stands for manager `i`'s templates.
+    pub(super) fn values(&self, i: usize) -> Values {
+        let group = self.scenario.group_of(i);
+        let starts = self.fleet.managers.get(i).map_or(0, |m| m.starts);
+        let words = [
+            ("name", format!("n{i}")),
+            ("number", i.to_string()),
+            ("group", GROUPS[group].to_owned()),
+            ("zone", HALLS[group].to_owned()),
+            ("folder", self.fleet.folder(i).display().to_string()),
+            ("version", self.procs[i].version.clone()),
+            ("seed", self.seed(i, starts).to_string()),
+            ("clock_offset_ms", self.scenario.clock_of(i).to_string()),
+        ];
+        let party = &self.parties[self.scenario.party_of(i)];
+        let seen =
+            |name: &str| self.peers.seen(name, party).into_iter().map(|(n, a)| (n, a.to_string())).collect();
+        let peers = self.scenario.ports.iter().map(|p| (p.name.clone(), seen(&p.name))).collect();
+        Values { words: words.into(), peers }
+    }
+
+    /// Tells the process its faults: points armed for it, and its disk's. A folder without faults has no such file.
+    fn write_faults(&self, i: usize, folder: &Path) -> Result<(), String> {
+        let faults = FaultFile { points: self.strikes.armed(i), disk: self.procs[i].disk };
+        let path = folder.join(file::NAME);
+        if faults == FaultFile::default() {
+            return match std::fs::remove_file(&path) {
+                Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(io(file::NAME)(e)),
+                _ => Ok(()),
+            };
+        }
+        let text = serde_json::to_string(&faults).map_err(|e| e.to_string())?;
+        std::fs::write(path, text).map_err(io(file::NAME))
+    }
+
+    fn must_be_down(&self, i: usize, what: &str) -> Result<(), String> {
+        match self.procs[i].alive {
+            true => Err(format!("{what}: n{i} runs; kill it in a step before")),
+            false => Ok(()),
+        }
+    }
+
+    /// A file of manager `i`'s folder loses its last bytes.
+    pub(super) fn tear(&self, i: usize, file: &str, bytes: u64) -> Result<(), String> {
+        self.must_be_down(i, "tear")?;
+        let path = self.fleet.folder(i).join(file);
+        let torn = std::fs::OpenOptions::new().write(true).open(&path).and_then(|f| {
+            let len = f.metadata()?.len();
+            f.set_len(len.saturating_sub(bytes))
+        });
+        torn.map_err(|e| format!("tear {}: {e}", path.display()))
+    }
+
+    /// Copies manager `i`'s folder; a process that runs is stopped meanwhile, so that the copy is of one moment.
+    pub(super) fn keep_copy(&self, i: usize) -> Result<(), String> {
+        use nix::sys::signal::Signal;
+        let runs = self.procs[i].alive && self.lives[i] != Life::Paused;
+        if runs {
+            self.fleet.signal(i, Signal::SIGSTOP).map_err(|e| e.to_string())?;
+        }
+        let copied = replace(&self.fleet.folder(i), &self.copy_of(i));
+        if runs {
+            self.fleet.signal(i, Signal::SIGCONT).map_err(|e| e.to_string())?;
+        }
+        copied
+    }
+
+    /// Manager `i`'s folder is as it was when it was copied.
+    pub(super) fn put_back(&self, i: usize) -> Result<(), String> {
+        self.must_be_down(i, "put_back")?;
+        replace(&self.copy_of(i), &self.fleet.folder(i))
+    }
+
+    fn copy_of(&self, i: usize) -> std::path::PathBuf {
+        self.program.dir.join(format!("n{i}.copy"))
+    }
+}
+
+/// A folder's files, its folders' too, in place of another folder.
+fn replace(from: &Path, to: &Path) -> Result<(), String> {
+    let named = |what: &Path| {
+        let what = what.display().to_string();
+        move |e: std::io::Error| format!("{what}: {e}")
+    };
+    match std::fs::remove_dir_all(to) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(named(to)(e)),
+        _ => {}
+    }
+    let (mut open, mut files, mut bytes) = (vec![(from.to_owned(), to.to_owned())], 0, 0);
+    while let Some((from, to)) = open.pop() {
+        std::fs::create_dir_all(&to).map_err(named(&to))?;
+        for entry in std::fs::read_dir(&from).map_err(named(&from))? {
+            let entry = entry.map_err(named(&from))?;
+            let (here, there) = (entry.path(), to.join(entry.file_name()));
+            let meta = entry.metadata().map_err(named(&here))?;
+            files += 1;
+            if meta.is_dir() {
+                open.push((here, there));
+            } else {
+                bytes += meta.len();
+                if files > MOST_COPIED || bytes > MOST_COPIED_BYTES {
+                    return Err(format!(
+                        "{}: over {MOST_COPIED} files or {MOST_COPIED_BYTES} bytes",
+                        from.display()
+                    ));
+                }
+                std::fs::copy(&here, &there).map_err(named(&here))?;
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/fleetrig/src/run/setup.rs
+++ b/crates/fleetrig/src/run/setup.rs
@@ -1,13 +1,20 @@
 //! The stand-ins and files of a run before it begins, and engines that come later.
 
+use super::peers::{Peers, SUBSCRIBERS};
+use super::process::Proc;
+use super::strikes::Strikes;
 use super::{io, unix_ms, Engine, Life, Program, Rig};
-use crate::engines::{CountingEngine, Spec};
+use crate::engines::{name_of, CountingEngine, Spec};
+use crate::history::Recorder;
 use crate::ledger::Ledger;
 use crate::lists::{ListService, Mood};
 use crate::middle::{self, Faults, UdpNet};
 use crate::procs::{self, Fleet, Row};
-use crate::scenario::{Engines, Lists, Scenario, GROUPS, HALLS};
+use crate::scenario::{Engines, History, Lists, Scenario, GROUPS, HALLS};
+use crate::subscribers::Subscribers;
+use sprucelink_checker::event::{Event, Party};
 use sprucelink_membership::terms::Settings as Membership;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -24,6 +31,14 @@
         let faults = Faults::new(scenario.seed);
         let fleet = Fleet::new(&program.path, &program.dir).map_err(io("the rig's folder"))?;
         let n = scenario.managers;
+        let history = match scenario.records() {
+            true => {
+                let History { engines, most_mb } = scenario.history.unwrap_or_default();
+                Recorder::start(&program.dir, start, most_mb << 20, engines).map_err(io("the history"))?
+            }
+            false => Recorder::default(),
+        };
+        let peers = Peers::new(scenario, &faults)?;
         let mut rig = Rig {
             scenario,
             program,
@@ -49,7 +64,18 @@
             real: vec![None; n],
             views: Vec::new(),
             ended: Arc::default(),
+            parties: scenario.parties(),
+            history,
+            peers,
+            procs: (0..n).map(|_| Proc::new(&scenario.version)).collect(),
+            strikes: Strikes::new(scenario),
+            later: Vec::new(),
+            subscribers: None,
+            silenced: BTreeSet::new(),
+            ops: BTreeMap::new(),
+            draws: 0,
         };
+        rig.note_run();
         let Engines { count, cold, missing, .. } = scenario.engines;
         for i in 0..count {
             rig.add_engine(i < cold)?;
@@ -57,9 +83,10 @@
                 rig.stop_engine(i);
             }
         }
-        for (group, name) in GROUPS.iter().enumerate().take(scenario.groups.len()) {
-            let first = procs::event(1, 1, true, &rig.rows(group));
-            let service = ListService::start(first, start).map_err(io("list service"))?;
+        for (party, name) in scenario.parties().iter().enumerate() {
+            let first = procs::event(1, 1, true, &rig.rows(party));
+            let service = ListService::start_as(first, start, name, rig.history.clone());
+            let service = service.map_err(io("list service"))?;
             let mut feed = service.address;
             if scenario.through_middle() {
                 let path = middle::tcp(&rig.faults, name, "lists", feed).map_err(io("fault middle"))?;
@@ -74,13 +101,31 @@
         if scenario.membership.is_some() {
             rig.net = UdpNet::new(&rig.faults);
             for i in 0..n {
-                let group = GROUPS[scenario.group_of(i)];
-                rig.members.push(rig.net.reserve(group).map_err(io("fault middle"))?);
+                rig.members.push(rig.net.reserve(&format!("n{i}")).map_err(io("fault middle"))?);
             }
         }
+        if scenario.subscribers.count > 0 {
+            let spec = &scenario.subscribers;
+            let allowed: Option<Vec<usize>> = spec.to.as_ref().map(|to| rig.who(to));
+            let all = rig.peers.seen(&spec.port, SUBSCRIBERS).into_iter().enumerate();
+            let to =
+                all.filter(|(i, _)| allowed.as_ref().is_none_or(|a| a.contains(i))).map(|(_, m)| m).collect();
+            rig.subscribers = Some(Subscribers::start(scenario, start, to, rig.history.clone()));
+        }
         Ok(rig)
     }
 
+    /// The history's first line.
+    fn note_run(&self) {
+        let manager = |i: usize| {
+            let group = self.scenario.group_of(i);
+            Party { name: format!("n{i}"), zone: HALLS[group].into(), pool: GROUPS[group].into() }
+        };
+        let (managers, engines) = ((0..self.scenario.managers).map(manager).collect(), Vec::new());
+        let (scenario, seed) = (self.scenario.name.clone(), self.scenario.seed);
+        self.history.note(Event::Run { scenario, seed, managers, engines });
+    }
+
     pub(super) fn add_engine(&mut self, cold: bool) -> Result<(), String> {
         let e = &self.scenario.engines;
         let times = if self.engines.len() < e.slow { SLOW } else { 1.0 };
@@ -88,14 +133,15 @@
         let cold_for = if cold { COLD_FOR } else { 0.0 };
         let spec = Spec { cores: e.cores, light, heavy, cold_for, ..Spec::default() };
         let number = self.engines.len();
+        let (ledger, history) = (self.ledger.clone(), self.history.clone());
         let run =
-            CountingEngine::start_as(spec, number, self.ledger.clone(), self.start).map_err(io("engine"))?;
-        let (mut at, mut paths) = (vec![run.address; self.scenario.groups.len()], Vec::new());
+            CountingEngine::start_as(spec, number, ledger, history, self.start).map_err(io("engine"))?;
+        let (mut at, mut paths) = (vec![run.address; self.parties.len()], Vec::new());
         if self.scenario.through_middle() {
-            for (group, at) in at.iter_mut().enumerate() {
+            for (party, at) in at.iter_mut().enumerate() {
                 let path = middle::tcp(
                     &self.faults,
-                    GROUPS[group],
+                    &self.parties[party],
                     HALLS[number % self.scenario.zones],
                     run.address,
                 );
@@ -105,7 +151,9 @@
             }
         }
         let since_ms = if cold { unix_ms() } else { 0 };
-        let id = format!("s-{number:04}");
+        let id = name_of(number);
+        let (name, zone) = (id.clone(), HALLS[number % self.scenario.zones].into());
+        self.history.note(Event::Engine(Party { name, zone, pool: "std".into() }));
         self.engines.push(Engine { id, run: Some(run), at, paths, phase: "ready", since_ms });
         Ok(())
     }
@@ -118,18 +166,18 @@
         }
     }
 
-    /// The engines as a group's list names them.
-    pub(super) fn rows(&self, group: usize) -> Vec<Row> {
-        (0..self.engines.len()).map(|i| self.row(group, i)).collect()
+    /// The engines as a party's list names them.
+    pub(super) fn rows(&self, party: usize) -> Vec<Row> {
+        (0..self.engines.len()).map(|i| self.row(party, i)).collect()
     }
 
-    pub(super) fn row(&self, group: usize, i: usize) -> Row {
+    pub(super) fn row(&self, party: usize, i: usize) -> Row {
         let e = &self.engines[i];
         let zone = HALLS[i % self.scenario.zones].into();
-        Row { id: e.id.clone(), at: e.at[group], zone, phase: e.phase, since_ms: e.since_ms }
+        Row { id: e.id.clone(), at: e.at[party], zone, phase: e.phase, since_ms: e.since_ms }
     }
 
-    /// Tells every group what changed.
+    /// Tells every party what changed.
     pub(super) fn tell(&mut self, changed: &[usize]) -> Result<(), String> {
         self.revision += 1;
         for group in 0..self.lists.len() {
@@ -148,17 +196,22 @@
         self.lists.iter().for_each(|l| l.set_mood(mood));
     }
 
+    /// The seed of manager `i`'s process that follows so many starts.
+    pub(super) fn seed(&self, i: usize, starts: u32) -> u64 {
+        self.scenario.seed.wrapping_mul(1_000_003) ^ (i as u64) << 16 ^ u64::from(starts)
+    }
+
     pub(super) fn config(&self, i: usize) -> String {
-        let group = self.scenario.group_of(i);
+        let (group, party) = (self.scenario.group_of(i), self.scenario.party_of(i));
         let starts = self.fleet.managers.get(i).map_or(0, |m| m.starts);
-        let seed = self.scenario.seed.wrapping_mul(1_000_003) ^ (i as u64) << 16 ^ u64::from(starts);
-        let known = self.lists[group].known();
+        let seed = self.seed(i, starts);
+        let known = self.lists[party].known();
         let settings = match self.scenario.told_zone {
             // The zone by number, as the platform words it.
             true => self.settings.replacen('{', &format!("{{\"az\":{group},"), 1),
             false => self.settings.clone(),
         };
-        procs::config(&format!("n{i}"), seed, self.feeds[group], &known, &settings)
+        procs::config(&format!("n{i}"), seed, self.feeds[party], &known, &settings)
     }
 
     /// A manager's arguments: its own file of the membership among them, where the fleet keeps a view.
--- a/crates/fleetrig/src/run/steps.rs
+++ b/crates/fleetrig/src/run/steps.rs
@@ -4,33 +4,28 @@
 use super::setup::COLD_FOR;
 use super::{unix_ms, Life, Rig};
 use crate::procs::{self, Row};
-use crate::scenario::{Act, Part, HALLS};
+use crate::scenario::{Act, Part, Who, HALLS};
 use nix::sys::signal::Signal;
+use rand::{Rng as _, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use sprucelink_checker::event::Event;
 use std::time::{Duration, Instant};
 
+/// Letters of an act's words that a history keeps.
+const MOST_WORDS: usize = 400;
+
 impl Rig<'_> {
     /// All that happens, in order: starts, and the steps with each manager's part of them.
     pub(super) fn timeline(&self) -> Vec<(Duration, Act)> {
-        let n = self.scenario.managers;
-        let one = |i: usize| Part { from: i as f64 / n as f64, to: (i + 1) as f64 / n as f64, over_ms: 0.0 };
         let mut all = Vec::new();
-        let spread = |all: &mut Vec<(Duration, Act)>, at: f64, p: &Part, act: fn(Part) -> Act| {
-            let who = p.of(n);
-            let each = p.over_ms / 1e3 / who.len().max(1) as f64;
-            all.extend(
-                who.enumerate().map(|(k, i)| (Duration::from_secs_f64(at + each * k as f64), act(one(i)))),
-            );
-        };
         let starts = Part { from: 0.0, to: 1.0, over_ms: self.scenario.start_over_ms };
-        spread(&mut all, 0.0, &starts, Act::Restart);
-        for step in &self.scenario.steps {
-            match &step.act {
-                Act::Kill(p) => spread(&mut all, step.at, p, Act::Kill),
-                Act::Restart(p) => spread(&mut all, step.at, p, Act::Restart),
-                Act::Roll(p) => spread(&mut all, step.at, p, Act::Roll),
-                Act::Pause(p) => spread(&mut all, step.at, p, Act::Pause),
-                Act::Resume(p) => spread(&mut all, step.at, p, Act::Resume),
-                act => all.push((Duration::from_secs_f64(step.at), act.clone())),
+        self.spread(&mut all, 0.0, &Act::Restart(starts.into()), 0);
+        let mut rng = ChaCha8Rng::seed_from_u64(self.scenario.seed ^ 0x57e9 << 32);
+        for (k, step) in self.scenario.steps.iter().enumerate() {
+            for time in 0..step.times {
+                let late = if step.spread > 0.0 { rng.gen_range(0.0..step.spread) } else { 0.0 };
+                let at = step.at + step.every * time as f64 + late;
+                self.spread(&mut all, at, &step.act, (k as u64) << 20 | time as u64);
             }
         }
         // Stable: what is due at once happens in the file's order.
@@ -39,40 +34,81 @@
         all
     }
 
+    /// An act, one manager after the other where it is on managers.
+    fn spread(&self, all: &mut Vec<(Duration, Act)>, at: f64, act: &Act, draw: u64) {
+        let (who, one): (&Who, fn(Who) -> Act) = match act {
+            Act::Kill(w) => (w, Act::Kill),
+            Act::Restart(w) => (w, Act::Restart),
+            Act::RestartEmpty(w) => (w, Act::RestartEmpty),
+            Act::Roll(w) => (w, Act::Roll),
+            Act::Pause(w) => (w, Act::Pause),
+            Act::Resume(w) => (w, Act::Resume),
+            other => return all.push((Duration::from_secs_f64(at), other.clone())),
+        };
+        let managers = who.of(self.scenario, draw);
+        let each = who.over_ms / 1e3 / managers.len().max(1) as f64;
+        let due = |k: usize| Duration::from_secs_f64(at + each * k as f64);
+        all.extend(managers.iter().enumerate().map(|(k, i)| (due(k), one(Who::one(*i)))));
+    }
+
+    /// The managers that an act is on, drawn anew each time where they are drawn.
+    pub(super) fn who(&mut self, who: &Who) -> Vec<usize> {
+        self.draws += 1;
+        who.of(self.scenario, 2 << 40 | self.draws)
+    }
+
+    /// Notes what the nemesis does.
+    fn note_act(&mut self, act: &Act) {
+        if !self.history.on() {
+            return;
+        }
+        let on = match act {
+            Act::Kill(w) | Act::Restart(w) | Act::RestartEmpty(w) | Act::Roll(w) => w.names.clone(),
+            Act::Pause(w) | Act::Resume(w) => w.names.clone(),
+            _ => None,
+        };
+        let mut act = format!("{act:?}");
+        if let Some(end) = (MOST_WORDS..act.len()).find(|i| act.is_char_boundary(*i)) {
+            act.truncate(end);
+        }
+        self.history.note(Event::Act { act, on: on.unwrap_or_default() });
+    }
+
     pub(super) fn act(&mut self, act: &Act) -> Result<(), String> {
-        let n = self.scenario.managers;
+        self.note_act(act);
         let engines = |p: &Part, rig: &Rig| p.of(rig.engines.len());
         match act {
-            Act::Restart(p) => p.of(n).try_for_each(|i| self.begin(i))?,
-            Act::Kill(p) => {
-                for i in p.of(n) {
-                    self.strike(i);
-                    self.fleet.kill(i);
-                    self.lives[i] = Life::Dead;
-                }
-            }
-            Act::Roll(p) => {
-                for i in p
-                    .of(n)
-                    .filter(|i| matches!(self.lives[*i], Life::Up | Life::Starting))
-                    .collect::<Vec<_>>()
-                {
+            Act::Restart(w) => self.who(w).into_iter().try_for_each(|i| self.begin(i, false))?,
+            Act::RestartEmpty(w) => self.who(w).into_iter().try_for_each(|i| self.begin(i, true))?,
+            Act::Kill(w) => self.who(w).into_iter().for_each(|i| self.kill(i)),
+            Act::Roll(w) => {
+                for i in self.who(w) {
+                    if !matches!(self.lives[i], Life::Up | Life::Starting) {
+                        continue;
+                    }
                     self.seat(i, |s| s.until = Some(Instant::now() + STILL_COMING));
                     self.fleet.signal(i, Signal::SIGTERM).map_err(|e| e.to_string())?;
                     self.lives[i] = Life::Ending(Instant::now());
                 }
             }
-            Act::Pause(p) => {
-                for i in p.of(n).filter(|i| self.lives[*i] == Life::Up).collect::<Vec<_>>() {
-                    self.strike(i);
-                    self.fleet.signal(i, Signal::SIGSTOP).map_err(|e| e.to_string())?;
-                    self.lives[i] = Life::Paused;
+            Act::Pause(w) => {
+                for i in self.who(w) {
+                    if self.lives[i] == Life::Up {
+                        self.stop(i)?;
+                    }
                 }
             }
-            Act::Resume(p) => {
-                for i in p.of(n).filter(|i| self.lives[*i] == Life::Paused).collect::<Vec<_>>() {
-                    self.fleet.signal(i, Signal::SIGCONT).map_err(|e| e.to_string())?;
-                    self.lives[i] = Life::Starting;
+            Act::Resume(w) => self.who(w).into_iter().try_for_each(|i| self.go_on(i))?,
+            Act::Disk { who, fault } => self.who(who).into_iter().for_each(|i| self.procs[i].disk = *fault),
+            Act::Tear { who, file, bytes } => {
+                self.who(who).into_iter().try_for_each(|i| self.tear(i, file, *bytes))?;
+            }
+            Act::KeepCopy(w) => self.who(w).into_iter().try_for_each(|i| self.keep_copy(i))?,
+            Act::PutBack(w) => self.who(w).into_iter().try_for_each(|i| self.put_back(i))?,
+            Act::Call(call) => self.call(call)?,
+            Act::Subscribers(what) => {
+                if let Some(s) = &mut self.subscribers {
+                    s.order(*what);
                 }
             }
             Act::Lists(how) => self.set_lists(*how),
@@ -83,17 +119,23 @@
             }
             Act::EnginesDrain(p) => {
                 let who: Vec<usize> = engines(p, self).collect();
+                self.struck(&who);
                 who.iter().for_each(|i| self.engines[*i].phase = "draining");
                 self.tell(&who)?;
                 who.iter().for_each(|i| self.ledger.drained(*i, Instant::now()));
             }
             Act::EnginesGo(p) => {
                 let who: Vec<usize> = engines(p, self).collect();
+                self.struck(&who);
                 who.iter().for_each(|i| self.engines[*i].phase = "gone");
                 self.tell(&who)?;
                 who.iter().for_each(|i| self.stop_engine(*i));
             }
-            Act::EnginesVanish(p) => engines(p, self).for_each(|i| self.stop_engine(i)),
+            Act::EnginesVanish(p) => {
+                let who: Vec<usize> = engines(p, self).collect();
+                self.struck(&who);
+                who.into_iter().for_each(|i| self.stop_engine(i));
+            }
             Act::OlderList => {
                 let first = self.scenario.engines.count;
                 for group in 0..self.lists.len() {
@@ -112,13 +154,13 @@
                 }
                 self.ledger.drained(0, Instant::now());
             }
-            Act::Fault { from, to, rule } => {
-                self.ways(from, to).into_iter().for_each(|(from, to)| self.faults.set(&from, &to, *rule));
-            }
+            Act::Fault { from, to, rule } => self.set_rule(from, to, *rule),
+            Act::Part(sides) => self.part(sides, true),
+            Act::Join(sides) => self.part(sides, false),
             Act::Cut { from, to, how } => {
                 self.ways(from, to).into_iter().for_each(|(from, to)| self.faults.cut(&from, &to, *how));
             }
-            Act::Heal => self.faults.heal(),
+            Act::Heal => self.heal(),
             Act::ZoneCold(zone) => {
                 let here = |i: &usize| HALLS[i % self.scenario.zones] == zone;
                 let who: Vec<usize> = (0..self.engines.len()).filter(here).collect();
@@ -133,16 +175,4 @@
         }
         Ok(())
     }
-
-    /// The ways between two groups: `engines` are those of all zones.
-    pub(super) fn ways(&self, from: &str, to: &str) -> Vec<(String, String)> {
-        let all = |name: &str| -> Vec<String> {
-            match name {
-                "engines" => HALLS[..self.scenario.zones].iter().map(|h| (*h).to_owned()).collect(),
-                one => vec![one.to_owned()],
-            }
-        };
-        let to = all(to);
-        all(from).into_iter().flat_map(|f| to.iter().map(move |t| (f.clone(), t.clone()))).collect()
-    }
 }
--- /dev/null
+++ b/crates/fleetrig/src/run/ways.rs
@@ -0,0 +1,86 @@
+//! What the nemesis does to ways between parties, and which engines it keeps from serving thereby.
+
+use super::Rig;
+use crate::middle::Rule;
+use crate::scenario::{New, Sides, HALLS};
+use sprucelink_checker::event::Event;
+
+impl Rig<'_> {
+    /// The ways between two parties: `engines` are those of all zones.
+    pub(super) fn ways(&self, from: &str, to: &str) -> Vec<(String, String)> {
+        let all = |name: &str| -> Vec<String> {
+            match name {
+                "engines" => HALLS[..self.scenario.zones].iter().map(|h| (*h).to_owned()).collect(),
+                one => vec![one.to_owned()],
+            }
+        };
+        let to = all(to);
+        all(from).into_iter().flat_map(|f| to.iter().map(move |t| (f.clone(), t.clone()))).collect()
+    }
+
+    /// From now on a rule holds from one party to another.
+    pub(super) fn set_rule(&mut self, from: &str, to: &str, rule: Rule) {
+        for (from, to) in self.ways(from, to) {
+            self.faults.set(&from, &to, rule);
+            self.silence(from, to, rule.silences());
+        }
+    }
+
+    /// The two sides are parted, or no more.
+    pub(super) fn part(&mut self, sides: &Sides, parted: bool) {
+        let rule = Rule {
+            partition: true,
+            refuse: sides.new == New::Refuse,
+            blackhole: sides.new == New::Blackhole,
+            ..Rule::default()
+        };
+        for a in &sides.from {
+            for b in &sides.to {
+                let back = (!sides.one_way).then_some((b, a));
+                for (from, to) in [(a, b)].into_iter().chain(back) {
+                    if parted {
+                        self.set_rule(from, to, rule);
+                        continue;
+                    }
+                    for (from, to) in self.ways(from, to) {
+                        self.faults.lift(&from, &to);
+                        self.silence(from, to, false);
+                    }
+                }
+            }
+        }
+    }
+
+    /// All rules are lifted.
+    pub(super) fn heal(&mut self) {
+        self.faults.heal();
+        for (from, to) in std::mem::take(&mut self.silenced) {
+            self.note_engines(&from, &to, false);
+        }
+    }
+
+    /// A way is silent, or no more.
+    fn silence(&mut self, from: String, to: String, silent: bool) {
+        let way = (from, to);
+        let changed = if silent { self.silenced.insert(way.clone()) } else { self.silenced.remove(&way) };
+        if changed {
+            self.note_engines(&way.0, &way.1, silent);
+        }
+    }
+
+    /// Notes that the engines at either end of a way are kept from serving, or no more.
+    fn note_engines(&self, from: &str, to: &str, silent: bool) {
+        for hall in [from, to] {
+            let Some(zone) = HALLS.iter().position(|h| *h == hall) else { continue };
+            let here = self.engines.iter().enumerate().filter(|(i, _)| i % self.scenario.zones == zone);
+            let on = here.map(|(_, e)| e.id.clone()).collect();
+            self.history.note(if silent { Event::Struck { on } } else { Event::Lifted { on } });
+        }
+    }
+
+    /// Notes that engines are kept from serving for good.
+    pub(super) fn struck(&self, who: &[usize]) {
+        let on = who.iter().map(|i| self.engines[*i].id.clone()).collect();
+        self.history.note(Event::Struck { on });
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/scenario/acts.rs
@@ -0,0 +1,355 @@
+//! What happens in a run: steps, acts, and on whom.
+
+use super::{Scenario, GROUPS};
+use crate::middle::{Cut, Rule};
+use rand::seq::index::sample;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use sprucelink_stable::within;
+use sprucelink_points::file::Disk;
+use std::collections::BTreeMap;
+
+/// A step happens so many times at most.
+pub(super) const MOST_TIMES: usize = 1_000;
+
+/// A part of the fleet (or of the engines), in shares of it: from the first up to, without, the second.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// Where it begins; 0 to 1.
+    pub from: f64,
+    /// Where it ends; `from` to 1.
+    pub to: f64,
+    /// It happens one after the other, evenly over this time in milliseconds; 0 to 60,000.
+    #[serde(default)]
+    pub over_ms: f64,
+}
+
+impl Part {
+    /// The numbers it covers, of `n`.
+    pub fn of(&self, n: usize) -> std::ops::Range<usize> {
+        let at = |share: f64| ((share * n as f64).round() as usize).min(n);
+        at(self.from)..at(self.to)
+    }
+
+    pub(super) fn check(&self) -> Result<(), String> {
+        let good = self.from >= 0.0 && self.to >= self.from && self.to <= 1.0;
+        if !good {
+            return Err(format!("must lie within 0 and 1, in order, is {} to {}", self.from, self.to));
+        }
+        within("over_ms", self.over_ms, 0.0, 60_000.0)
+    }
+}
+
+/// Managers, told in one of four ways: a share of them (`from`, `to`), `names`, a `group`, or so many `drawn` by the
+/// scenario's seed, anew at each time.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Who {
+    /// Where a share begins; 0 to 1.
+    pub from: Option<f64>,
+    /// Where it ends; `from` to 1.
+    pub to: Option<f64>,
+    /// Names: `n0`, `n1`, ...
+    pub names: Option<Vec<String>>,
+    /// A group: `a`, `b`, ...
+    pub group: Option<String>,
+    /// So many, drawn.
+    pub drawn: Option<usize>,
+    /// It happens to one after the other, evenly over this time in milliseconds; 0 to 60,000.
+    pub over_ms: f64,
+}
+
+impl From<Part> for Who {
+    fn from(p: Part) -> Who {
+        Who { from: Some(p.from), to: Some(p.to), over_ms: p.over_ms, ..Who::default() }
+    }
+}
+
+impl Who {
+    /// Just one manager.
+    pub fn one(i: usize) -> Who {
+        Who { names: Some(vec![format!("n{i}")]), ..Who::default() }
+    }
+
+    /// The managers' numbers, without repeats; `draw` tells one time of drawing from another.
+    pub fn of(&self, scenario: &Scenario, draw: u64) -> Vec<usize> {
+        let n = scenario.managers;
+        if let Some(names) = &self.names {
+            let mut all: Vec<usize> = names.iter().filter_map(|name| scenario.number_of(name)).collect();
+            let mut seen = std::collections::BTreeSet::new();
+            all.retain(|i| seen.insert(*i));
+            return all;
+        }
+        if let Some(group) = &self.group {
+            return (0..n).filter(|i| GROUPS[scenario.group_of(*i)] == group).collect();
+        }
+        if let Some(drawn) = self.drawn {
+            let mut rng = ChaCha8Rng::seed_from_u64(scenario.seed ^ 0xd4a3 << 40 ^ draw);
+            return sample(&mut rng, n, drawn.min(n)).into_vec();
+        }
+        let part = Part { from: self.from.unwrap_or(0.0), to: self.to.unwrap_or(1.0), over_ms: 0.0 };
+        part.of(n).collect()
+    }
+
+    pub(super) fn check(&self, scenario: &Scenario) -> Result<(), String> {
+        within("over_ms", self.over_ms, 0.0, 60_000.0)?;
+        let share = self.from.is_some() || self.to.is_some();
+        let ways = [share, self.names.is_some(), self.group.is_some(), self.drawn.is_some()];
+        if ways.iter().filter(|w| **w).count() != 1 {
+            return Err("on whom? one of from and to, names, group, drawn".into());
+        }
+        if share {
+            let (from, to) = (self.from.unwrap_or(0.0), self.to.unwrap_or(1.0));
+            return Part { from, to, over_ms: self.over_ms }.check();
+        }
+        if let Some(bad) = self.names.iter().flatten().find(|n| scenario.number_of(n).is_none()) {
+            return Err(format!("{bad:?} is no manager: n0 to n{}", scenario.managers - 1));
+        }
+        if let Some(g) = self.group.as_ref().filter(|g| !scenario.groups_named().any(|n| n == g.as_str())) {
+            return Err(format!("{g:?} is no group of managers"));
+        }
+        within("drawn", self.drawn.unwrap_or(1) as f64, 1.0, scenario.managers as f64)
+    }
+}
+
+/// How the list service answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Lists {
+    /// It serves.
+    Serve,
+    /// It answers 503.
+    Refuse,
+    /// It takes calls and says nothing.
+    Stall,
+}
+
+/// Two sides between which the fault middle lets nothing pass, or lets pass again.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Sides {
+    /// The parties of one side: groups, managers by name, `lists`, `engines`, a zone, `subscribers`.
+    pub from: Vec<String>,
+    /// Those of the other; who is in neither reaches both.
+    pub to: Vec<String>,
+    /// Only from the first side to the second; else both ways.
+    #[serde(default)]
+    pub one_way: bool,
+    /// What a parted side's new TCP connections meet: they come up and say nothing (`hold`, until it is over; the
+    /// default), lead nowhere for good (`blackhole`) or are closed (`refuse`).
+    #[serde(default)]
+    pub new: New,
+}
+
+/// What new TCP connections meet in a partition.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum New {
+    /// They come up and are carried once it is over.
+    #[default]
+    Hold,
+    /// They come up and are never carried.
+    Blackhole,
+    /// They are closed.
+    Refuse,
+}
+
+/// A call to managers: an operator's word, recorded as acknowledged when it is answered so.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Call {
+    /// Whom; each gets a call of its own.
+    pub to: Who,
+    /// The port, by its name among the scenario's.
+    pub port: String,
+    /// The method.
+    #[serde(default = "post")]
+    pub method: String,
+    /// The path, with the templates of `files` and `{op}`.
+    pub path: String,
+    /// The body, with the same templates; null: none.
+    #[serde(default)]
+    pub body: serde_json::Value,
+    /// The operation's name, recorded as `NAME-K` for its K-th call, from 0 on; absent: nothing is recorded.
+    pub op: Option<String>,
+    /// Where the answer, a JSON object, tells the operation's cursor.
+    #[serde(default)]
+    pub cursor_at: Option<String>,
+}
+
+fn post() -> String {
+    "POST".into()
+}
+
+/// What happens to stand-in subscribers.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Subs {
+    /// A share of them lose their connections at once, and come back by their backoff: 0 to 1.
+    Drop(f64),
+    /// A share of them go to another manager at once, without waiting: 0 to 1.
+    Hop(f64),
+    /// From now on a share of them read so many bytes a second; 0: as fast as they can.
+    Slow {
+        /// Which share; 0 to 1.
+        share: f64,
+        /// How fast.
+        bytes_s: f64,
+    },
+}
+
+/// Something that happens.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Act {
+    /// Managers are killed outright (SIGKILL).
+    Kill(Who),
+    /// Managers are started anew, killed first where they run, with their folders as they are.
+    Restart(Who),
+    /// As `restart`, with their folders emptied.
+    RestartEmpty(Who),
+    /// Managers get SIGTERM and are started anew once they have ended.
+    Roll(Who),
+    /// Managers are stopped (SIGSTOP).
+    Pause(Who),
+    /// Managers go on (SIGCONT).
+    Resume(Who),
+    /// From their next start on managers' stores have these faults.
+    Disk {
+        /// Whose.
+        who: Who,
+        /// Which.
+        fault: Disk,
+    },
+    /// A file in managers' folders loses its last bytes, as a torn write leaves it. They must be down.
+    Tear {
+        /// Whose.
+        who: Who,
+        /// The file, by its path in the folder.
+        file: String,
+        /// How many; at most the file's length.
+        bytes: u64,
+    },
+    /// Managers' folders are copied, each stopped for that moment, in place of an earlier copy.
+    KeepCopy(Who),
+    /// Managers' folders are as they were when copied: what was acknowledged since is lost. They must be down.
+    PutBack(Who),
+    /// The list service answers so from now on.
+    Lists(Lists),
+    /// New engines come under new ids, cold, and the list tells them.
+    EnginesCome(usize),
+    /// The list tells that engines drain, by their number among all so far.
+    EnginesDrain(Part),
+    /// Engines end and the list tells it.
+    EnginesGo(Part),
+    /// Engines end and nobody tells it.
+    EnginesVanish(Part),
+    /// The engines of a zone start anew, cold, under their ids, and the list tells it.
+    ZoneCold(String),
+    /// The list service tells the first list again, as whole and under its old revision.
+    OlderList,
+    /// The list service tells, in one event, that the first engine drains and that it is ready.
+    ContradictoryList,
+    /// What goes from one party to another goes by this rule.
+    Fault {
+        /// The party from which.
+        from: String,
+        /// The party to which.
+        to: String,
+        /// The rule.
+        rule: Rule,
+    },
+    /// Nothing passes between two sides.
+    Part(Sides),
+    /// All passes again between two sides, whatever rule there was.
+    Join(Sides),
+    /// Open connections from one party to another are cut.
+    Cut {
+        /// The party from which.
+        from: String,
+        /// The party to which.
+        to: String,
+        /// How.
+        how: Cut,
+    },
+    /// All rules of the fault middle are lifted.
+    Heal,
+    /// Managers are called.
+    Call(Call),
+    /// Something happens to the stand-in subscribers.
+    Subscribers(Subs),
+}
+
+/// A step: when something happens.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    /// Seconds after the first start.
+    pub at: f64,
+    /// It happens so many times.
+    #[serde(default = "once")]
+    pub times: usize,
+    /// Seconds from one time to the next.
+    #[serde(default)]
+    pub every: f64,
+    /// Each time comes up to so many seconds later, drawn by the seed.
+    #[serde(default)]
+    pub spread: f64,
+    /// What.
+    #[serde(rename = "do")]
+    pub act: Act,
+}
+
+fn once() -> usize {
+    1
+}
+
+/// What a process that has come to a named point meets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Blow {
+    /// It is killed (SIGKILL).
+    Kill,
+    /// It is stopped (SIGSTOP).
+    Stop,
+}
+
+/// Managers struck where they come to a named point.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Strike {
+    /// The point.
+    pub point: String,
+    /// Whom; each once.
+    pub who: Who,
+    /// At which pass of the point in one process, from 1 on.
+    #[serde(default = "first")]
+    pub pass: u32,
+    /// Only the first of them that comes there is struck.
+    #[serde(default)]
+    pub only_one: bool,
+    /// How.
+    #[serde(rename = "do")]
+    pub blow: Blow,
+    /// So many milliseconds later it is started anew, or goes on; absent: never. 0 to 600,000.
+    pub back_ms: Option<f64>,
+    /// What else happens then and there: when one is struck.
+    #[serde(default)]
+    pub also: Vec<Act>,
+    /// How long a process waits at the point, in milliseconds; 0 to 10,000.
+    #[serde(default = "wait")]
+    pub wait_ms: u64,
+}
+
+fn first() -> u32 {
+    1
+}
+
+fn wait() -> u64 {
+    2_000
+}
+
+/// Clock offsets in milliseconds, by a manager's name or a group's.
+pub type Clocks = BTreeMap<String, i64>;
--- /dev/null
+++ b/crates/fleetrig/src/scenario/parts.rs
@@ -0,0 +1,223 @@
+//! The parts of a scenario that say what there is.
+
+use super::acts::Who;
+use serde::Deserialize;
+use sprucelink_membership::terms::{Protocol, Share};
+use std::collections::BTreeMap;
+
+/// A zone that a run is about: what the table says of it.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Watch {
+    /// The zone.
+    pub zone: String,
+    /// When it is lost, in seconds.
+    pub from: f64,
+    /// When it comes back.
+    pub to: f64,
+}
+
+/// The engines at the start.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Engines {
+    /// How many.
+    pub count: usize,
+    /// Of these, so many start cold with the run.
+    pub cold: usize,
+    /// Of these, the last so many do not exist: the list names them and their ports are closed.
+    pub missing: usize,
+    /// Of these, the first so many work ten times more slowly than they should.
+    pub slow: usize,
+    /// Cores of each.
+    pub cores: f64,
+    /// Work of a light query on one core, in milliseconds.
+    pub light_ms: f64,
+    /// Work of a load, in milliseconds.
+    pub heavy_ms: f64,
+}
+
+impl Default for Engines {
+    fn default() -> Engines {
+        Engines { count: 8, cold: 0, missing: 0, slow: 0, cores: 8.0, light_ms: 20.0, heavy_ms: 200.0 }
+    }
+}
+
+/// What clients ask.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// Requests a second of the whole fleet, spread evenly over the managers; 0 to 5,000.
+    pub rate: f64,
+    /// Share of them that are loads.
+    pub heavy: f64,
+    /// How long clients wait, in milliseconds; 100 to 20,000.
+    pub timeout_ms: f64,
+    /// Clients of a manager that is down go to another, drawn anew for each request; else they ask nobody.
+    pub follow: bool,
+}
+
+impl Default for Load {
+    fn default() -> Load {
+        Load { rate: 100.0, heavy: 0.05, timeout_ms: 4_000.0, follow: false }
+    }
+}
+
+/// The view of the fleet that managers keep among themselves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Membership {
+    /// The protocol's figures.
+    pub protocol: Protocol,
+    /// What is shared.
+    pub share: Share,
+}
+
+/// A TCP port that every manager opens, and through which others reach it by the middle.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Port {
+    /// Its name, in templates.
+    pub name: String,
+    /// What its log says before the address, such as `council on `.
+    pub said: String,
+}
+
+/// What the rig does with a process that has ended by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Supervise {
+    /// One that crashed is started anew, too; else only one that asked for another version (status 75).
+    pub crashed: bool,
+    /// So many milliseconds later; 0 to 60,000.
+    pub back_ms: f64,
+    /// So often in a run, each; then it stays down. 0 to 1,000.
+    pub most: usize,
+}
+
+impl Default for Supervise {
+    fn default() -> Supervise {
+        Supervise { crashed: false, back_ms: 100.0, most: 100 }
+    }
+}
+
+/// What the history holds, beside what processes did.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct History {
+    /// Every connection and command at the engines.
+    pub engines: bool,
+    /// Its length in MB at most (1 to 1,024); a run that would write more fails.
+    pub most_mb: u64,
+}
+
+impl Default for History {
+    fn default() -> History {
+        History { engines: true, most_mb: 256 }
+    }
+}
+
+/// Stand-in subscribers.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Subscribers {
+    /// How many; 0 to 300.
+    pub count: usize,
+    /// They come one after the other over this time, in milliseconds, from `at` seconds on.
+    pub over_ms: f64,
+    /// When the first comes, in seconds.
+    pub at: f64,
+    /// The managers' port, by its name among the scenario's.
+    pub port: String,
+    /// The path asked for, with `{version}`, `{filter}` and `{subscriber}`.
+    pub path: String,
+    /// Protocol versions, over the subscribers in turn.
+    pub versions: Vec<String>,
+    /// Filters, over the subscribers in turn; empty: none.
+    pub filters: Vec<String>,
+    /// The managers they go to; absent: all.
+    pub to: Option<Who>,
+    /// They leave for another manager after so many seconds in the mean, drawn; 0: never by themselves.
+    pub hop_s: f64,
+    /// How long they wait before they come back, in milliseconds, until they are told (`retry`); half to once and a half
+    /// of it, drawn.
+    pub retry_ms: f64,
+    /// They take a connection that says nothing for so long for dead, in milliseconds.
+    pub silent_ms: f64,
+    /// Where a record's data, a JSON object, holds the position before it.
+    pub prev_at: String,
+    /// And the operation that it carries out.
+    pub op_at: String,
+    /// What a version must find in records, as JSON pointers by version and record name: else it cannot read them.
+    pub needs: BTreeMap<String, BTreeMap<String, Vec<String>>>,
+    /// Record names that mean something to the checker.
+    pub marks: Marks,
+}
+
+impl Default for Subscribers {
+    fn default() -> Subscribers {
+        Subscribers {
+            count: 0,
+            over_ms: 0.0,
+            at: 1.0,
+            port: "fanout".into(),
+            path: "/v1/journal?version={version}&{filter}".into(),
+            versions: vec!["1".into()],
+            filters: vec![String::new()],
+            to: None,
+            hop_s: 0.0,
+            retry_ms: 1_000.0,
+            silent_ms: 10_000.0,
+            prev_at: "/prev".into(),
+            op_at: "/op".into(),
+            needs: BTreeMap::new(),
+            marks: Marks::default(),
+        }
+    }
+}
+
+/// Records that tell a halt, its end, or a schema that has come into force; absent ones are not looked for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Marks {
+    /// A halt.
+    pub halt: Option<HaltMark>,
+    /// A halt's end: the record's name, and where it tells the halt's id.
+    pub halt_over: Option<OverMark>,
+    /// A schema.
+    pub schema: Option<SchemaMark>,
+}
+
+/// How a record tells a halt.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HaltMark {
+    /// The record's name.
+    pub record: String,
+    /// Where it tells its id, as a JSON pointer.
+    pub id: String,
+    /// Where it tells the version whose release is halted; absent: it is for all.
+    pub version: Option<String>,
+}
+
+/// How a record tells a halt's end.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OverMark {
+    /// The record's name.
+    pub record: String,
+    /// Where it tells the halt's id.
+    pub id: String,
+}
+
+/// How a record tells a schema.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SchemaMark {
+    /// The record's name.
+    pub record: String,
+    /// Where it tells the publisher.
+    pub publisher: String,
+    /// Where it tells the list of subscribers' versions that can read it.
+    pub reads: String,
+}
--- /dev/null
+++ b/crates/fleetrig/src/subscribers/reader.rs
@@ -0,0 +1,236 @@
+//! What a subscriber makes of what it reads, without input or output: its cursor, kept with its state, what goes into
+//! the history, where it goes next and when.
+
+use super::sse::Told;
+use crate::history::MOST_DATA;
+use crate::scenario::Subscribers as Spec;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use sprucelink_checker::cursor::Cursor;
+use sprucelink_checker::event::Event;
+use std::time::Duration;
+
+/// The name of an event that stands for all records up to its id.
+const SNAPSHOT: &str = "snapshot";
+/// A `retry` longer than this is taken as this: a manager cannot send a subscriber away for good.
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
+
+/// One subscriber.
+#[derive(Debug)]
+pub struct Reader<'a> {
+    spec: &'a Spec,
+    number: usize,
+    rng: ChaCha8Rng,
+    /// Its name.
+    pub name: String,
+    /// The protocol version it speaks.
+    pub version: String,
+    /// Its filter; empty: none.
+    pub filter: String,
+    /// Where it stands; kept with its state, so that both are of one moment.
+    pub cursor: Option<Cursor>,
+    /// The manager it goes to, by its number among those it may go to.
+    pub at: usize,
+    retry: Duration,
+}
+
+impl<'a> Reader<'a> {
+    /// Subscriber `number` of a run with `seed`: its version, filter and first manager by its number.
+    pub fn new(spec: &'a Spec, number: usize, seed: u64) -> Reader<'a> {
+        let turn = |all: &[String]| all.get(number % all.len().max(1)).cloned().unwrap_or_default();
+        Reader {
+            spec,
+            number,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5b5 << 44 ^ number as u64),
+            name: format!("sub{number}"),
+            version: turn(&spec.versions),
+            // Versions and filters in turn, but not the same filter always with one version.
+            filter: turn(&spec.filters[number / spec.versions.len().max(1) % spec.filters.len().max(1)..]),
+            cursor: None,
+            at: number,
+            retry: Duration::from_secs_f64(spec.retry_ms / 1e3),
+        }
+    }
+
+    /// The path it asks for.
+    pub fn path(&self) -> String {
+        let path = self.spec.path.replace("{version}", &self.version);
+        let path = path.replace("{filter}", &self.filter).replace("{subscriber}", &self.name);
+        path.trim_end_matches(['&', '?']).to_owned()
+    }
+
+    /// Takes in what a manager told: what the history notes of it.
+    ///
+    /// # Errors
+    /// Where an event has no cursor for an id: nothing can be resumed behind it.
+    pub fn take(&mut self, manager: &str, told: Told) -> Result<Vec<Event>, String> {
+        let (name, id, data) = match told {
+            Told::Retry(ms) => {
+                self.retry = Duration::from_millis(ms).min(LONGEST_RETRY);
+                return Ok(Vec::new());
+            }
+            Told::Event { name, id, data } => (name, id, data),
+        };
+        let cursor: Cursor = id.parse().map_err(|e| format!("event {name:?}: {e}"))?;
+        let value: Option<Value> = serde_json::from_str(&data).ok();
+        let text = |at: &str| value.as_ref().and_then(|v| v.pointer(at)).and_then(Value::as_str);
+        let (subscriber, manager) = (self.name.clone(), manager.to_owned());
+        let digest = digest(value.as_ref(), &data, &self.spec.prev_at);
+        self.cursor = Some(cursor);
+        if name == SNAPSHOT {
+            return Ok(vec![Event::Snapshot { subscriber, manager, cursor, digest }]);
+        }
+        let unreadable = match &value {
+            None => Some("its data is no JSON".to_owned()),
+            Some(v) => {
+                let needs = self.spec.needs.get(&self.version).and_then(|n| n.get(&name));
+                needs
+                    .into_iter()
+                    .flatten()
+                    .find(|p| v.pointer(p).is_none())
+                    .map(|p| format!("{p} is missing"))
+            }
+        };
+        let prev = text(&self.spec.prev_at).and_then(|p| p.parse().ok());
+        let op = text(&self.spec.op_at).map(str::to_owned);
+        let mut all = Vec::new();
+        let marks = &self.spec.marks;
+        if let Some(m) = marks.halt.as_ref().filter(|m| m.record == name) {
+            let version = m.version.as_deref().and_then(text).map(str::to_owned);
+            all.extend(text(&m.id).map(|id| Event::Halt { id: id.to_owned(), version }));
+        }
+        if let Some(m) = marks.halt_over.as_ref().filter(|m| m.record == name) {
+            all.extend(text(&m.id).map(|id| Event::HaltOver { id: id.to_owned() }));
+        }
+        if let Some(m) = marks.schema.as_ref().filter(|m| m.record == name) {
+            let reads = value.as_ref().and_then(|v| v.pointer(&m.reads)).and_then(Value::as_array);
+            let reads = reads.map(|r| r.iter().filter_map(Value::as_str).map(str::to_owned).collect());
+            let event = |(publisher, reads): (&str, Vec<String>)| Event::Schema {
+                publisher: publisher.to_owned(),
+                reads,
+            };
+            all.extend(text(&m.publisher).zip(reads).map(event));
+        }
+        let mut data = data;
+        if data.len() > MOST_DATA {
+            let end = (0..=MOST_DATA).rev().find(|i| data.is_char_boundary(*i)).unwrap_or(0);
+            data.truncate(end);
+        }
+        all.insert(
+            0,
+            Event::Record { subscriber, manager, cursor, prev, name, digest, data, op, unreadable },
+        );
+        Ok(all)
+    }
+
+    /// A manager has answered that its cursor leads nowhere any more: it begins anew, its state with it.
+    pub fn forget(&mut self) {
+        self.cursor = None;
+    }
+
+    /// Goes to another manager, drawn, of `managers`.
+    pub fn hop(&mut self, managers: usize) {
+        let at = self.at % managers.max(1);
+        if managers > 1 {
+            self.at = (at + self.rng.gen_range(1..managers)) % managers;
+        }
+    }
+
+    /// How long it waits before it comes back: half to once and a half of what it was told.
+    pub fn wait(&mut self) -> Duration {
+        self.retry.mul_f64(self.rng.gen_range(0.5..1.5))
+    }
+
+    /// How long it stays before it leaves by itself; none: for ever.
+    pub fn stay(&mut self) -> Option<Duration> {
+        let mean = self.spec.hop_s;
+        // An exponential gap; the draw is never zero.
+        (mean > 0.0).then(|| Duration::from_secs_f64(-(1.0 - self.rng.gen::<f64>()).ln() * mean))
+    }
+
+    /// Whether it is among a share of the subscribers, drawn anew for each order of a run.
+    pub fn among(&self, share: f64, order: u64, seed: u64) -> bool {
+        let drawn = ChaCha8Rng::seed_from_u64(seed ^ order << 20 ^ self.number as u64).gen::<f64>();
+        drawn < share
+    }
+}
+
+/// What stands for a record's content: a checksum (CRC-32) and length of its JSON with keys in order, without the
+/// position before it, which differs by filter.
+fn digest(value: Option<&Value>, data: &str, prev_at: &str) -> String {
+    let mut text = data.to_owned();
+    if let Some(mut v) = value.cloned() {
+        if let Some((parent, key)) = prev_at.rsplit_once('/') {
+            if let Some(Value::Object(map)) = v.pointer_mut(parent) {
+                map.remove(key);
+            }
+        }
+        text = v.to_string();
+    }
+    format!("{:08x}-{}", crc32fast::hash(text.as_bytes()), text.len())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(name: &str, id: &str, data: &str) -> Told {
+        Told::Event { name: name.into(), id: id.into(), data: data.into() }
+    }
+
+    #[test]
+    fn a_record_moves_the_cursor_and_its_digest_is_its_content() {
+        let spec: Spec = json5::from_str(
+            "{ versions: ['1', '2'], filters: ['', 'kind=permit'], needs: { '2': { permit: ['/holder'] } },
+               marks: { halt: { record: 'halt', id: '/id', version: '/to' } } }",
+        )
+        .expect("read");
+        let mut a = Reader::new(&spec, 0, 1);
+        let mut b = Reader::new(&spec, 3, 1);
+        assert_eq!(
+            (a.path().as_str(), b.path().as_str()),
+            ("/v1/journal?version=1", "/v1/journal?version=2&kind=permit")
+        );
+        let digests = |e: &[Event]| match &e[0] {
+            Event::Record { digest, unreadable, prev, .. } => (digest.clone(), unreadable.clone(), *prev),
+            other => panic!("{other:?}"),
+        };
+        let one = a.take("n0", told("permit", "1:7", r#"{"op":"x","prev":"1:6"}"#)).expect("read");
+        let two = b.take("n1", told("permit", "1:7", r#"{"prev":"1:3", "op":"x"}"#)).expect("read");
+        let (one, two) = (digests(&one), digests(&two));
+        assert_eq!((one.0, one.1, one.2), (two.0.clone(), None, Some(Cursor::new(1, 6))));
+        assert_eq!(two.1.as_deref(), Some("/holder is missing"));
+        let other = digests(&b.take("n1", told("permit", "1:7", r#"{"op":"y"}"#)).expect("read"));
+        assert_ne!(other.0, two.0);
+        assert_eq!(a.cursor, Some(Cursor::new(1, 7)));
+        let halt = a.take("n0", told("halt", "1:8", r#"{"id":"h1","to":"v2"}"#)).expect("read");
+        assert_eq!(halt[1], Event::Halt { id: "h1".into(), version: Some("v2".into()) });
+        assert!(a.take("n0", told("permit", "8", "{}")).is_err(), "an id that is no cursor");
+        let long = format!(r#"{{"a":"{}"}}"#, "é".repeat(2_000));
+        match &a.take("n0", told("x", "1:9", &long)).expect("read")[0] {
+            Event::Record { data, .. } => assert!(data.len() <= MOST_DATA),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn where_and_when_it_goes_is_drawn_by_the_seed() {
+        let spec = Spec { hop_s: 2.0, ..Spec::default() };
+        let run = |seed| {
+            let mut r = Reader::new(&spec, 5, seed);
+            r.take("n0", Told::Retry(200)).expect("read");
+            let waits: Vec<Duration> = (0..20).map(|_| r.wait()).collect();
+            assert!(waits.iter().all(|w| (100..=300).contains(&w.as_millis())));
+            (0..5).for_each(|_| r.hop(3));
+            (waits, r.at, r.stay())
+        };
+        assert_eq!(run(1), run(1));
+        assert_ne!(run(1), run(2));
+        let among = (0..300).filter(|n| Reader::new(&spec, *n, 1).among(0.5, 1, 9)).count();
+        assert!((110..190).contains(&among), "{among} of 300");
+        let mut alone = Reader::new(&spec, 0, 1);
+        alone.hop(1);
+        assert_eq!(alone.at, 0);
+    }
+}
--- /dev/null
+++ b/crates/fleetrig/src/template.rs
@@ -0,0 +1,177 @@
+//! Templates in a scenario's arguments, files and calls: `{name}`, `{number}`, `{group}`, `{zone}`, `{folder}`,
+//! `{version}`, `{seed}`, `{clock_offset_ms}`, `{op}`, and of a port by its name `{peers:PORT}` (`n0=ADDRESS,n1=...`),
+//! `{peers_json:PORT}` (a list of `{name, address}`) and `{at:PORT:NAME}`. What is no `{word}` stays as it is.
+//!
+//! In a file a text that is nothing but `{number}`, `{seed}`, `{clock_offset_ms}` or `{peers_json:PORT}` becomes a
+//! number, or the list.
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// What stands for a manager's templates.
+#[derive(Clone, Debug, Default)]
+pub struct Values {
+    /// By name.
+    pub words: BTreeMap<&'static str, String>,
+    /// Where this manager reaches the others, by port: names and addresses.
+    pub peers: BTreeMap<String, Vec<(String, String)>>,
+}
+
+const WORDS: [&str; 9] =
+    ["name", "number", "group", "zone", "folder", "version", "seed", "clock_offset_ms", "op"];
+const NUMBERS: [&str; 3] = ["number", "seed", "clock_offset_ms"];
+
+/// The template at the head of a text that begins with a brace: its inside and what follows.
+fn template(text: &str) -> Option<(&str, &str)> {
+    let (inside, rest) = text.strip_prefix('{')?.split_once('}')?;
+    let sign = |c: char| c.is_ascii_alphanumeric() || "_:-.".contains(c);
+    (inside.starts_with(|c: char| c.is_ascii_lowercase()) && inside.chars().all(sign))
+        .then_some((inside, rest))
+}
+
+/// Replaces every template by what `word` gives for its inside.
+fn replace(text: &str, mut word: impl FnMut(&str) -> Result<String, String>) -> Result<String, String> {
+    let (mut out, mut rest) = (String::new(), text);
+    while let Some(at) = rest.find('{') {
+        out.push_str(&rest[..at]);
+        rest = &rest[at..];
+        match template(rest) {
+            Some((inside, behind)) => {
+                out.push_str(&word(inside)?);
+                rest = behind;
+            }
+            None => {
+                out.push('{');
+                rest = &rest[1..];
+            }
+        }
+    }
+    out.push_str(rest);
+    Ok(out)
+}
+
+/// Whether a text's templates are known, and their ports.
+///
+/// # Errors
+/// The template.
+pub fn check(text: &str, port: &impl Fn(&str) -> bool) -> Result<(), String> {
+    let known = |inside: &str| {
+        let mut parts = inside.split(':');
+        match (parts.next(), parts.next(), parts.next(), parts.next()) {
+            (Some(word), None, ..) => WORDS.contains(&word),
+            (Some("peers" | "peers_json"), Some(p), None, _) => port(p),
+            (Some("at"), Some(p), Some(_), None) => port(p),
+            _ => false,
+        }
+    };
+    let word = |inside: &str| match known(inside) {
+        true => Ok(String::new()),
+        false => Err(format!("no template {{{inside}}}, or no such port")),
+    };
+    replace(text, word).map(|_| ())
+}
+
+/// As [`check`], of every text in a value.
+///
+/// # Errors
+/// The template.
+pub fn check_value(value: &Value, port: &impl Fn(&str) -> bool) -> Result<(), String> {
+    match value {
+        Value::String(text) => check(text, port),
+        Value::Array(all) => all.iter().try_for_each(|v| check_value(v, port)),
+        Value::Object(all) => all.values().try_for_each(|v| check_value(v, port)),
+        _ => Ok(()),
+    }
+}
+
+impl Values {
+    fn word(&self, inside: &str) -> Result<String, String> {
+        let known = || {
+            if let Some(value) = self.words.get(inside) {
+                return Some(value.clone());
+            }
+            let (word, port) = inside.split_once(':')?;
+            match (word, port.split_once(':')) {
+                ("peers", _) => {
+                    let all: Vec<String> =
+                        self.peers.get(port)?.iter().map(|(n, a)| format!("{n}={a}")).collect();
+                    Some(all.join(","))
+                }
+                ("peers_json", _) => Some(self.list(port)?.to_string()),
+                ("at", Some((port, name))) => {
+                    Some(self.peers.get(port)?.iter().find(|(n, _)| n == name)?.1.clone())
+                }
+                _ => None,
+            }
+        };
+        known().ok_or_else(|| format!("nothing stands for {{{inside}}} here"))
+    }
+
+    fn list(&self, port: &str) -> Option<Value> {
+        let all = self.peers.get(port)?;
+        Some(all.iter().map(|(n, a)| json!({ "name": n, "address": a })).collect())
+    }
+
+    /// A text with its templates filled.
+    ///
+    /// # Errors
+    /// A template that nothing stands for.
+    pub fn fill(&self, text: &str) -> Result<String, String> {
+        replace(text, |inside| self.word(inside))
+    }
+
+    /// A value with the templates of all its texts filled.
+    ///
+    /// # Errors
+    /// As for [`Values::fill`].
+    pub fn fill_value(&self, value: &Value) -> Result<Value, String> {
+        Ok(match value {
+            Value::String(text) => match template(text) {
+                Some((word, "")) if NUMBERS.contains(&word) => {
+                    let filled = self.word(word)?;
+                    // A seed may be over what a signed number holds.
+                    let number = filled
+                        .parse::<i64>()
+                        .map(Value::from)
+                        .or_else(|_| filled.parse::<u64>().map(Value::from));
+                    number.unwrap_or(Value::String(filled))
+                }
+                Some((word, "")) if word.starts_with("peers_json:") => {
+                    let port = word.trim_start_matches("peers_json:");
+                    self.list(port).ok_or_else(|| format!("no port {port:?}"))?
+                }
+                _ => Value::String(self.fill(text)?),
+            },
+            Value::Array(all) => {
+                Value::Array(all.iter().map(|v| self.fill_value(v)).collect::<Result<_, _>>()?)
+            }
+            Value::Object(all) => {
+                let filled = all.iter().map(|(k, v)| Ok((k.clone(), self.fill_value(v)?)));
+                Value::Object(filled.collect::<Result<_, String>>()?)
+            }
+            other => other.clone(),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn texts_and_values_are_filled_and_the_rest_stays() {
+        let words = [("name", "n2".to_owned()), ("clock_offset_ms", "-250".to_owned())].into();
+        let peers = [("council".to_owned(), vec![("n0".to_owned(), "127.0.0.1:9".to_owned())])].into();
+        let v = Values { words, peers };
+        assert_eq!(v.fill("{name}/{a b}{ {peers:council}"), Ok("n2/{a b}{ n0=127.0.0.1:9".into()));
+        assert_eq!(v.fill("{at:council:n0}"), Ok("127.0.0.1:9".into()));
+        assert!(v.fill("{at:council:n7}").is_err() && v.fill("{folder}").is_err());
+        let file = json!({ "me": "{name}", "offset": "{clock_offset_ms}", "peers": ["{peers_json:council}"], "n": 1 });
+        let filled = json!({ "me": "n2", "offset": -250,
+            "peers": [[{ "name": "n0", "address": "127.0.0.1:9" }]], "n": 1 });
+        assert_eq!(v.fill_value(&file), Ok(filled));
+        let port = |p: &str| p == "council";
+        assert!(check_value(&file, &port).is_ok());
+        assert!(check("{at:council}", &port).is_err() && check("{peers:x}", &port).is_err());
+    }
+}
