Fleet rig: a stand-in for managers shows each fault, and each broken rule failing a run

The checker was shown to fail on histories; runs of processes show it, too.

A build without hits refuses a folder with faults.json5 instead of reading it.

--- /dev/null
+++ b/crates/fleetrig/examples/standin.rs
@@ -0,0 +1,207 @@
+//! A stand-in for a manager, for the rig's own tests: it fans a journal out, leaves for another version as planned, and
+//! tells points. The journal is one file that the process `n0` writes and all others read, so nothing of agreement is in
+//! it. `plant` names a rule that it breaks.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use serde::Deserialize;
+use serde_json::{json, Value};
+use sprucelink_points::disk::DiskSeam;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Between two looks at the journal, and between two records.
+const LOOK: Duration = Duration::from_millis(10);
+const PACE: Duration = Duration::from_millis(50);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Plan {
+    name: String,
+    folder: PathBuf,
+    version: String,
+    clock_offset_ms: i64,
+    /// By process: milliseconds of its first version's life after which it asks for the next.
+    #[serde(default)]
+    out_ms: BTreeMap<String, u64>,
+    /// The version it asks for; empty: it names none.
+    #[serde(default)]
+    next: String,
+    /// The record at which `n0` writes a halt of the next version; 0: never.
+    #[serde(default)]
+    halt_at: usize,
+    /// What it does wrong, and which process does; empty: all.
+    #[serde(default)]
+    plant: String,
+    #[serde(default)]
+    plant_at: String,
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let args: Vec<String> = std::env::args().collect();
+    let at = args.iter().position(|a| a == "--plan").ok_or("which --plan?")?;
+    let mut plan: Plan = json5::from_str(&std::fs::read_to_string(args.get(at + 1).ok_or("which plan?")?)?)?;
+    if !plan.plant_at.is_empty() && plan.plant_at != plan.name {
+        plan.plant.clear();
+    }
+    let faults = sprucelink_points::begin(&plan.folder)?;
+    println!("version {}, clock off by {} ms", plan.version, plan.clock_offset_ms);
+    store(&plan.folder, faults.disk);
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    println!("fanout on {}", listener.local_addr()?);
+    println!("serving on {}", listener.local_addr()?);
+    let journal = plan.folder.parent().ok_or("no folder above")?.join("journal.jsonl");
+    let plan = Arc::new(plan);
+    if plan.name == "n0" {
+        let (plan, journal) = (Arc::clone(&plan), journal.clone());
+        std::thread::spawn(move || publish(&plan, &journal));
+    }
+    if let Some(ms) = plan.out_ms.get(&plan.name).copied().filter(|_| plan.version == "v1") {
+        let plan = Arc::clone(&plan);
+        std::thread::spawn(move || leave(&plan, ms));
+    }
+    for stream in listener.incoming() {
+        let (plan, journal) = (Arc::clone(&plan), journal.clone());
+        std::thread::spawn(move || stream.map(|s| serve(s, &plan, &journal)));
+    }
+    Ok(())
+}
+
+/// A store of eight bytes a start, three writes of which pass a faulty disk.
+fn store(folder: &Path, fault: sprucelink_points::file::Disk) {
+    let path = folder.join("store");
+    let held = std::fs::metadata(&path).map_or(0, |m| m.len());
+    println!("store held {held} bytes");
+    let Ok(mut file) = std::fs::OpenOptions::new().create(true).append(true).open(&path) else { return };
+    let mut seam = DiskSeam::new(fault);
+    for k in 0..3 {
+        let writes = match seam.write(held + 8 * k, b"12345678") {
+            Ok(writes) => writes,
+            Err(refused) => {
+                println!("store: {}", refused.error());
+                refused.first
+            }
+        };
+        writes.iter().for_each(|w| _ = file.write_all(&w.bytes));
+    }
+}
+
+fn leave(plan: &Plan, ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+    sprucelink_points::hit("standin.permit");
+    println!("beyond the point");
+    if !plan.next.is_empty() {
+        let _ = std::fs::write(plan.folder.join("next-version"), &plan.next);
+    }
+    std::process::exit(75);
+}
+
+fn lines(journal: &Path) -> usize {
+    std::fs::read_to_string(journal).map_or(0, |t| t.lines().count())
+}
+
+/// Appends one record; its place is its line.
+fn append(journal: &Path, name: &str, mut value: Value) -> usize {
+    let n = lines(journal) + 1;
+    value["n"] = json!(n);
+    let file = std::fs::OpenOptions::new().create(true).append(true).open(journal);
+    let _ = file.and_then(|mut f| f.write_all(format!("{name} {value}\n").as_bytes()));
+    n
+}
+
+fn publish(plan: &Plan, journal: &Path) {
+    loop {
+        let n = lines(journal) + 1;
+        match n == plan.halt_at {
+            true => append(journal, "halt", json!({ "id": "h1", "to": plan.next })),
+            false => append(journal, ["note", "permit"][n % 2], json!({})),
+        };
+        // Operations wait in a folder of their own until they are written.
+        for op in std::fs::read_dir(journal.with_extension("ops")).into_iter().flatten().flatten() {
+            append(journal, "operation", json!({ "op": op.file_name().to_string_lossy() }));
+            let _ = std::fs::remove_file(op.path());
+        }
+        std::thread::sleep(PACE);
+    }
+}
+
+fn serve(mut stream: TcpStream, plan: &Plan, journal: &Path) -> std::io::Result<()> {
+    let mut head = String::new();
+    let mut reader = BufReader::new(stream.try_clone()?);
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head)? == 0 || head.len() > 16_384 {
+            return Ok(());
+        }
+    }
+    let first = head.lines().next().unwrap_or("");
+    if let Some(op) = first.strip_prefix("POST /v1/op/").and_then(|r| r.split(' ').next()) {
+        let folder = journal.with_extension("ops");
+        if plan.plant != "lose" {
+            std::fs::create_dir_all(&folder)?;
+            std::fs::write(folder.join(op), "")?;
+        }
+        return stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}");
+    }
+    let last = head
+        .lines()
+        .find_map(|l| l.to_ascii_lowercase().strip_prefix("last-event-id: 1:").map(str::to_owned));
+    let mut sent: usize = last.and_then(|v| v.trim().parse().ok()).unwrap_or(0);
+    stream.write_all(
+        b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nretry: 100\n\n",
+    )?;
+    let only_permits = first.contains("kind=permit");
+    let (mut file, mut line_no, mut part) = (None, 0, String::new());
+    let mut next_word = Instant::now();
+    loop {
+        if file.is_none() {
+            file = std::fs::File::open(journal).ok();
+        }
+        if let Some(f) = &mut file {
+            f.read_to_string(&mut part)?;
+        }
+        while let Some((line, rest)) = part.split_once('\n') {
+            let (line, rest) = (line.to_owned(), rest.to_owned());
+            part = rest;
+            line_no += 1;
+            let (name, data) = line.split_once(' ').unwrap_or(("", "{}"));
+            if line_no <= sent || only_permits && name != "permit" {
+                continue;
+            }
+            for event in words(plan, name, data, line_no, sent) {
+                stream.write_all(event.as_bytes())?;
+            }
+            sent = line_no;
+        }
+        if next_word.elapsed() > Duration::from_millis(500) {
+            next_word = Instant::now();
+            stream.write_all(b": here\n\n")?;
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
+/// A record as it is told, with what the plant makes of every tenth.
+fn words(plan: &Plan, name: &str, data: &str, n: usize, sent: usize) -> Vec<String> {
+    let mut value: Value = serde_json::from_str(data).unwrap_or_default();
+    value["prev"] = json!(format!("1:{sent}"));
+    let planted = n % 10 == 5;
+    match plan.plant.as_str() {
+        "skip" if planted => return Vec::new(),
+        "reword" if planted => value["n"] = json!(0),
+        "strip" if planted => _ = value.as_object_mut().and_then(|v| v.remove("n")),
+        _ => {}
+    }
+    let event = |n: usize, v: &Value| format!("id: 1:{n}\nevent: {name}\ndata: {v}\n\n");
+    let mut all = vec![event(n, &value)];
+    if planted && plan.plant == "repeat" {
+        all.push(event(n, &value));
+    }
+    if planted && plan.plant == "early" {
+        all.push(event(n + 1, &json!({ "prev": format!("1:{n}"), "n": "never" })));
+    }
+    all
+}
--- a/crates/points/src/lib.rs
+++ b/crates/points/src/lib.rs
@@ -78,10 +78,19 @@
 /// Reads the faults that a process's folder names, and arms its points. No file: no fault.
 ///
 /// # Errors
-/// The file's path and what is wrong with it, and those of [`arm`].
+/// The file's path and what is wrong with it. In a build without the feature `hits` the file itself is an error: it is
+/// not read, for no product loses writes because of a file, and a test that got no fault would pass for nothing.
 pub fn begin(folder: &std::path::Path) -> Result<file::FaultFile, String> {
     let path = folder.join(file::NAME);
     let named = |e: String| format!("{}: {e}", path.display());
+    if cfg!(not(feature = "hits")) {
+        return match path.exists() {
+            true => Err(named(
+                "this build takes no faults: build with the feature `hits` of sprucelink-points".into(),
+            )),
+            false => Ok(file::FaultFile::default()),
+        };
+    }
     let text = match std::fs::read_to_string(&path) {
         Ok(text) => text,
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(file::FaultFile::default()),
