--- a/crates/checker/src/cursor.rs
+++ b/crates/checker/src/cursor.rs
@@ -37,8 +37,8 @@
 
     fn from_str(text: &str) -> Result<Cursor, String> {
         let number = |t: &str| {
-            // `parse` takes a leading plus, which is no decimal of ours.
-            t.bytes().all(|b| b.is_ascii_digit()).then(|| t.parse::<u64>().ok()).flatten()
+            // No signs and no leading zeros: one position has one text, as the journal writes it.
+            t.parse::<u64>().ok().filter(|n| n.to_string() == t)
         };
         let parts = text.split_once(':').and_then(|(e, i)| Some(Cursor::new(number(e)?, number(i)?)));
         parts.ok_or_else(|| format!("a cursor is EPOCH:INDEX in decimal, not {text:?}"))
@@ -64,7 +64,7 @@
     #[test]
     fn cursors_are_read_strictly_and_ordered_by_epoch_first() {
         assert_eq!("3:17".parse(), Ok(Cursor::new(3, 17)));
-        for bad in ["", "3", "3:", ":1", "+3:1", "3:-1", "3:1:2", "18446744073709551616:1", " 3:1"] {
+        for bad in ["", "3", "3:", ":1", "+3:1", "3:-1", "3:1:2", "03:1", "18446744073709551616:1", " 3:1"] {
             assert!(bad.parse::<Cursor>().is_err(), "{bad:?}");
         }
         assert!(Cursor::new(2, 1) > Cursor::new(1, 900));
--- a/crates/checker/src/event.rs
+++ b/crates/checker/src/event.rs
@@ -238,7 +238,7 @@
     },
     /// A halt was seen committed.
     Halt {
-        /// Its id; a second event of one id changes nothing.
+        /// Its id; while a halt of this id is on, a second one changes nothing.
         id: String,
         /// The version whose release is halted; none: all of them, and all drains.
         #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/checker/tests/can_fail.rs
+++ b/crates/checker/tests/can_fail.rs
@@ -260,5 +260,10 @@
     let halted = "\"kind\":\"halt\",\"id\":\"h\"".to_owned();
     assert_eq!(broken(&judge(&[up("n0"), halted.clone(), exit("n0")])), [halt::NAME]);
     let over = "\"kind\":\"halt_over\",\"id\":\"h\"".to_owned();
-    assert_eq!(broken(&judge(&[up("n0"), halted, over, exit("n0")])), [""; 0]);
+    assert_eq!(broken(&judge(&[up("n0"), halted.clone(), over.clone(), exit("n0")])), [""; 0]);
+    assert_eq!(
+        broken(&judge(&[up("n0"), halted.clone(), over, halted, exit("n0")])),
+        [halt::NAME],
+        "halted again"
+    );
 }
--- a/crates/fleetrig/src/scenario/check.rs
+++ b/crates/fleetrig/src/scenario/check.rs
@@ -7,8 +7,8 @@
 };
 use crate::procs::MOST_MANAGERS;
 use crate::template;
-use sprucelink_stable::within;
 use sprucelink_points::file::{FaultFile, Points};
+use sprucelink_stable::within;
 
 /// Steps at most, strikes, ports, files of each manager, further arguments, acts of one strike.
 const MOST_STEPS: usize = 200;
@@ -247,9 +247,12 @@
         within("needs", needs().count() as f64, 0.0, MOST_WORDS as f64)?;
         needs().try_for_each(|p| pointer("needs", p))?;
         let m = &s.marks;
-        let halt = m.halt.iter().flat_map(|h| [Some(&h.id), h.version.as_ref()]).flatten();
+        within("marks.only", m.only.len() as f64, 0.0, MOST_WORDS as f64)?;
+        let only = m.only.keys().chain(m.release.iter().flat_map(|r| [&r.id, &r.version]));
+        let halt =
+            m.halt.iter().flat_map(|h| [Some(&h.id), h.version.as_ref(), h.release.as_ref()]).flatten();
         let over = m.halt_over.iter().map(|h| &h.id);
         let schema = m.schema.iter().flat_map(|s| [&s.publisher, &s.reads]);
-        halt.chain(over).chain(schema).try_for_each(|p| pointer("marks", p))
+        only.chain(halt).chain(over).chain(schema).try_for_each(|p| pointer("marks", p))
     }
 }
--- a/crates/fleetrig/src/scenario/mod.rs
+++ b/crates/fleetrig/src/scenario/mod.rs
@@ -12,8 +12,8 @@
 
 pub use acts::{Act, Blow, Call, Clocks, Lists, New, Part, Sides, Step, Strike, Subs, Who};
 pub use parts::{
-    Engines, HaltMark, History, Load, Marks, Membership, OverMark, Port, SchemaMark, Subscribers, Supervise,
-    Watch,
+    Engines, HaltMark, History, Load, Marks, Membership, OverMark, Port, ReleaseMark, SchemaMark,
+    Subscribers, Supervise, Watch,
 };
 
 use crate::ledger::DRAIN_GRACE;
--- a/crates/fleetrig/src/scenario/parts.rs
+++ b/crates/fleetrig/src/scenario/parts.rs
@@ -176,28 +176,48 @@
     }
 }
 
-/// Records that tell a halt, its end, or a schema that has come into force; absent ones are not looked for.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+/// Records that mean something to the checker; absent ones are not looked for.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Marks {
+    /// Only records where all these pointers hold these values count; null: nothing is there.
+    pub only: BTreeMap<String, serde_json::Value>,
+    /// A release's beginning.
+    pub release: Option<ReleaseMark>,
     /// A halt.
     pub halt: Option<HaltMark>,
-    /// A halt's end: the record's name, and where it tells the halt's id.
+    /// A halt's end.
     pub halt_over: Option<OverMark>,
     /// A schema.
     pub schema: Option<SchemaMark>,
 }
 
+/// How a record tells that a release begins.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReleaseMark {
+    /// The record's name.
+    pub record: String,
+    /// Where it tells the release's id, as a JSON pointer to a text or a number.
+    pub id: String,
+    /// Where it tells the version that is released.
+    pub version: String,
+}
+
 /// How a record tells a halt.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HaltMark {
     /// The record's name.
     pub record: String,
-    /// Where it tells its id, as a JSON pointer.
+    /// Where it tells its id.
     pub id: String,
-    /// Where it tells the version whose release is halted; absent: it is for all.
+    /// Where it tells the version whose release is halted.
+    #[serde(default)]
     pub version: Option<String>,
+    /// Or where it tells the release; with neither it is a halt of all.
+    #[serde(default)]
+    pub release: Option<String>,
 }
 
 /// How a record tells a halt's end.
--- /dev/null
+++ b/crates/fleetrig/src/subscribers/marks.rs
@@ -0,0 +1,86 @@
+//! Records that mean something to the checker: releases, halts and schemas, found by the scenario's marks.
+
+use crate::scenario::Marks;
+use serde_json::Value;
+use sprucelink_checker::event::Event;
+use std::collections::BTreeMap;
+
+/// Releases that a subscriber remembers at most; further ones it does not know.
+const MOST_RELEASES: usize = 1_000;
+
+/// What one subscriber has read of releases: their versions.
+#[derive(Debug, Default)]
+pub struct Marked(BTreeMap<String, String>);
+
+/// A text or a number at a place.
+fn word(value: &Value, at: &str) -> Option<String> {
+    match value.pointer(at)? {
+        Value::String(text) => Some(text.clone()),
+        Value::Number(n) => Some(n.to_string()),
+        _ => None,
+    }
+}
+
+impl Marked {
+    /// What a record means. A halt of a release that this subscriber knows nothing of is left to those who do.
+    pub fn read(&mut self, marks: &Marks, name: &str, value: &Value) -> Vec<Event> {
+        let mut all = Vec::new();
+        if marks.only.iter().any(|(at, want)| value.pointer(at).unwrap_or(&Value::Null) != want) {
+            return all;
+        }
+        if let Some(m) = marks.release.as_ref().filter(|m| m.record == name) {
+            if let Some((id, version)) = word(value, &m.id).zip(word(value, &m.version)) {
+                if self.0.len() < MOST_RELEASES {
+                    self.0.insert(id, version);
+                }
+            }
+        }
+        if let Some(m) = marks.halt.as_ref().filter(|m| m.record == name) {
+            let version = match (&m.version, &m.release) {
+                (Some(at), _) => Some(word(value, at)),
+                (None, Some(at)) => word(value, at).and_then(|id| self.0.get(&id).cloned()).map(Some),
+                (None, None) => Some(None),
+            };
+            all.extend(word(value, &m.id).zip(version).map(|(id, version)| Event::Halt { id, version }));
+        }
+        if let Some(m) = marks.halt_over.as_ref().filter(|m| m.record == name) {
+            all.extend(word(value, &m.id).map(|id| Event::HaltOver { id }));
+        }
+        if let Some(m) = marks.schema.as_ref().filter(|m| m.record == name) {
+            let reads = value.pointer(&m.reads).and_then(Value::as_array);
+            let reads = reads.map(|r| r.iter().filter_map(Value::as_str).map(str::to_owned).collect());
+            let publisher = word(value, &m.publisher);
+            all.extend(publisher.zip(reads).map(|(publisher, reads)| Event::Schema { publisher, reads }));
+        }
+        all
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_halt_is_of_the_version_that_its_release_began_with() {
+        let marks: Marks = json5::from_str(
+            "{ only: { '/outcome/rule': null }, release: { record: 'start', id: '/number', version: '/to' },
+               halt: { record: 'halt', id: '/release', release: '/release' },
+               halt_over: { record: 'resume', id: '/release' },
+               schema: { record: 'schema', publisher: '/by', reads: '/reads' } }",
+        )
+        .expect("read");
+        let mut m = Marked::default();
+        let halt = json!({ "release": 7 });
+        assert_eq!(m.read(&marks, "halt", &halt), [], "of a release that it does not know");
+        let refused = json!({ "number": 7, "to": "v9", "outcome": { "rule": "busy" } });
+        assert_eq!(m.read(&marks, "start", &refused), []);
+        m.read(&marks, "start", &json!({ "number": "7", "to": "v2" }));
+        let id = || "7".to_owned();
+        assert_eq!(m.read(&marks, "halt", &halt), [Event::Halt { id: id(), version: Some("v2".into()) }]);
+        assert_eq!(m.read(&marks, "resume", &halt), [Event::HaltOver { id: id() }]);
+        let schema = json!({ "by": "lists", "reads": ["1", "2"] });
+        let reads = vec!["1".into(), "2".into()];
+        assert_eq!(m.read(&marks, "schema", &schema), [Event::Schema { publisher: "lists".into(), reads }]);
+    }
+}
--- a/crates/fleetrig/src/subscribers/mod.rs
+++ b/crates/fleetrig/src/subscribers/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-in subscribers: up to 300 connections for server-sent events over the managers' ports, each with a cursor of
-//! its own. What they read goes into the history. [`reader`] decides, [`sse`] reads, this file connects.
+//! its own. What they read goes into the history. [`reader`] and [`marks`] decide, [`sse`] reads, this file connects.
 
+pub mod marks;
 pub mod reader;
 pub mod sse;
 
--- a/crates/fleetrig/src/subscribers/reader.rs
+++ b/crates/fleetrig/src/subscribers/reader.rs
@@ -1,6 +1,7 @@
 //! What a subscriber makes of what it reads, without input or output: its cursor, kept with its state, what goes into
 //! the history, where it goes next and when.
 
+use super::marks::Marked;
 use super::sse::Told;
 use crate::history::MOST_DATA;
 use crate::scenario::Subscribers as Spec;
@@ -33,6 +34,7 @@
     /// The manager it goes to, by its number among those it may go to.
     pub at: usize,
     retry: Duration,
+    marks: Marked,
 }
 
 impl<'a> Reader<'a> {
@@ -50,6 +52,7 @@
             cursor: None,
             at: number,
             retry: Duration::from_secs_f64(spec.retry_ms / 1e3),
+            marks: Marked::default(),
         }
     }
 
@@ -94,24 +97,7 @@
         };
         let prev = text(&self.spec.prev_at).and_then(|p| p.parse().ok());
         let op = text(&self.spec.op_at).map(str::to_owned);
-        let mut all = Vec::new();
-        let marks = &self.spec.marks;
-        if let Some(m) = marks.halt.as_ref().filter(|m| m.record == name) {
-            let version = m.version.as_deref().and_then(text).map(str::to_owned);
-            all.extend(text(&m.id).map(|id| Event::Halt { id: id.to_owned(), version }));
-        }
-        if let Some(m) = marks.halt_over.as_ref().filter(|m| m.record == name) {
-            all.extend(text(&m.id).map(|id| Event::HaltOver { id: id.to_owned() }));
-        }
-        if let Some(m) = marks.schema.as_ref().filter(|m| m.record == name) {
-            let reads = value.as_ref().and_then(|v| v.pointer(&m.reads)).and_then(Value::as_array);
-            let reads = reads.map(|r| r.iter().filter_map(Value::as_str).map(str::to_owned).collect());
-            let event = |(publisher, reads): (&str, Vec<String>)| Event::Schema {
-                publisher: publisher.to_owned(),
-                reads,
-            };
-            all.extend(text(&m.publisher).zip(reads).map(event));
-        }
+        let mut all = value.as_ref().map_or(Vec::new(), |v| self.marks.read(&self.spec.marks, &name, v));
         let mut data = data;
         if data.len() > MOST_DATA {
             let end = (0..=MOST_DATA).rev().find(|i| data.is_char_boundary(*i)).unwrap_or(0);
