--- a/crates/fleetrig/src/middle/mod.rs
+++ b/crates/fleetrig/src/middle/mod.rs
@@ -202,6 +202,10 @@
     /// The rule in force.
     pub fn rule(&self, from: &str, to: &str) -> Rule {
         self.table(|t| {
+            // Most of a run has none, and every piece that is carried asks.
+            if t.rules.is_empty() {
+                return Rule::default();
+            }
             let found = t.pairs(from, to).into_iter().find_map(|p| t.rules.get(&p).copied());
             found.unwrap_or_default()
         })
@@ -210,6 +214,9 @@
     /// The last cut that is for two parties: its number, 0 for none, and how.
     fn cuts(&self, from: &str, to: &str) -> (u64, Option<Cut>) {
         self.table(|t| {
+            if t.cuts.is_empty() {
+                return (0, None);
+            }
             let last = t.pairs(from, to).into_iter().filter_map(|p| t.cuts.get(&p)).max_by_key(|c| c.0);
             last.map_or((0, None), |(n, how)| (*n, Some(*how)))
         })
--- a/crates/fleetrig/src/run/life.rs
+++ b/crates/fleetrig/src/run/life.rs
@@ -92,8 +92,11 @@
                     self.over(i, how, Cause::Nemesis, None);
                     self.begin(i, false)?;
                 }
-                // It had its time: what is open there is lost by its own fault, so it is not struck.
-                None if since.elapsed() > LONGEST_END => self.fleet.kill(i),
+                // It had its time: it hangs, and that is a crash.
+                None if since.elapsed() > LONGEST_END => {
+                    self.crashed += 1;
+                    self.begin(i, false)?;
+                }
                 None => {}
             }
         }
--- a/crates/fleetrig/src/run/strikes.rs
+++ b/crates/fleetrig/src/run/strikes.rs
@@ -77,7 +77,9 @@
         self.procs[i].unbound.retain(|p| {
             let rest = line.split_once(ports[*p].said.as_str()).map(|(_, rest)| rest);
             let real = rest.and_then(|r| r.split([',', ' ', '"']).next()).and_then(|a| a.parse().ok());
-            peers.bind(&ports[*p].name, i, real.or_else(|| peers.real(&ports[*p].name, i)));
+            if real.is_some() {
+                peers.bind(&ports[*p].name, i, real);
+            }
             real.is_none()
         });
     }
--- a/crates/fleetrig/src/subscribers/mod.rs
+++ b/crates/fleetrig/src/subscribers/mod.rs
@@ -26,6 +26,9 @@
 /// The status that says of a cursor that it leads nowhere any more (RFC 9110, 410 Gone): the state is given up with it.
 const GONE: u16 = 410;
 
+/// Marks that are known again at most; further ones are noted by each subscriber that reads them.
+const MOST_MARKED: usize = 100_000;
+
 struct Shared {
     spec: Spec,
     seed: u64,
@@ -207,8 +210,11 @@
             let mark = matches!(event, Event::Halt { .. } | Event::HaltOver { .. } | Event::Schema { .. });
             // A mark is noted where it is read first, by its record's place.
             let place = || format!("{:?} {:?}", reader.cursor.or(cursor), std::mem::discriminant(&event));
-            let marked = || shared.marked.lock().unwrap_or_else(PoisonError::into_inner).insert(place());
-            if !mark || marked() {
+            let first = || {
+                let mut marked = shared.marked.lock().unwrap_or_else(PoisonError::into_inner);
+                marked.len() >= MOST_MARKED || marked.insert(place())
+            };
+            if !mark || first() {
                 shared.history.note(event);
             }
         }
