--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -80,6 +80,8 @@
     parting: Cell<usize>,
     busy: Cell<usize>,
     closing: Cell<bool>,
+    /// Connections are left in the listener's queue, for another process to take.
+    resting: Cell<bool>,
     close: Notify,
     tls: RefCell<Option<TlsAcceptor>>,
 }
@@ -109,6 +111,7 @@
             parting: Cell::new(0),
             busy: Cell::new(0),
             closing: Cell::new(false),
+            resting: Cell::new(false),
             close: Notify::new(),
             tls: RefCell::new(None),
         })
@@ -120,7 +123,7 @@
             let closed = self.close.notified();
             tokio::select! {
                 biased;
-                taken = listener.accept() => match taken {
+                taken = listener.accept(), if !self.resting.get() => match taken {
                     Ok((stream, _)) => {
                         drop(tokio::task::spawn_local(Rc::clone(&self).connection(stream)));
                     }
@@ -138,6 +141,23 @@
         }
     }
 
+    /// Takes connections, or leaves them in the listener's queue.
+    pub fn accept(&self, on: bool) {
+        if self.resting.replace(!on) == on {
+            self.close.notify_waiters();
+        }
+    }
+
+    /// Lets go of sessions that have had nothing open for so long.
+    pub fn let_go(&self, idle: Micros) {
+        self.seats.let_go(idle);
+    }
+
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        self.seats.taken()
+    }
+
     /// Takes no more connections, and lets go of sessions that have nothing open, now and from now on.
     pub fn close(&self) {
         self.closing.set(true);
--- a/src/front/seats.rs
+++ b/src/front/seats.rs
@@ -80,6 +80,23 @@
     }
 }
 
+impl Seats {
+    /// Tells sessions to go that have been idle for so long, and connections that have been silent for so long.
+    pub fn let_go(&self, idle: Micros) {
+        for place in self.places.borrow().values() {
+            let busy = place.standing.get() == Standing::Busy;
+            if !busy && now() - place.since.get() >= idle && !place.told.replace(true) {
+                place.leave.notify_one();
+            }
+        }
+    }
+
+    /// Seats that are taken.
+    pub fn taken(&self) -> usize {
+        self.places.borrow().len()
+    }
+}
+
 impl Seat {
     /// The session has an open request, or has none.
     pub fn busy(&self, busy: bool) {
