Handover: one file a process, and the phases of an upgrade

During an upgrade two processes count as one manager for every rule, bans said yes to by either hold at both, and either may be killed at any point; $TMPDIR is all they share.

crates/handover: typed content, protocol buffers behind a head with format and CRC-32, refusals told apart, what to adopt by age, counts in buckets of 250 ms, which files belong to the living, phases with the room that each makes for the others, a folder seam with a real and a failing one, and a thin keeper. Nothing is wired in.

--- /dev/null
+++ b/crates/handover/examples/cost.rs
@@ -0,0 +1,105 @@
+//! What the handover costs: `cargo run --release -p sprucelink-handover --example cost -- /dev/shm`.
+//!
+//! Medians of many runs, for a content as it is on most days (80 engines, 3 bans) and for one at its bounds.
+
+use sprucelink_handover::*;
+use sprucelink_outage::{Hold, Limits, Outages, Target};
+use std::hint::black_box;
+use std::time::Instant;
+
+const RUNS: usize = 2_000;
+
+fn median(mut run: impl FnMut(i64)) -> f64 {
+    let mut took: Vec<f64> = (0..RUNS as i64)
+        .map(|i| {
+            let began = Instant::now();
+            run(i);
+            began.elapsed().as_secs_f64() * 1e6
+        })
+        .collect();
+    took.sort_unstable_by(f64::total_cmp);
+    took[RUNS / 2]
+}
+
+fn outages(engines: usize, bans: usize, now: Micros) -> Outages {
+    let mut o = Outages::new(Limits::default());
+    for i in 0..engines {
+        o.listed(&format!("s-{i:08x}"));
+    }
+    for i in 0..bans {
+        let target = Target::Engine(format!("s-{i:08x}"));
+        o.cordon(now, &target, Hold::Operator, "restart for a disk swap").expect("listed");
+    }
+    o
+}
+
+fn content(o: &Outages, t: &Tally, now: Micros) -> Content {
+    Content {
+        bans: o.export(),
+        ids: o.export_ids(usize::MAX),
+        ration: t.ration(now),
+        cold: t.cold(now),
+        last_event: 1,
+    }
+}
+
+fn main() {
+    let root = std::env::args().nth(1).unwrap_or_else(|| "/dev/shm".into());
+    let dir = std::path::Path::new(&root).join(format!("sprucelink-cost-{}", std::process::id()));
+    std::fs::create_dir(&dir).expect("a folder");
+    let now = Micros(1_700_000_000_000_000);
+    let at = |i: i64| Micros(now.0 + i * 1_000);
+    for (what, engines, bans, cold) in [("usual", 80, 3, 8), ("at its bounds", 16_384, 1_024, COLD_MOST)] {
+        let folder = DiskFolder::new(&dir);
+        let me = Instance { name: "n3".into(), listen: "127.0.0.1:7001".into() };
+        let o = outages(engines, bans, now);
+        let mut tally = Tally::new(Micros(5_000_000), Micros(4_000_000));
+        for ms in (0..5_000).step_by(10) {
+            tally.taken(at(ms - 5_000));
+            tally.cold_send(at(ms - 5_000), &format!("s-{:08x}", ms as usize / 10 % cold), 40);
+        }
+        let (mut writer, _) = Keeper::open(folder.clone(), me.clone(), "sprucelink 0.1.0", 1, now);
+        let (mut reader, _) = Keeper::open(folder.clone(), me, "sprucelink 0.1.0", 2, at(1));
+        let whole = content(&o, &tally, now);
+        let bytes = writer.write(now, whole.clone()).expect("written").bytes;
+        let gather = median(|_| _ = black_box(content(&o, &tally, now)));
+        let write = median(|i| _ = writer.write(at(i), whole.clone()).expect("written"));
+        // The same bytes over the old ones, neither whole at any time nor checked: what a file costs at the least.
+        let (raw, path) = (vec![7_u8; bytes], dir.join("raw"));
+        let plain = median(|_| std::fs::write(&path, &raw).expect("written"));
+        let idle = median(|i| _ = black_box(reader.look(at(i))));
+        // The write before it is not counted.
+        let mut looks: Vec<f64> = (0..RUNS as i64)
+            .map(|i| {
+                writer.write(at(10_000 + i), whole.clone()).expect("written");
+                let began = Instant::now();
+                assert_eq!(reader.look(at(10_000 + i)).read.len(), 1);
+                began.elapsed().as_secs_f64() * 1e6
+            })
+            .collect();
+        looks.sort_unstable_by(f64::total_cmp);
+        let fresh = looks[RUNS / 2];
+        let merge = median(|_| {
+            let mut other = Outages::new(Limits::default());
+            other.import(now, &whole.bans);
+            black_box(&other);
+        });
+        let id = format!("s-{:08x}", engines - 1);
+        let out = median(|_| (0..1_000).for_each(|_| _ = black_box(o.is_out(black_box(&id)))));
+        let alone = (gather + write) * 4.0 + idle * 10.0;
+        let beside = alone + (fresh - idle + merge) * 4.0;
+        println!("{what}: {bytes} bytes, {engines} ids, {bans} bans, {cold} cold engines");
+        println!("  content gathered    {gather:9.1} us");
+        println!(
+            "  written             {write:9.1} us, {:.1} times a plain write ({plain:.1} us)",
+            write / plain
+        );
+        println!("  look, nothing new   {idle:9.1} us");
+        println!("  look, a new file    {fresh:9.1} us");
+        println!("  merged into nothing {merge:9.1} us");
+        println!("  is_out              {:9.1} ns", out);
+        println!("  of a core: alone {:.3}%, beside another {:.3}%", alone / 1e4, beside / 1e4);
+        std::fs::read_dir(&dir).expect("listed").flatten().for_each(|e| _ = std::fs::remove_file(e.path()));
+    }
+    std::fs::remove_dir(&dir).expect("removed");
+}
