Outage: ids by the house's stable hash

Ids ever listed go from process to process as hashes. XXH3 stood beside the hash that crates/stable now gives to all crates; one is enough. No file with the old one was ever written by the program.

--- a/crates/outage/src/known.rs
+++ b/crates/outage/src/known.rs
@@ -1,12 +1,12 @@
 //! The ids ever listed, as 64-bit hashes in bounded memory.
 
+use sprucelink_stable::stable_hash;
 use std::collections::BTreeMap;
-use xxhash_rust::xxh3::xxh3_64;
 
-/// An id's hash: XXH3 with 64 bits, the same on every machine and release, for it goes from process to process. Of
+/// An id's hash: the house's, the same on every machine and release, for it goes from process to process. Of
 /// 16,384 ids remembered one that was never listed passes for one of them with a chance of 2^-50.
 pub fn id_hash(id: &str) -> u64 {
-    xxh3_64(id.as_bytes())
+    stable_hash(&[id.as_bytes()])
 }
 
 #[derive(Clone, Copy, Debug, Default)]
