Upgrades: two processes on one socket, bans and phases by the handover's files

Design: each process keeps a file in TMPDIR and reads the other's every 100 ms; the newcomer serves once the elder has made room, the elder then leaves connections in the shared queue and lets idle sessions go after SIGTERM.

--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -123,6 +123,10 @@
     pub(super) cold: Option<Cold>,
     /// What is told to other managers, where they keep a view of the fleet.
     pub(super) shared: Option<Shared>,
+    /// Managers of the fleet, and what the others leave of their further attempts.
+    fleet: (u32, f64),
+    /// Processes of this manager.
+    parts: u32,
     /// What is out here, and why.
     pub(super) outages: Outages,
     /// Failover between zones, where it is on.
@@ -180,6 +184,7 @@
     ) -> Rc<Core> {
         let [zones, kinds] = names;
         let keep = set.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let fleet = (set.gateways, set.spare);
         let facade = Facade::new(set, seed, zones, kinds, now());
         let (open, deadlines, landing) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
         let (tally, next_figures) = (Tally::default(), now() + FIGURES);
@@ -198,6 +203,8 @@
             capture_lost: 0,
             cold: None,
             shared: None,
+            fleet,
+            parts: 1,
             outages: Outages::new(OutageLimits::default()),
             failover: None,
         };
@@ -273,8 +280,21 @@
     /// The fleet's view has changed: among how many managers the module parts what is shared, and what the others
     /// leave of their further attempts.
     pub fn fleet(self: &Rc<Self>, gateways: u32, spare: f64) {
+        self.inner.borrow_mut().fleet = (gateways, spare);
+        self.tell_fleet();
+    }
+
+    /// Among how many processes this manager's own part is shared.
+    pub fn parted(self: &Rc<Self>, parts: u32) {
+        self.inner.borrow_mut().parts = parts.max(1);
+        self.tell_fleet();
+    }
+
+    fn tell_fleet(self: &Rc<Self>) {
         let mut inner = self.inner.borrow_mut();
-        let orders = inner.facade.report(now(), News::Fleet(gateways, spare));
+        let (gateways, spare) = inner.fleet;
+        let news = News::Fleet(gateways.saturating_mul(inner.parts), spare);
+        let orders = inner.facade.report(now(), news);
         inner.work(self, orders);
         self.wake.notify_one();
     }
--- a/src/run/admin.rs
+++ b/src/run/admin.rs
@@ -1,6 +1,7 @@
 //! The operators' address: what their calls do in this program. `sprucelink_admin` speaks HTTP and holds callers to
 //! their bounds.
 
+use super::upgrade::Upgrade;
 use crate::core::requests::Core;
 use sprucelink_admin::{Bite, Done, Limits, Operations, Refused};
 use sprucelink_figures::Counter;
@@ -29,18 +30,20 @@
 pub struct Desk {
     core: Rc<Core>,
     ready: Cell<bool>,
+    /// This process's side of an upgrade, where there may be one.
+    upgrade: Option<Rc<Upgrade>>,
     bitten: Vec<(Bite, Counter)>,
 }
 
 impl Desk {
     /// A desk over this core, that says no to health checks until [`Desk::ready`].
-    pub fn new(core: Rc<Core>) -> Rc<Desk> {
+    pub fn new(core: Rc<Core>, upgrade: Option<Rc<Upgrade>>) -> Rc<Desk> {
         let counter = |bite: &Bite| {
             let counter = core.figures().counter(bite.name());
             (*bite, counter.unwrap_or_else(|_| Counter::noop()))
         };
         let bitten = Bite::ALL.iter().map(counter).collect();
-        Rc::new(Desk { core, ready: Cell::new(false), bitten })
+        Rc::new(Desk { core, ready: Cell::new(false), upgrade, bitten })
     }
 
     /// From now on this process can serve.
@@ -62,6 +65,11 @@
     }
 
     fn obeyed(&self, id: &str, change: Result<Change, Unfit>) -> Result<Done, Refused> {
+        if let (Ok(_), Some(upgrade)) = (&change, &self.upgrade) {
+            // On record before the yes: it has to hold in the process that comes next.
+            let unrecorded = |why| Refused::Unavailable(format!("it holds here and is not on record: {why}"));
+            upgrade.record().map_err(unrecorded)?;
+        }
         match change {
             Ok(Change::Out | Change::Back) => Ok(Done::Changed),
             Ok(Change::AlreadyOut | Change::NotOut | Change::StillOut { .. }) => Ok(Done::Unchanged),
@@ -78,7 +86,7 @@
 
 impl Operations for Desk {
     fn healthy(&self) -> bool {
-        self.ready.get()
+        self.ready.get() && self.upgrade.as_ref().is_none_or(|u| u.says_yes())
     }
 
     fn stats(&self) -> String {
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -10,3 +10,4 @@
 pub mod operator;
 pub mod serve;
 pub mod tools;
+pub mod upgrade;
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -6,6 +6,7 @@
 use super::config::Config;
 use super::members::{self, Told};
 use super::operator::Operator;
+use super::upgrade::Upgrade;
 use crate::core::pool::Pool;
 use crate::core::requests::Core;
 use crate::core::{feed, now, span};
@@ -15,6 +16,7 @@
 use sprucelink_coldstart::lists::ListCalls;
 use sprucelink_coldstart::settings::ColdStart;
 use sprucelink_figures::Figures;
+use sprucelink_handover::Spans;
 use sprucelink_locality::terms::Terms as FailoverTerms;
 use sprucelink_membership::terms::Settings as Membership;
 use sprucelink_policy::interface::Micros;
@@ -121,6 +123,10 @@
         cold_span: settings.fall_span,
         cold_for: settings.cold_for,
     };
+    let spans = Spans {
+        ration: settings.attempt_budget.as_ref().map_or(Micros(0), |b| b.span),
+        cold: settings.fall_span,
+    };
     settings.cold_ramp = cold_start.and_then(|c| c.first_load.ramp());
     let classes: Vec<String> = config.setup.classes.iter().map(|c| c.name.clone()).collect();
     let figures = Figures::new(&classes).map_err(|e| format!("figures: {e}"))?;
@@ -161,16 +167,24 @@
     let (moved, address) = watch::channel(config.feed);
     spawn_local(feed::follow(Rc::clone(&core), address, calls));
     spawn_local(reload(hup, files, reread, moved));
+    let shared = inherited.is_some();
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener).map_err(|e| format!("EDGE_FD: {e}"))?,
         None => bind(&config.listen).await?,
     };
-    let desk = Desk::new(Rc::clone(&core));
+    let upgrade = shared.then(|| Upgrade::begin(Rc::clone(&core), &config.name, &config.listen, spans));
+    let desk = Desk::new(Rc::clone(&core), upgrade.clone());
     if let Some(address) = operators {
         desk.open(&address).await?;
     }
     let mut fronts = vec![open("serving", &core, listener, config.setup)?];
+    // Until it has come to serve, what comes is left to the process before.
+    fronts[0].0.accept(!shared);
     desk.ready();
+    if let Some(upgrade) = &upgrade {
+        upgrade.can_serve();
+        spawn_local(Rc::clone(upgrade).run(Rc::clone(&fronts[0].0)));
+    }
     if let Some(operator) = operator {
         let listener = bind(&operator.listen).await?;
         let second = open("second front", &core, listener, operator.setup)?;
@@ -189,6 +203,9 @@
         }
     }
     info!(open = core.open(), "stopping: {} open", core.open());
+    if let Some(upgrade) = &upgrade {
+        upgrade.stopping();
+    }
     let stop = Instant::now() + STILL_COMING + span(longest);
     sleep(STILL_COMING).await;
     // The timer may have fired before the sockets were asked, where this program had no turn meanwhile.
@@ -206,6 +223,9 @@
     if let Some(member) = member {
         member.leave().await;
     }
+    if let Some(upgrade) = &upgrade {
+        upgrade.leave();
+    }
     core.record(None);
     info!(open = core.open(), "stopped: {} open", core.open());
     Ok(())
--- /dev/null
+++ b/src/run/upgrade.rs
@@ -0,0 +1,227 @@
+//! Upgrades: a second process beside the first, on the same listening socket, counting with it as one workload
+//! manager. `sprucelink_handover` decides who takes connections and what each may spend, and keeps the files by which
+//! the two know of each other; here its word is carried out.
+
+use crate::core::now;
+use crate::core::requests::Core;
+use crate::front::Front;
+use sprucelink_handover::{adopt, Content, DiskFolder, Instance, Keeper, Looked, Phase, Spans, Stand, Tally};
+use sprucelink_handover::{Age, LOOK};
+use sprucelink_policy::interface::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use tracing::{debug, error, info, warn};
+
+/// Hashes of ids handed on at most: a file has room for some more, and bans go before them.
+const MOST_IDS: usize = 16_384;
+
+/// One process's side of an upgrade.
+pub struct Upgrade {
+    core: Rc<Core>,
+    keeper: RefCell<Keeper<DiskFolder>>,
+    spans: Spans,
+    can_serve: Cell<bool>,
+    term: Cell<bool>,
+    /// The parts that the core was told of, and since when fewer would do.
+    told: Cell<(u32, Option<Micros>)>,
+    stand: RefCell<Option<(Phase, u32, bool)>>,
+    /// The others that lived at the last look, by process id.
+    living: RefCell<BTreeSet<u32>>,
+    /// Those whose last file said that they end.
+    ended: RefCell<BTreeSet<u32>>,
+    look: Notify,
+}
+
+impl Upgrade {
+    /// Takes over what a process before has left, before anything is served. `name` and `listen` tell this manager
+    /// from others that share the folder.
+    pub fn begin(core: Rc<Core>, name: &str, listen: &str, spans: Spans) -> Rc<Upgrade> {
+        let instance = Instance { name: name.to_owned(), listen: listen.to_owned() };
+        let (pid, build) = (std::process::id(), env!("CARGO_PKG_VERSION"));
+        let (keeper, looked) = Keeper::open(DiskFolder::tmpdir(), instance, build, pid, now());
+        let (process, found) = (keeper.process(), looked.read.len());
+        info!(pid, found, "handover: process {} of {name}, found {found} files", process.generation);
+        let upgrade = Rc::new(Upgrade {
+            core,
+            keeper: RefCell::new(keeper),
+            spans,
+            can_serve: Cell::new(false),
+            term: Cell::new(false),
+            told: Cell::new((1, None)),
+            stand: RefCell::new(None),
+            living: RefCell::default(),
+            ended: RefCell::default(),
+            look: Notify::new(),
+        });
+        upgrade.take_in(looked, true);
+        upgrade
+    }
+
+    /// This process can serve from now on.
+    pub fn can_serve(&self) {
+        self.can_serve.set(true);
+        self.look.notify_one();
+    }
+
+    /// SIGTERM has come.
+    pub fn stopping(&self) {
+        self.term.set(true);
+        self.look.notify_one();
+    }
+
+    /// Whether a health check is to be answered with yes.
+    pub fn says_yes(&self) -> bool {
+        self.keeper.borrow().says_yes()
+    }
+
+    /// Whether a younger process takes the connections that come.
+    pub fn relieved(&self) -> bool {
+        !self.keeper.borrow().stand().accepts
+    }
+
+    /// Puts what an operator called for on record, before the call is answered.
+    ///
+    /// # Errors
+    /// Where the file could not be written: it holds in this process alone.
+    pub fn record(&self) -> Result<(), String> {
+        self.write(true)
+    }
+
+    /// Looks, decides and tells, for good.
+    pub async fn run(self: Rc<Self>, front: Rc<Front>) {
+        loop {
+            self.turn(&front);
+            tokio::select! {
+                () = sleep(Duration::from_micros(LOOK.0 as u64)) => {}
+                () = self.look.notified() => {}
+            }
+        }
+    }
+
+    fn turn(&self, front: &Front) {
+        let looked = self.keeper.borrow_mut().look(now());
+        self.take_in(looked, false);
+        self.core.expire_outages();
+        let stand = self.keeper.borrow_mut().step(now(), self.term.get(), self.can_serve.get()).clone();
+        self.say(&stand);
+        // The one that is relieved has hardly anything to send any more, and the other meets all that comes: parts count
+        // for the first alone.
+        let relieved = matches!(stand.phase, Phase::Accompanied | Phase::Leaving);
+        self.part(if relieved { stand.parts } else { 1 });
+        front.accept(stand.accepts);
+        if let Some(idle) = stand.let_go {
+            front.let_go(idle);
+        }
+        if self.keeper.borrow().due(now()) {
+            // Said there; it is tried again in its time.
+            let _ = self.write(false);
+        }
+    }
+
+    /// The file's last word, at the end of the process.
+    pub fn leave(&self) {
+        let content = self.content();
+        if let Err(e) = self.keeper.borrow_mut().leave(now(), content) {
+            warn!("handover: not written: {e}");
+        }
+    }
+
+    fn take_in(&self, looked: Looked, first: bool) {
+        for trouble in &looked.trouble {
+            warn!("handover: the folder: {trouble}");
+        }
+        for (file, why) in &looked.refused {
+            warn!("handover: {file} refused: {why}");
+        }
+        for read in looked.read {
+            let (pid, generation) = (read.process.pid, read.process.generation);
+            if read.phase == Phase::Gone {
+                self.ended.borrow_mut().insert(pid);
+            }
+            let age = (now() - read.written_at).secs();
+            let adopted = adopt(now(), self.spans, read);
+            let (bans, ids, cold) = (adopted.bans.len(), adopted.ids.len(), adopted.cold.len());
+            let further: u32 = adopted.further.iter().map(|f| f.1).sum();
+            self.core.adopt_outages(&adopted.bans, &adopted.ids);
+            let old = if adopted.age == Age::Fresh { "" } else { ", not of now" };
+            let line = format!(
+                "handover: adopted from pid {pid} (generation {generation}), {age:.2} s old{old}: {bans} bans, {ids} ids, \
+                 {further} further attempts, {cold} cold sends"
+            );
+            if first {
+                info!(pid, generation, bans, "{line}");
+            } else {
+                debug!(pid, generation, bans, "{line}");
+            }
+        }
+    }
+
+    /// Tells the module among how many processes the manager's parts are shared. More of them at once; fewer only
+    /// after the longest window of cold budgets, for what the other sent still counts there.
+    fn part(&self, parts: u32) {
+        let (told, since) = self.told.get();
+        let wait = match (parts.cmp(&told), since) {
+            (std::cmp::Ordering::Equal, _) => return self.told.set((told, None)),
+            (std::cmp::Ordering::Greater, _) => false,
+            (std::cmp::Ordering::Less, None) => return self.told.set((told, Some(now()))),
+            (std::cmp::Ordering::Less, Some(since)) => now() - since < self.spans.cold,
+        };
+        if !wait {
+            self.told.set((parts, None));
+            self.core.parted(parts);
+        }
+    }
+
+    fn say(&self, stand: &Stand) {
+        let at = (stand.phase, stand.parts, stand.without_room);
+        if self.stand.replace(Some(at)) != Some(at) {
+            let (phase, parts, without_room) = at;
+            info!(parts, "handover: {phase:?}, 1 of {parts} parts");
+            if without_room && phase == Phase::Serving {
+                warn!("handover: serves, and others did not make room");
+            }
+        }
+        let others = self.keeper.borrow().living(now());
+        let living: BTreeSet<u32> = others.iter().map(|o| o.process.pid).collect();
+        let before = self.living.replace(living.clone());
+        for pid in before.difference(&living).filter(|pid| !self.ended.borrow().contains(*pid)) {
+            let alone = if living.is_empty() { ", alone" } else { "" };
+            warn!(pid, "handover: pid {pid} has gone quiet{alone}");
+        }
+    }
+
+    fn content(&self) -> Content {
+        let (bans, ids) = self.core.outages(MOST_IDS);
+        let tally = Tally::new(self.spans.ration, self.spans.cold);
+        let (ration, cold) = (tally.ration(now()), tally.cold(now()));
+        Content { bans, ids, ration, cold, last_event: self.core.last_event() }
+    }
+
+    fn write(&self, ban: bool) -> Result<(), String> {
+        let content = self.content();
+        match self.keeper.borrow_mut().write(now(), content) {
+            Ok(written) => {
+                if written.ids_left_out > 0 {
+                    warn!("handover: {} ids left out", written.ids_left_out);
+                }
+                debug!(
+                    bytes = written.bytes,
+                    "handover: written, {} bytes, removed {}", written.bytes, written.removed
+                );
+                Ok(())
+            }
+            Err(e) => {
+                if ban {
+                    error!("handover: not written: {e}");
+                } else {
+                    warn!("handover: not written: {e}");
+                }
+                Err(e.to_string())
+            }
+        }
+    }
+}
