--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -82,6 +82,8 @@
     closing: Cell<bool>,
     /// Connections are left in the listener's queue, for another process to take.
     resting: Cell<bool>,
+    /// Sessions end with their next answer.
+    leaving: Cell<bool>,
     close: Notify,
     tls: RefCell<Option<TlsAcceptor>>,
 }
@@ -112,6 +114,7 @@
             busy: Cell::new(0),
             closing: Cell::new(false),
             resting: Cell::new(false),
+            leaving: Cell::new(false),
             close: Notify::new(),
             tls: RefCell::new(None),
         })
@@ -148,8 +151,10 @@
         }
     }
 
-    /// Lets go of sessions that have had nothing open for so long.
+    /// Lets go of sessions that have had nothing open for so long, and of the others with their next answer: the end
+    /// comes with it, before their clients can ask again.
     pub fn let_go(&self, idle: Micros) {
+        self.leaving.set(true);
         self.seats.let_go(idle);
     }
 
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -41,6 +41,8 @@
     pub(super) names: Names,
     /// What a message of a batch is answered with, before there is room for it.
     scratch: Vec<u8>,
+    /// An answer has just been written.
+    answered: bool,
 }
 
 /// What a message leaves to do.
@@ -114,6 +116,7 @@
         skipping: false,
         names,
         scratch: Vec::new(),
+        answered: false,
     };
     loop {
         match session.step(wire).await? {
@@ -189,6 +192,7 @@
         if simple && !self.skipping {
             pg::ready(wire.output());
             wire.flush().await?;
+            self.answered = true;
         }
         Ok(Step::On)
     }
@@ -200,7 +204,7 @@
         if wire.input().is_empty() {
             self.partial = None;
             // Its client may send the next request to another connection: nothing is open on this one.
-            if self.seat.told() {
+            if self.seat.told() || std::mem::take(&mut self.answered) && self.front.leaving.get() {
                 return Ok(Step::End(None));
             }
         } else {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -1,38 +1,16 @@
 //! The operators' address on the running program: health, figures, engines taken out and put back.
 mod support;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
+use support::calls::*;
 use support::*;
 
 fn sql(req: u64) -> String {
     format!("/* kind=lane-rate,req={req:016x},timeout=20000,owner=sud */ SELECT a FROM sales_17.orders")
 }
 
-/// One call: its status and body.
-fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
-    let mut stream = TcpStream::connect(to).expect("connected");
-    stream.set_read_timeout(Some(PATIENCE)).expect("set");
-    let head = format!("{method} {path} HTTP/1.1\r\nHost: wm\r\nContent-Length: {}\r\n\r\n", body.len());
-    stream.write_all(format!("{head}{body}").as_bytes()).expect("written");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("an answer");
-    let status = text.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
-    (status, text.split_once("\r\n\r\n").expect("a head").1.to_owned())
-}
-
-fn figure(to: SocketAddr, name: &str) -> u64 {
-    let (status, body) = call(to, "GET", "/admin/stats", "");
-    assert_eq!(status, 200);
-    let line = body.lines().find_map(|l| l.strip_prefix(&format!("edge.{name}=")));
-    line.unwrap_or_else(|| panic!("no {name} in {body}")).parse().expect("a number")
-}
-
-fn target(id: &str) -> String {
-    format!(r#"{{"target":"{id}"}}"#)
-}
-
 #[test]
 fn health_and_figures_tell_what_passed() {
     let engine = Engine::start(|seen| match seen.parts[1].ends_with('f') {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,10 +2,13 @@
 //! that speaks raw bytes. Everything is on loopback, on ports that the kernel chooses.
 #![allow(dead_code)]
 
+pub mod calls;
 pub mod paced;
 
+use command_fds::{CommandFdExt, FdMapping};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -338,7 +341,7 @@
     /// The same with the operators' address open.
     pub fn with_operators(engines: &[(&str, SocketAddr)], feed: Option<&Feed>, settings: &str) -> Program {
         let vars = [("EDGE_OPERATOR", "127.0.0.1:0")];
-        Program::launch_in(&vars, engines, feed, None, (192, 1024), settings, &[])
+        Program::launch_in(&vars, None, engines, feed, None, (192, 1024), settings, &[])
     }
 
     /// The same with other settings and further arguments.
@@ -350,12 +353,21 @@
         settings: &str,
         more: &[&str],
     ) -> Program {
-        Program::launch_in(&[], engines, feed, operator, limits, settings, more)
+        Program::launch_in(&[], None, engines, feed, operator, limits, settings, more)
     }
 
-    /// The same in an environment with these variables besides.
+    /// One process of several on a listening socket that the platform holds, in the folder that they share.
+    pub fn beside(listener: &TcpListener, folder: &Path, engines: &[(&str, SocketAddr)]) -> Program {
+        let folder = folder.to_str().expect("a name in UTF-8");
+        let vars = [("EDGE_OPERATOR", "127.0.0.1:0"), ("EDGE_FD", "5"), ("TMPDIR", folder)];
+        Program::launch_in(&vars, Some(listener), engines, None, None, (192, 1024), SETTINGS, &[])
+    }
+
+    /// The same in an environment with these variables besides, and with a listening socket as descriptor 5.
+    #[allow(clippy::too_many_arguments, reason = "each caller above names what it gives")]
     pub fn launch_in(
         vars: &[(&str, &str)],
+        inherited: Option<&TcpListener>,
         engines: &[(&str, SocketAddr)],
         feed: Option<&Feed>,
         operator: Option<&str>,
@@ -375,6 +387,10 @@
         std::fs::write(dir.join("config.json"), config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sprucelink"));
         command.arg("serve").arg("--config").arg(dir.join("config.json")).args(more);
+        if let Some(listener) = inherited {
+            let parent_fd = listener.try_clone().expect("a second handle").into();
+            command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).expect("a mapping");
+        }
         command.env_remove("EDGE_OPERATOR").env_remove("EDGE_FD").envs(vars.iter().copied());
         if let Some(text) = operator {
             std::fs::write(dir.join("operator.json"), text).expect("written");
