A request that its client calls off counts as failed, for that is what it hears

Clients that send a CancelRequest within the half second read 57014, an error that is no refusal, and the ledger had the request as abandoned (src/front/session.rs, wait). Ruled out: answers from settle (failed 0 in every figures line) and front errors (these name no class). Change: Ticket::cancel. Result: in the process test one called off counts once, one whose client goes counts nowhere.

--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -156,9 +156,16 @@
     core: Rc<Core>,
     id: u64,
     answer: oneshot::Receiver<Final>,
+    /// Its client is told so: it counts among the failed.
+    cancelled: bool,
 }
 
 impl Ticket {
+    /// Its client has called it off, and hears that as its answer.
+    pub fn cancel(mut self) {
+        self.cancelled = true;
+    }
+
     /// The final answer.
     pub async fn wait(&mut self) -> Final {
         // The sender lives in the table until it is used: it cannot be lost before.
@@ -168,7 +175,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.core.give_up(self.id);
+        self.core.give_up(self.id, self.cancelled);
     }
 }
 
@@ -385,14 +392,15 @@
         };
         inner.work(self, orders);
         self.wake.notify_one();
-        Some(Ticket { core: Rc::clone(self), id, answer })
+        Some(Ticket { core: Rc::clone(self), id, answer, cancelled: false })
     }
 
-    fn give_up(self: &Rc<Self>, id: u64) {
+    fn give_up(self: &Rc<Self>, id: u64, answered: bool) {
         let mut inner = self.inner.borrow_mut();
         let Some(entry) = inner.open.get_mut(&id) else { return };
         if entry.answer.take().is_some() {
-            entry.counted.take().into_iter().for_each(Taken::abandoned);
+            let end = if answered { Taken::aborted } else { Taken::abandoned };
+            entry.counted.take().into_iter().for_each(end);
             inner.tally.given_up += 1;
             let mut orders = inner.withdraw(id);
             orders.extend(inner.facade.report(now(), News::GivenUp(id)));
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -296,7 +296,10 @@
                     Final::Refused(cause, wait) => Err(answer::refused(cause, wait, extended)),
                     Final::Failed(cause, wait) => Err(answer::failed(cause, wait)),
                 })),
-                () = cancel.notified() => return Ok(Some(Err(answer::cancelled()))),
+                () = cancel.notified() => {
+                    ticket.cancel();
+                    return Ok(Some(Err(answer::cancelled())));
+                }
                 n = wire.fill() => {
                     if n? == 0 {
                         return Ok(None);
