Settings read by derived types, for the platform's JSON and the adapter's pairs alike

Need: the configuration's JSON was flattened into the adapter's path=value text and read by its hand-written decoder, and once more by path in the program's own reading; an error named neither line nor column, and a figure that was none (maxStreams, memory_mb as text) silently took its default.

Change: crates/settings. One structure (Told), decoded by serde derive, which both writings fill: JSON by serde_json, pairs by a tree of their paths that is a serde deserializer. Platform holds the whole configuration, with the new optional operator; Environment reads EDGE_CONFIG, EDGE_OPERATOR and EDGE_FD. Errors name file, line, column and path (serde_path_to_error), exit status 2 as before. Unknown fields and words are tolerated. Deleted: the flattening, the pairs' look-ups in src/wire.rs and src/run/config.rs. Bounds: 65,536 items of a list by count, paths of 8 parts.

By design otherwise: an object or list where a plain value belongs, a list entry that is not finite, and a field that stands twice are refused now; whole limits may be written with a point (32.0 meant the default before); names keep their spaces and commas. The test that stays generates settings and holds both writings against each other.

--- /dev/null
+++ b/crates/settings/src/pairs.rs
@@ -0,0 +1,183 @@
+//! Settings as `path=value` pairs, as the simulator's wire writes them: the parts of a path set apart by points,
+//! lists of plain values joined by commas, lists of objects with their length under `count` and their items
+//! under `0`, `1` and so on. A tree of the pairs is a serde deserializer, so that the derived types read it as
+//! they read JSON.
+
+use crate::{Error, Told};
+use serde::de::value::StrDeserializer;
+use serde::de::{self, DeserializeSeed, Deserializer, IntoDeserializer, MapAccess, SeqAccess, Visitor};
+use std::collections::btree_map::{self, BTreeMap};
+use std::fmt;
+
+/// Items of one list of objects at most: a `count` is a few bytes of text, and each item is kept.
+pub const MOST_ITEMS: usize = 65_536;
+
+/// Parts of a path at most: those of the settings have three, and a tree as deep as a line is long would overflow
+/// the stack. A longer one is skipped, as all that is not known.
+const MOST_PARTS: usize = 8;
+
+/// Reads the settings from pairs. What is no pair is skipped; of two with one path the later counts.
+///
+/// # Errors
+/// Where a known path holds what it may not, by path.
+pub fn told<'a>(pairs: impl Iterator<Item = &'a str>) -> Result<Told, Error> {
+    let mut root = Node::default();
+    for (path, value) in pairs.filter_map(|p| p.split_once('=')) {
+        if path.split('.').nth(MOST_PARTS).is_some() {
+            continue;
+        }
+        let leaf = path.split('.').fold(&mut root, |node, key| node.below.entry(key).or_default());
+        leaf.text = Some(value);
+    }
+    serde_path_to_error::deserialize(&root).map_err(|e| Error::new(&e.path().to_string(), e.inner()))
+}
+
+/// A path's value, and what lies below it.
+#[derive(Debug, Default)]
+struct Node<'a> {
+    text: Option<&'a str>,
+    below: BTreeMap<&'a str, Node<'a>>,
+}
+
+/// What a path that is not there holds.
+static NOTHING: Node<'static> = Node { text: None, below: BTreeMap::new() };
+
+/// Why a value could not be read; its path is told beside it.
+#[derive(Debug)]
+struct Fault(String);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+impl std::error::Error for Fault {}
+impl de::Error for Fault {
+    fn custom<T: fmt::Display>(why: T) -> Fault {
+        Fault(why.to_string())
+    }
+}
+
+impl<'a> Node<'a> {
+    fn empty(&self) -> bool {
+        self.below.is_empty() && matches!(self.text, None | Some("" | "-"))
+    }
+
+    /// How many items a list of objects says that it has; `None` for a list of plain values.
+    fn count(&self) -> Result<Option<usize>, Fault> {
+        let Some(count) = self.below.get("count") else { return Ok(None) };
+        let text = count.text.filter(|t| !matches!(*t, "" | "-")).unwrap_or("0");
+        match text.parse::<f64>() {
+            Ok(n) if n.is_finite() && n as usize <= MOST_ITEMS => Ok(Some(n as usize)),
+            Ok(n) if n.is_finite() => Err(Fault(format!("count {text} is over {MOST_ITEMS}"))),
+            _ => Err(Fault(format!("count {text:?} is not a number"))),
+        }
+    }
+}
+
+impl<'de> Deserializer<'de> for &'de Node<'de> {
+    type Error = Fault;
+
+    /// A plain value: its text.
+    fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        match self.text {
+            Some(text) => visitor.visit_borrowed_str(text),
+            None => visitor.visit_unit(),
+        }
+    }
+
+    fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        if self.empty() {
+            visitor.visit_none()
+        } else {
+            visitor.visit_some(self)
+        }
+    }
+
+    fn deserialize_seq<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        match self.count()? {
+            Some(count) => visitor.visit_seq(Items { node: self, next: 0, count }),
+            None => visitor.visit_seq(Parts(self.text.map(|t| t.split(',')))),
+        }
+    }
+
+    fn deserialize_map<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        visitor.visit_map(Children { rest: self.below.iter(), value: &NOTHING })
+    }
+
+    fn deserialize_struct<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        _: &'static [&'static str],
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        self.deserialize_map(visitor)
+    }
+
+    fn deserialize_newtype_struct<V: Visitor<'de>>(
+        self,
+        _: &'static str,
+        visitor: V,
+    ) -> Result<V::Value, Fault> {
+        visitor.visit_newtype_struct(self)
+    }
+
+    fn deserialize_ignored_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, Fault> {
+        visitor.visit_unit()
+    }
+
+    serde::forward_to_deserialize_any! {
+        bool i8 i16 i32 i64 i128 u8 u16 u32 u64 u128 f32 f64 char str string bytes byte_buf unit unit_struct
+        tuple tuple_struct enum identifier
+    }
+}
+
+/// Items of a list of objects: those that are not there hold nothing.
+struct Items<'de> {
+    node: &'de Node<'de>,
+    next: usize,
+    count: usize,
+}
+
+impl<'de> SeqAccess<'de> for Items<'de> {
+    type Error = Fault;
+    fn next_element_seed<T: DeserializeSeed<'de>>(&mut self, seed: T) -> Result<Option<T::Value>, Fault> {
+        if self.next == self.count {
+            return Ok(None);
+        }
+        let item = self.node.below.get(self.next.to_string().as_str()).unwrap_or(&NOTHING);
+        self.next += 1;
+        seed.deserialize(item).map(Some)
+    }
+}
+
+/// Items of a list of plain values.
+struct Parts<'de>(Option<std::str::Split<'de, char>>);
+
+impl<'de> SeqAccess<'de> for Parts<'de> {
+    type Error = Fault;
+    fn next_element_seed<T: DeserializeSeed<'de>>(&mut self, seed: T) -> Result<Option<T::Value>, Fault> {
+        let Some(part) = self.0.as_mut().and_then(Iterator::next) else { return Ok(None) };
+        let part: StrDeserializer<'_, Fault> = part.into_deserializer();
+        seed.deserialize(part).map(Some)
+    }
+}
+
+/// What lies below a path.
+struct Children<'de> {
+    rest: btree_map::Iter<'de, &'de str, Node<'de>>,
+    value: &'de Node<'de>,
+}
+
+impl<'de> MapAccess<'de> for Children<'de> {
+    type Error = Fault;
+    fn next_key_seed<K: DeserializeSeed<'de>>(&mut self, seed: K) -> Result<Option<K::Value>, Fault> {
+        let Some((key, value)) = self.rest.next() else { return Ok(None) };
+        self.value = value;
+        let key: StrDeserializer<'_, Fault> = (*key).into_deserializer();
+        seed.deserialize(key).map(Some)
+    }
+    fn next_value_seed<V: DeserializeSeed<'de>>(&mut self, seed: V) -> Result<V::Value, Fault> {
+        seed.deserialize(self.value)
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/faults.rs
@@ -0,0 +1,168 @@
+//! What is tolerated, what is refused, and that a refusal says where.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use serde_json::Value;
+use sprucelink_settings::{pairs, Environment, Platform, Seed};
+
+fn parse(text: &str) -> Result<Platform<Value>, String> {
+    Platform::parse(text).map_err(|e| e.to_string())
+}
+
+const LEAST: &str = r#""listen":"10.0.0.4:7001","seed":"8c1f30d27a5be964","settings":{}"#;
+
+#[test]
+fn the_least_a_platform_may_tell_has_defaults_for_the_rest() {
+    let p = parse(&format!("{{{LEAST}}}")).expect("read");
+    assert_eq!((p.name.as_str(), p.listen.to_string().as_str()), ("", "10.0.0.4:7001"));
+    assert_eq!((p.seed, p.feed, p.operator), (Seed(0x8c1f_30d2_7a5b_e964), None, None));
+    assert_eq!((p.limits.sockets.0, p.limits.memory_mb.0, p.known.n.0), (None, None, None));
+    assert!(p.known.events.is_empty() && p.settings.settings() == Default::default());
+    let nulls = r#""name":null,"feed":null,"operator":null,"limits":null,"known":null,"to_come":[{"a":1}]"#;
+    assert_eq!(parse(&format!("{{{LEAST},{nulls}}}")).expect("read").known.events.len(), 0);
+}
+
+#[test]
+fn what_a_platform_tells_is_read() {
+    let more = r#""name":"n3","operator":"10.0.0.4:7002","feed":"10.2.0.1:7070","known":{"n":3,"events":[{},{}]},
+        "limits":{"cores":1.0,"memory_mb":32.0,"sockets":4096}"#;
+    let p = parse(&format!("{{{LEAST},{more}}}")).expect("read");
+    assert_eq!((p.name.as_str(), p.feed.as_deref()), ("n3", Some("10.2.0.1:7070")));
+    assert_eq!(p.operator.map(|a| a.port()), Some(7002));
+    assert_eq!((p.known.n.0, p.known.events.len()), (Some(3), 2));
+    assert_eq!((p.limits.memory_mb.0, p.limits.sockets.0), (Some(32), Some(4096)));
+    let number = LEAST.replace("\"8c1f30d27a5be964\"", "18446744073709551615");
+    assert_eq!(parse(&format!("{{{number}}}")).expect("read").seed, Seed(u64::MAX));
+}
+
+/// A fault without its place cost operators a search through a file of some hundred fields.
+#[test]
+fn a_fault_says_line_column_and_path() {
+    let of = |settings: &str| parse(&format!("{{{},\n{settings}}}", &LEAST[..LEAST.len() - 14])).unwrap_err();
+    for (settings, says) in [
+        (
+            r#""settings":{"profiles":[{"aim":1},{"aim":"soon"}]}"#,
+            "line 2, column 47: settings.profiles[1].aim: ",
+        ),
+        (
+            r#""settings":{"profiles":{"count":1}}"#,
+            "settings.profiles: invalid type: map, expected a sequence",
+        ),
+        (r#""settings":{"profiles":[null]}"#, "settings.profiles[0]: invalid type: null"),
+        (r#""settings":{"limits":{"maxStreams":"1e999"}}"#, "settings.limits.maxStreams: "),
+        (r#""settings":{"specifics":{"sizeCores":[8,null]}}"#, "settings.specifics.sizeCores[1]: "),
+        (
+            r#""settings":{"limits":{"cancel":{}}}"#,
+            "settings.limits.cancel: invalid type: map, expected a word",
+        ),
+        (r#""settings":{"tick":1,"az":0,"az":1}"#, "duplicate field `az`"),
+        (r#""settings":{},"limits":{"sockets":-1}"#, "limits.sockets: "),
+        (r#""settings":{},"limits":{"memory_mb":"much"}"#, "limits.memory_mb: "),
+        (r#""settings":{},"known":{"events":{}}"#, "known.events: "),
+        (r#""settings":{},"operator":"here""#, "line 2, column 31: operator: invalid socket address"),
+        (r#""settings":null"#, "settings: invalid type: null"),
+        (r#""settings":[]"#, "settings: invalid type: sequence, expected an object"),
+        (r#""settings":{"limits":[1]}"#, "settings.limits: invalid type: sequence, expected an object"),
+        (
+            r#""settings":{"profiles":[[]]}"#,
+            "settings.profiles[0]: invalid type: sequence, expected an object",
+        ),
+        (r#""limits":{}"#, "missing field `settings`"),
+        (r#""settings":{}} x"#, "line 2, column 16: trailing characters"),
+    ] {
+        let e = of(settings);
+        assert!(e.contains(says), "{settings}: {e}");
+        assert!(e.starts_with("line "), "{e}");
+    }
+    for (text, says) in [
+        (r#"{"listen":"x","seed":"a","settings":{}}"#, "listen: invalid socket address"),
+        (r#"{"listen":"10.0.0.4:1","seed":"xyz","settings":{}}"#, "seed: invalid value: string \"xyz\""),
+        (r#"{"listen":"10.0.0.4:1","seed":-4,"settings":{}}"#, "seed: invalid type: integer `-4`"),
+        ("", "line 1, column 0: EOF"),
+        ("[]", "line 1, column 0: invalid type: sequence, expected an object"),
+    ] {
+        let e = parse(text).unwrap_err();
+        assert!(e.contains(says), "{text}: {e}");
+    }
+}
+
+#[test]
+fn a_fault_in_pairs_says_the_path() {
+    let fault = |pair: &str| pairs::told([pair].into_iter()).expect_err(pair);
+    assert_eq!(fault("invariants.cold=warm").path, "invariants.cold");
+    assert_eq!(fault("profiles.count=lots").path, "profiles");
+    assert_eq!(fault("specifics.classThreads=1,-,3").path, "specifics.classThreads[1]");
+    let faults = ["profiles.count=1", "profiles.0.allowedOn=std"];
+    assert_eq!(pairs::told(faults.into_iter()).unwrap_err().path, "profiles[0].allowedOn[0]");
+}
+
+/// A count is a few bytes and an item some hundred; a path of a million points would be a tree as deep.
+#[test]
+fn pairs_cannot_ask_for_more_than_their_bounds() {
+    let over = format!("customers.count={}", pairs::MOST_ITEMS + 1);
+    assert!(pairs::told([over.as_str()].into_iter()).unwrap_err().why.contains("is over"));
+    assert!(pairs::told(["customers.count=1e300"].into_iter()).is_err());
+    assert!(pairs::told(["customers.count=-3"].into_iter()).expect("none").customers.is_empty());
+    let deep = format!("{}=1", "a.".repeat(1_000_000));
+    assert!(pairs::told([deep.as_str(), "siblings=3"].into_iter()).expect("skipped").siblings.or(1.0) == 3.0);
+}
+
+#[test]
+fn what_is_absent_keeps_its_meaning() {
+    let set = |pairs: &[&str]| pairs::told(pairs.iter().copied()).expect("read").settings();
+    assert_eq!(set(&[]), Default::default());
+    let one = |pair: &str| set(&["profiles.count=1", pair]).classes.remove(0);
+    // Told at all, a list binds its class, even where it names nothing.
+    assert_eq!(
+        (one("profiles.0.runsIn=").zones, one("profiles.0.runsIn=-").zones),
+        (Some(vec![]), Some(vec![]))
+    );
+    assert_eq!((one("x=y").zones, one("profiles.0.runsIn=1,,0").zones), (None, Some(vec![1, 0])));
+    assert!(!one("specifics.loads=,true").load && one("specifics.loads=1").load);
+    assert_eq!(
+        (one("specifics.classThreads=0").threads, one("specifics.classThreads=,4").threads),
+        (1.0, 4.0)
+    );
+    assert_eq!(set(&["customers.count=1"]).tenants[0].quota_per_s, f64::MAX);
+    assert_eq!((set(&["az=1"]).zone, set(&["az=1.0"]).zone, set(&["az=-"]).zone), (Some(1), None, None));
+    assert_eq!((set(&["siblings=-4"]).gateways, set(&["invariants.ratioSpan=-"]).attempt_budget), (1, None));
+    assert!(set(&["loadReport.fields=x0,busy"]).reports_load && !set(&["loadReport.fields=q"]).reports_load);
+}
+
+#[test]
+fn the_environment_is_read_by_name_and_refused_by_name() {
+    let read = |set: &[(&str, &str)]| {
+        Environment::read(|name| set.iter().find(|(n, _)| *n == name).map(|(_, v)| (*v).to_owned()))
+    };
+    let all = read(&[("EDGE_CONFIG", "c.json"), ("EDGE_OPERATOR", "10.0.0.4:7002"), ("EDGE_FD", "5")]);
+    let all = all.expect("read");
+    assert_eq!((all.config.as_deref(), all.listener), (Some("c.json"), Some(5)));
+    assert_eq!(all.operator.map(|a| a.to_string()).as_deref(), Some("10.0.0.4:7002"));
+    assert_eq!(read(&[("EDGE_FD", ""), ("EDGE_OPERATOR", "")]).expect("absent"), Environment::default());
+    for (name, bad) in [("EDGE_FD", "2"), ("EDGE_FD", "-1"), ("EDGE_FD", "five"), ("EDGE_OPERATOR", "7002")] {
+        let e = read(&[(name, bad)]).unwrap_err().to_string();
+        assert!(e.starts_with(&format!("{name}: \"{bad}\"")), "{e}");
+    }
+}
+
+#[test]
+fn garbage_panics_neither_reader() {
+    let words =
+        ["{", "}", "[", "]", "\"listen\":", "\"settings\":", "\"profiles\":", "null", "1e9", ",", "=", "."];
+    let words =
+        [&words[..], &["profiles", "count", "0", "specifics.loads", "\u{e9}", "\"", "-", "\n"]].concat();
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        ..Config::default()
+    };
+    let text = proptest::collection::vec(proptest::sample::select(words), 0..24).prop_map(|w| w.concat());
+    let run = TestRunner::new(config).run(&text, |text| {
+        drop(parse(&text));
+        drop(pairs::told(text.split('\n')));
+        Ok(())
+    });
+    run.expect("no panic");
+}
--- /dev/null
+++ b/crates/settings/tests/writings.rs
@@ -0,0 +1,204 @@
+//! Settings in both writings, generated: nested JSON and `path=value` pairs tell the same, whatever stands in them,
+//! and where one is refused the other is, at the same path.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use serde_json::{json, Map, Value};
+use sprucelink_settings::{pairs, Platform, Told};
+use std::cell::Cell;
+
+/// A runner with a fixed seed: the same cases in every run.
+fn runner(cases: u32) -> TestRunner {
+    TestRunner::new(Config {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(7),
+        ..Config::default()
+    })
+}
+
+/// What stands where a number belongs; once in a while what is none.
+fn number() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        30 => (0.0..100.0f64).prop_map(|v| json!(v)),
+        30 => (0u32..100_000).prop_map(|v| json!(v)),
+        10 => any::<i64>().prop_map(|v| json!(v)),
+        5 => (-1e300..1e300f64).prop_map(|v| json!(v)),
+        5 => Just(json!("1.25")),
+        5 => Just(Value::Null),
+        5 => Just(json!("-")),
+        3 => Just(json!("")),
+        1 => prop_oneof![Just(json!("soon")), Just(json!("inf")), Just(json!(true))],
+    ]
+}
+
+fn flag() -> impl Strategy<Value = Value> {
+    let all = [json!(true), json!(false), json!(1), json!(0), json!(1.0), json!("true"), json!("yes")];
+    proptest::sample::select([&all[..], &[Value::Null, json!("-")]].concat())
+}
+
+fn word(known: &'static [&'static str]) -> impl Strategy<Value = Value> {
+    prop_oneof![
+        6 => proptest::sample::select(known).prop_map(|w| json!(w)),
+        1 => Just(Value::Null),
+        1 => Just(json!("")),
+        1 => Just(json!("brand-new")),
+        1 => (0u32..9).prop_map(|v| json!(v)),
+    ]
+}
+
+fn list<S: Strategy<Value = Value> + 'static>(of: S) -> impl Strategy<Value = Value> {
+    prop_oneof![
+        1 => Just(Value::Null),
+        5 => proptest::collection::vec(of, 0..5).prop_map(Value::Array),
+    ]
+}
+
+/// Numbers of a list: none may be absent.
+fn figures() -> impl Strategy<Value = Value> {
+    list(prop_oneof![30 => (0u32..300).prop_map(|v| json!(v)), 10 => (0.0..9.0f64).prop_map(|v| json!(v)),
+        1 => Just(json!("")), 1 => Just(json!("x"))])
+}
+
+/// An object of some of these fields, and one that nobody knows.
+fn object(fields: Vec<(&'static str, BoxedStrategy<Value>)>) -> BoxedStrategy<Value> {
+    let some: Vec<_> = fields
+        .into_iter()
+        .map(|(name, value)| proptest::option::weighted(0.8, value).prop_map(move |v| v.map(|v| (name, v))))
+        .collect();
+    some.prop_map(|fields| {
+        let mut map: Map<String, Value> =
+            fields.into_iter().flatten().map(|(k, v)| (k.to_owned(), v)).collect();
+        map.insert("brandNew".into(), json!({"deep": [1, {"er": "x"}]}));
+        Value::Object(map)
+    })
+    .boxed()
+}
+
+/// A section: an object of some of these fields, or null.
+fn section(fields: Vec<(&'static str, BoxedStrategy<Value>)>) -> BoxedStrategy<Value> {
+    prop_oneof![30 => object(fields), 1 => Just(Value::Null)].boxed()
+}
+
+fn numbers(names: &[&'static str]) -> Vec<(&'static str, BoxedStrategy<Value>)> {
+    names.iter().map(|n| (*n, number().boxed())).collect()
+}
+
+fn flags(names: &[&'static str]) -> Vec<(&'static str, BoxedStrategy<Value>)> {
+    names.iter().map(|n| (*n, flag().boxed())).collect()
+}
+
+fn profile() -> BoxedStrategy<Value> {
+    let mut fields = numbers(&["value", "lateWorth", "aim", "aimStretch", "deadline", "repeatWindow"]);
+    fields.extend([
+        ("name", word(&["lane-rate", "tariff-load"]).boxed()),
+        ("effect", word(&["read_like", "idempotency_key", "non_idempotent"]).boxed()),
+        ("dedupScope", word(&["all", "zone", "cell"]).boxed()),
+        ("inTurn", flag().boxed()),
+        ("allowedOn", figures().boxed()),
+        ("runsIn", figures().boxed()),
+    ]);
+    object(fields)
+}
+
+fn settings() -> BoxedStrategy<Value> {
+    let mut specifics = flags(&["takesGrants", "priorities", "tellsCost"]);
+    specifics.extend(numbers(&["progressPace"]));
+    specifics.extend([
+        ("classThreads", figures().boxed()),
+        ("loads", list(flag()).boxed()),
+        ("sizeCores", figures().boxed()),
+        ("ramOfKindMb", figures().boxed()),
+        ("memoryShort", word(&["queue", "trim", "swap"]).boxed()),
+    ]);
+    let mut limits = flags(&["cancel", "probes", "peers", "retryAfter"]);
+    limits.extend(numbers(&["maxRetryAfter", "maxAttempts", "maxStreams", "connectTimeout", "connIdle"]));
+    let report = vec![
+        ("via", word(&["piggyback", "pull", "silent"]).boxed()),
+        ("fields", list(word(&["rif", "q", "busy", "x0"])).boxed()),
+    ];
+    let rules = numbers(&[
+        "drainGrace",
+        "fallMultiple",
+        "overloadFor",
+        "startCapacity",
+        "cold",
+        "orderSettle",
+        "ratioSpan",
+        "freeResends",
+        "budgetShare",
+    ]);
+    let customer = [vec![("name", word(&["sud", "nord"]).boxed())], numbers(&["quotaPerS"])].concat();
+    let mut fields = numbers(&["overShareWorth", "siblings", "position"]);
+    fields.extend([
+        ("profiles", list(profile()).boxed()),
+        ("customers", list(object(customer)).boxed()),
+        ("discovery", word(&["push", "ask"]).boxed()),
+        ("az", word(&["0", "1", "4294967295", "4294967296"]).boxed()),
+        ("zones", list(word(&["hall-a", "hall-b"])).boxed()),
+        ("shapes", list(word(&["std"])).boxed()),
+        ("loadReport", section(report)),
+        ("specifics", section(specifics)),
+        ("limits", section(limits)),
+        ("invariants", section(rules)),
+        ("prices", section(numbers(&["probe", "crossZone", "handshake"]))),
+        ("clients", section(flags(&["marksRetry"]))),
+    ]);
+    object(fields)
+}
+
+/// Writes settings as the simulator's wire does.
+fn write(path: &str, value: &Value, out: &mut Vec<String>) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    let plain = |v: &Value| match v {
+        Value::String(s) => s.clone(),
+        Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, v)| write(&below(key), v, out)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            out.push(format!("{}={}", below("count"), items.len()));
+            items.iter().enumerate().for_each(|(i, v)| write(&below(&i.to_string()), v, out));
+        }
+        Value::Array(items) => {
+            out.push(format!("{path}={}", items.iter().map(plain).collect::<Vec<_>>().join(",")))
+        }
+        _ => out.push(format!("{path}={}", plain(value))),
+    }
+}
+
+fn from_json(settings: &Value) -> Result<Told, (String, bool)> {
+    let text = json!({"listen": "127.0.0.1:1", "seed": "a", "settings": settings});
+    let text = serde_json::to_string_pretty(&text).expect("written");
+    match Platform::<Value>::parse(&text) {
+        Ok(p) => Ok(p.settings),
+        Err(e) => Err((e.path, e.at.is_some())),
+    }
+}
+
+#[test]
+fn both_writings_of_settings_tell_the_same() {
+    let (good, bad) = (Cell::new(0), Cell::new(0));
+    let run = runner(500).run(&settings(), |value| {
+        let mut lines = Vec::new();
+        write("", &value, &mut lines);
+        match (from_json(&value), pairs::told(lines.iter().map(String::as_str))) {
+            (Ok(a), Ok(b)) => {
+                good.set(good.get() + 1);
+                prop_assert_eq!(a.settings(), b.settings());
+                prop_assert_eq!(a.limits, b.limits);
+            }
+            // The two may meet different faults first: members of an object come in different orders.
+            (Err((path, placed)), Err(e)) => {
+                bad.set(bad.get() + 1);
+                prop_assert!(path.starts_with("settings.") && placed && !e.path.is_empty(), "{} {}", path, e);
+            }
+            (a, b) => prop_assert!(false, "{:?} but {:?}", a, b),
+        }
+        Ok(())
+    });
+    run.expect("holds");
+    assert!(good.get() > 100 && bad.get() > 50, "both kinds were met: {good:?} good, {bad:?} bad");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,15 +5,17 @@
 use sprucelink::run::args::{self, Command, Files};
 use sprucelink::run::serve::Start;
 use sprucelink::run::{config, inherit, logging, operator, serve, tools};
+use sprucelink_settings::Environment;
 
 fn text(path: &str) -> Result<String, String> {
     std::fs::read_to_string(path).map_err(|e| format!("{path}: {e}"))
 }
 
 fn read_config(files: &Files) -> Result<config::Config, String> {
-    let path = files.config.clone().or_else(|| std::env::var("EDGE_CONFIG").ok());
+    let environment = Environment::read(|name| std::env::var(name).ok()).map_err(|e| e.to_string())?;
+    let path = files.config.as_ref().or(environment.config.as_ref());
     let path = path.ok_or("no configuration: give --config FILE or set EDGE_CONFIG")?;
-    let mut config = config::parse(&text(&path)?).map_err(|e| format!("{path}: {e}"))?;
+    let mut config = config::parse(&text(path)?, &environment).map_err(|e| format!("{path}: {e}"))?;
     if let Some(listen) = &files.listen {
         config.listen.clone_from(listen);
     }
@@ -39,13 +41,11 @@
         let set = sprucelink_locality::terms::Terms::parse(&text(path)?);
         set.map_err(|e| format!("{path}: {e}"))
     });
-    let get = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-    let descriptor =
-        get("EDGE_FD").map(|v| v.parse().map_err(|_| format!("EDGE_FD: {v:?} is no descriptor")));
-    let inherited = descriptor.transpose()?.map(inherit::listener).transpose()?;
+    let operators = config.operator.map(|address| address.to_string());
+    let inherited = config.inherited.map(inherit::listener).transpose()?;
     Ok(Start {
         config,
-        operators: get("EDGE_OPERATOR"),
+        operators,
         inherited,
         operator: operator.transpose()?,
         recorder,
--- a/src/proto/events.rs
+++ b/src/proto/events.rs
@@ -1,6 +1,7 @@
 //! The control feed's events: changes to the list of engines, as JSON.
 
 use super::Malformed;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 
 /// What the list says of an engine.
@@ -46,6 +47,17 @@
     pub members: Vec<Member>,
 }
 
+/// An event as it is told, `None` for one about something else: what the configuration holds a list of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told(pub Option<ListEvent>);
+
+impl<'de> Deserialize<'de> for Told {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Told, D::Error> {
+        let value = Value::deserialize(d)?;
+        decode(&value).map(Told).map_err(serde::de::Error::custom)
+    }
+}
+
 /// Reads an event from its text.
 pub fn parse(text: &str) -> Result<Option<ListEvent>, Malformed> {
     let value: Value =
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -1,13 +1,12 @@
-//! The configuration, read once into the few values that the program uses. The settings go
-//! through the adapter's own decoder: they are flattened into its `path=value` pairs.
+//! The configuration, read once into the few values that the program uses. What it holds, `sprucelink_settings`
+//! reads into types, the settings as the adapter's; here they become limits, terms and names.
 
 use crate::core::links::Terms;
 use crate::front::{Class, Setup};
 use crate::proto::events::{self, ListEvent};
-use crate::wire::{parse_line, Line};
-use serde_json::Value;
-use sprucelink_policy::interface::{Effect, Micros, Settings};
-use std::collections::BTreeMap;
+use sprucelink_policy::interface::{ClassSettings, Effect, Micros, Settings};
+use sprucelink_settings::{Environment, Error, Platform, Profile, Word};
+use std::net::SocketAddr;
 
 /// Descriptors kept for the listener, the feed, signals, standard streams, and connections that are
 /// being turned away.
@@ -24,6 +23,10 @@
     pub listen: String,
     /// Where the control feed is.
     pub feed: Option<String>,
+    /// Where operators call, if they do.
+    pub operator: Option<SocketAddr>,
+    /// The descriptor of the clients' listening socket, where the platform holds it.
+    pub inherited: Option<u32>,
     /// The feed's events up to now, and the number of the last.
     pub known: (u64, Vec<ListEvent>),
     /// The module's settings.
@@ -40,100 +43,49 @@
     pub buffers: usize,
 }
 
-/// Reads a configuration's text.
-pub fn parse(text: &str) -> Result<Config, String> {
-    let json: Value = serde_json::from_str(text).map_err(|e| format!("configuration: {e}"))?;
-    let settings =
-        json.get("settings").filter(|s| s.is_object()).ok_or("configuration: settings: missing")?;
-    let mut pairs = BTreeMap::new();
-    flatten("", settings, &mut pairs);
-    let set = decode(&pairs)?;
-    let get = |path: &str| pairs.get(path).map_or("", String::as_str);
-    let num = |path: &str, absent: f64| get(path).parse::<f64>().unwrap_or(absent);
-    let list = |path: &str| -> Vec<String> {
-        get(path).split(',').filter(|s| !s.is_empty()).map(str::to_owned).collect()
-    };
-    let name = |kind: &str, i: usize| get(&format!("{kind}.{i}.name")).to_owned();
-    let class = |(i, c): (usize, &sprucelink_policy::interface::ClassSettings)| Class {
-        name: name("profiles", i),
+/// Reads a configuration's text; where operators call, and the inherited socket, the environment may say too.
+///
+/// # Errors
+/// Where the text will not do: by line, column and path.
+pub fn parse(text: &str, environment: &Environment) -> Result<Config, Error> {
+    let told: Platform<events::Told> = Platform::parse(text)?;
+    let set = told.settings.settings();
+    let limits = &told.settings.limits;
+    let names = |list: &[Word]| list.iter().filter(|n| !n.0.is_empty()).map(|n| n.0.clone()).collect();
+    let class = |(p, c): (&Profile, &ClassSettings)| Class {
+        name: p.name.0.clone(),
         keyed: c.effect == Effect::Keyed,
         deadline: c.deadline,
     };
-    let limit = |key: &str, absent: u64| json["limits"][key].as_u64().unwrap_or(absent) as usize;
-    let sockets = limit("sockets", 1024).max(2 * SPARE_SOCKETS);
-    let seed = &json["seed"];
-    let seed = seed.as_u64().or_else(|| u64::from_str_radix(seed.as_str()?, 16).ok());
-    let known = json["known"]["events"].as_array().map_or(&[][..], Vec::as_slice);
-    let known = known.iter().map(events::decode).collect::<Result<Vec<_>, _>>();
-    let known = known.map_err(|e| format!("configuration: known: {e}"))?;
-    let listen = json["listen"].as_str().ok_or("configuration: listen: missing")?.to_owned();
-    listen
-        .parse::<std::net::SocketAddr>()
-        .map_err(|_| format!("configuration: listen: {listen:?} is no address"))?;
+    let sockets = (told.limits.sockets.0.unwrap_or(1024) as usize).max(2 * SPARE_SOCKETS);
     Ok(Config {
-        name: json["name"].as_str().unwrap_or_default().to_owned(),
-        listen,
-        feed: json["feed"].as_str().map(str::to_owned),
-        known: (json["known"]["n"].as_u64().unwrap_or(0), known.into_iter().flatten().collect()),
-        seed: seed.ok_or("configuration: seed: missing, or no number")?,
-        names: [list("zones"), list("shapes")],
+        name: told.name,
+        listen: told.listen.to_string(),
+        feed: told.feed,
+        operator: told.operator.or(environment.operator),
+        inherited: environment.listener,
+        known: (told.known.n.0.unwrap_or(0), told.known.events.into_iter().filter_map(|e| e.0).collect()),
+        seed: told.seed.0,
+        names: [names(&told.settings.zones), names(&told.settings.shapes)],
         terms: Terms {
-            streams: num("limits.maxStreams", 32.0).max(1.0) as usize,
-            dial: Micros::from_secs(num("limits.connectTimeout", 1.0)),
-            idle: Micros::from_secs(num("limits.connIdle", 15.0)),
+            streams: limits.max_streams.or(32.0).max(1.0) as usize,
+            dial: Micros::from_secs(limits.connect_timeout.or(1.0)),
+            idle: Micros::from_secs(limits.conn_idle.or(15.0)),
             notes: set.progress_pace,
             most: (sockets / 32).max(2),
-            most_links: (sockets - SPARE_SOCKETS) * (16 - SESSIONS) / 16,
+            most_links: (sockets - SPARE_SOCKETS).saturating_mul(16 - SESSIONS) / 16,
         },
         setup: Setup {
-            classes: set.classes.iter().enumerate().map(class).collect(),
-            tenants: (0..set.tenants.len()).map(|i| name("customers", i)).collect(),
-            most_sessions: (sockets - SPARE_SOCKETS) * SESSIONS / 16,
+            classes: told.settings.profiles.iter().zip(&set.classes).map(class).collect(),
+            tenants: told.settings.customers.iter().map(|c| c.name.0.clone()).collect(),
+            most_sessions: (sockets - SPARE_SOCKETS).saturating_mul(SESSIONS) / 16,
             extended: false,
             require_tls: false,
             default_class: None,
             default_tenant: None,
         },
         // Half of the memory, in buffers of 64 KiB: eight to a megabyte.
-        buffers: limit("memory_mb", 192).max(16) * 8,
+        buffers: (told.limits.memory_mb.0.unwrap_or(192) as usize).max(16).saturating_mul(8),
         settings: set,
     })
 }
-
-fn decode(pairs: &BTreeMap<String, String>) -> Result<Settings, String> {
-    let mut line = "INIT\tself\t0".to_owned();
-    for (path, value) in pairs {
-        line.push_str(&format!("\t{path}={value}"));
-    }
-    match parse_line(&line) {
-        Ok(Some(Line::Init(_, _, set))) => Ok(*set),
-        Ok(_) => Err("configuration: settings: unreadable".into()),
-        Err(e) => Err(format!("configuration: settings: {e}")),
-    }
-}
-
-/// Lists of plain values are joined by commas; lists of objects give their length and their items
-/// by number; white space and commas inside a value become underscores.
-fn flatten(path: &str, value: &Value, out: &mut BTreeMap<String, String>) {
-    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
-    match value {
-        Value::Object(map) => map.iter().for_each(|(key, v)| flatten(&below(key), v, out)),
-        Value::Array(items) if items.iter().any(Value::is_object) => {
-            out.insert(below("count"), items.len().to_string());
-            items.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, out));
-        }
-        Value::Array(items) => {
-            let plain: Vec<String> = items.iter().map(scalar).collect();
-            out.insert(path.to_owned(), plain.join(","));
-        }
-        _ => drop(out.insert(path.to_owned(), scalar(value))),
-    }
-}
-
-fn scalar(value: &Value) -> String {
-    match value {
-        Value::String(s) => s.replace(|c: char| c.is_whitespace() || c.is_control() || c == ',', "_"),
-        Value::Null => "-".to_owned(),
-        other => other.to_string(),
-    }
-}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -4,7 +4,6 @@
 //! are skipped; a malformed line is an error that names the line and the field.
 
 use sprucelink_policy::interface::*;
-use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// Why a line could not be read.
@@ -231,140 +230,10 @@
     Ok(Some(parsed))
 }
 
-/// Looks settings up by path; what is absent takes its documented meaning.
-struct Pairs<'a, 'f> {
-    map: BTreeMap<&'a str, &'a str>,
-    fields: &'f Fields<'a>,
-}
-
-impl<'a> Pairs<'a, '_> {
-    fn text(&self, path: &str) -> Option<&'a str> {
-        self.map.get(path).copied().filter(|s| *s != "-" && !s.is_empty())
-    }
-    fn num(&self, path: &str, absent: f64) -> Result<f64, WireError> {
-        match self.text(path) {
-            None => Ok(absent),
-            Some(s) => match s.parse::<f64>() {
-                Ok(v) if v.is_finite() => Ok(v),
-                _ => Err(self.fields.err(path, "is not a number")),
-            },
-        }
-    }
-    fn span(&self, path: &str) -> Result<Micros, WireError> {
-        self.num(path, 0.0).map(Micros::from_secs)
-    }
-    fn flag(&self, path: &str) -> bool {
-        matches!(self.text(path), Some("true" | "1"))
-    }
-    fn nums(&self, path: &str) -> Result<Vec<f64>, WireError> {
-        let list = self.text(path).unwrap_or("").split(',').filter(|s| !s.is_empty());
-        list.map(|s| s.parse::<f64>().map_err(|_| self.fields.err(path, "is not a list of numbers")))
-            .collect()
-    }
-    fn indices(&self, path: &str) -> Result<Option<Vec<u32>>, WireError> {
-        if self.map.contains_key(path) {
-            Ok(Some(self.nums(path)?.into_iter().map(|v| v as u32).collect()))
-        } else {
-            Ok(None)
-        }
-    }
-    fn count(&self, name: &str) -> Result<usize, WireError> {
-        Ok(self.num(&format!("{name}.count"), 0.0)? as usize)
-    }
-}
-
+/// The settings of the pairs that a line ends with.
 fn parse_settings(f: &Fields) -> Result<Settings, WireError> {
-    let map = f.parts.iter().skip(3).filter_map(|p| p.split_once('=')).collect();
-    let p = Pairs { map, fields: f };
-    let threads = p.nums("specifics.classThreads")?;
-    let loads: Vec<&str> = p.text("specifics.loads").unwrap_or("").split(',').collect();
-    let mut classes = Vec::new();
-    for i in 0..p.count("profiles")? {
-        let at = |key: &str| format!("profiles.{i}.{key}");
-        classes.push(ClassSettings {
-            worth: p.num(&at("value"), 1.0)?,
-            late_worth: p.num(&at("lateWorth"), 0.0)?,
-            aim: p.span(&at("aim"))?,
-            aim_stretch: p.num(&at("aimStretch"), 0.0)?,
-            deadline: p.span(&at("deadline"))?,
-            effect: match p.text(&at("effect")) {
-                Some("read_like") => Effect::Safe,
-                Some("idempotency_key") => Effect::Keyed,
-                // What is not known to be safe counts as unsafe.
-                _ => Effect::Unsafe,
-            },
-            group: match p.text(&at("dedupScope")) {
-                Some("all") => DedupGroup::All,
-                Some("zone") => DedupGroup::Zone,
-                _ => DedupGroup::Cell,
-            },
-            repeat_window: p.span(&at("repeatWindow"))?,
-            in_turn: p.flag(&at("inTurn")),
-            threads: threads.get(i).copied().unwrap_or(1.0).max(1.0),
-            load: matches!(loads.get(i), Some(&"true" | &"1")),
-            kinds: p.indices(&at("allowedOn"))?,
-            zones: p.indices(&at("runsIn"))?,
-        });
-    }
-    let mut tenants = Vec::new();
-    for i in 0..p.count("customers")? {
-        tenants.push(TenantSettings { quota_per_s: p.num(&format!("customers.{i}.quotaPerS"), f64::MAX)? });
-    }
-    let budget = match p.text("invariants.ratioSpan") {
-        None => None,
-        Some(_) => Some(AttemptBudget {
-            span: p.span("invariants.ratioSpan")?,
-            free: p.num("invariants.freeResends", 0.0)?,
-            share: p.num("invariants.budgetShare", 0.0)?,
-        }),
-    };
-    Ok(Settings {
-        classes,
-        tenants,
-        over_share_worth: p.num("overShareWorth", 1.0)?,
-        gateways: p.num("siblings", 1.0)?.max(1.0) as u32,
-        position: p.num("position", 0.0)? as u32,
-        must_ask: p.text("discovery") == Some("ask"),
-        report_via: match p.text("loadReport.via") {
-            Some("piggyback") => ReportVia::Answers,
-            Some("pull") => ReportVia::Probes,
-            _ => ReportVia::Silent,
-        },
-        reports_load: p.text("loadReport.fields").unwrap_or("").split(',').any(|n| n == "rif" || n == "busy"),
-        kind_cores: p.nums("specifics.sizeCores")?,
-        kind_memory_mb: p.nums("specifics.ramOfKindMb")?,
-        grants: p.flag("specifics.takesGrants"),
-        memory_short: match p.text("specifics.memoryShort") {
-            Some("trim") => MemoryShort::Shrinks,
-            Some("swap") => MemoryShort::Pages,
-            _ => MemoryShort::Waits,
-        },
-        priorities: p.flag("specifics.priorities"),
-        progress_pace: p.span("specifics.progressPace")?,
-        tells_cost: p.flag("specifics.tellsCost"),
-        cancel: p.flag("limits.cancel"),
-        probes: p.flag("limits.probes"),
-        peers: p.flag("limits.peers"),
-        retry_after: p.flag("limits.retryAfter"),
-        max_retry_after: p.span("limits.maxRetryAfter")?,
-        max_attempts: p.num("limits.maxAttempts", 1.0)? as u32,
-        drain_grace: p.span("invariants.drainGrace")?,
-        fall_multiple: p.num("invariants.fallMultiple", 1.0)?,
-        fall_span: p.span("invariants.overloadFor")?,
-        start_share: p.num("invariants.startCapacity", 1.0)?,
-        cold_for: p.span("invariants.cold")?,
-        // Told by no message: the cold start's own setting, and what a fleet leaves.
-        cold_ramp: None,
-        spare: 0.0,
-        zone_weights: Vec::new(),
-        order_settle: p.span("invariants.orderSettle")?,
-        attempt_budget: budget,
-        probe_price: p.num("prices.probe", 0.0)?,
-        zone: p.text("az").and_then(|z| z.parse().ok()),
-        cross_zone_price: p.num("prices.crossZone", 0.0)?,
-        handshake_price: p.num("prices.handshake", 0.0)?,
-        idle: p.span("limits.connIdle")?,
-    })
+    let told = sprucelink_settings::pairs::told(f.parts.iter().skip(3).copied());
+    told.map(|t| t.settings()).map_err(|e| f.err(&e.path, &e.why))
 }
 
 fn secs(out: &mut String, t: Micros) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -420,9 +420,12 @@
         (vec!["serve", "--confg", "x"], "--confg"),
         (vec!["serve"], "EDGE_CONFIG"),
         (vec!["check", "--config", "/nonexistent"], "/nonexistent"),
-        (vec!["check", "--config", &deep], "configuration"),
-        (vec!["check", "--config", &number], "overShareWorth"),
-        (vec!["serve", "--config", &bare], "listen"),
+        (
+            vec!["check", "--config", &deep],
+            "deep.json: line 1, column 0: invalid type: sequence, expected an object",
+        ),
+        (vec!["check", "--config", &number], "number.json: line 1, column 68: settings.overShareWorth: "),
+        (vec!["serve", "--config", &bare], "bare.json: line 1, column 13: listen: "),
         (vec!["check", "--config", &good, "--operator", &operator], "lisen: is not known"),
     ] {
         let (status, text) = run(&args);
