Control feed called by hyper; its follower's decisions are a half of their own

Need: the follower carried an HTTP/1.1 reader of the project's own (status line, headers, chunks), and what it decides (rests, silence, asking anew, when a call is given up) was mixed with its sockets and tested only in part.

Change: src/core/feed.rs calls by hyper's client (HTTP/1.1, one connection a call, on the one loop, plain writes, 8 KiB read ahead, which bounds the answer's head). src/core/following.rs decides and does no I/O. src/proto/sse.rs keeps the decoder of events alone. Deleted: the HTTP parts.

What differs: silence counts from the call, and then between pieces of the body, no longer between any bytes of the head; a body whose length is told ends there; header names go out in small letters. With the cold start on, a feed that moves is now called at once: the schedule's next turn was waited for, against the comment that said so.

--- a/src/core/feed.rs
+++ b/src/core/feed.rs
@@ -1,185 +1,122 @@
-//! Follows the control feed: reconnects where it left off, and backs off while it fails.
+//! Follows the control feed: one HTTP/1.1 call at a time, which goes on where the last one left off. When to call and
+//! when to give up, [`super::following`] decides.
 
+use super::following::Following;
 use super::requests::Core;
 use super::{now, span};
 use crate::proto::{events, sse};
-use sprucelink_coldstart::lists::{Ended, ListCalls};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::header::{ACCEPT, CONNECTION, HOST};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use sprucelink_coldstart::lists::ListCalls;
+use std::error::Error;
+use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use tracing::{error, warn};
 
-/// First and longest rest between two calls. What the feed holds counts as told whether it is
-/// connected or not, and a drain must be heeded within 500 ms: no rest may come near that.
-const REST: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(250)];
-/// A comment comes each second: a feed silent for this long is dead.
-const SILENCE: Duration = Duration::from_millis(2_500);
-/// For a connection to the feed.
-const DIAL: Duration = Duration::from_millis(500);
-
-/// An event that cannot be read is asked for anew so many times before it is passed over: what spoilt it
-/// on the way may not come again, and what it told would be lost.
-const ANEW: u32 = 3;
-
-/// The event that could not be read last, and how often that was.
-#[derive(Default)]
-struct Unread {
-    event: Option<u64>,
-    times: u32,
-}
-
-impl Unread {
-    /// Whether an event that could not be read is to be asked for anew.
-    fn again(&mut self, event: Option<u64>) -> bool {
-        if self.event != event {
-            *self = Unread { event, times: 0 };
-        }
-        self.times += 1;
-        self.times <= ANEW
-    }
-}
+/// Bytes that a call reads ahead, and so the longest head of an answer; the least that the library can do with.
+const AHEAD: usize = 8192;
 
 /// Follows the feed for good, one call at a time, at whatever address it has: a new one is called at
 /// once and the call to the old one dropped, whatever it still had to say. With the cold start's
 /// schedule (`calls`), calls wait for their turn in it, and rests are its own.
-pub async fn follow(
-    core: Rc<Core>,
-    mut address: watch::Receiver<Option<String>>,
-    mut calls: Option<ListCalls>,
-) {
-    let (mut rest, mut unread) = (REST[0], Unread::default());
+pub async fn follow(core: Rc<Core>, mut address: watch::Receiver<Option<String>>, calls: Option<ListCalls>) {
+    let mut following = Following::new(calls, now());
     loop {
-        if let Some(calls) = &mut calls {
-            if let Some(due) = calls.due().filter(|due| *due > now()) {
-                tokio::select! {
-                    () = sleep(span(due - now())) => {}
-                    Ok(()) = address.changed() => {}
-                }
-            }
-            calls.start(now());
-        }
         let at = address.borrow_and_update().clone();
-        let mut reader = sse::Reader::default();
-        let why = tokio::select! {
+        tokio::select! {
             // Guards against a feed that has moved and an old one that stays open with no news.
             biased;
-            Ok(()) = address.changed() => None,
-            why = async {
-                match &at {
-                    Some(at) => call(&core, at, &mut reader, &mut unread).await,
-                    None => std::future::pending().await,
-                }
-            } => Some(why),
-        };
-        let Some(why) = why else {
-            rest = REST[0];
-            // A feed that has moved is called at once: the old one tells nothing more.
-            if let Some(calls) = &mut calls {
-                calls.ended(now(), Ended::Answered);
-                calls.start(now());
-            }
-            continue;
-        };
-        warn!("feed lost: {why}");
-        rest = next_rest(rest, reader.open());
-        if let Some(calls) = &mut calls {
-            let how = if reader.refused() {
-                Ended::Refused
-            } else if reader.open() {
-                Ended::Answered
-            } else {
-                Ended::Failed
-            };
-            let next = calls.ended(now(), how);
-            rest = span(next - now());
-            if how == Ended::Refused {
-                warn!(
-                    rest_ms = rest.as_millis() as u64,
-                    "feed refused the call: next in {} ms",
-                    rest.as_millis()
-                );
-            }
-        }
-        tokio::select! {
-            () = sleep(rest) => {}
-            Ok(()) = address.changed() => rest = REST[0],
+            Ok(()) = address.changed() => following.moved(now()),
+            () = turn(&core, at.as_deref(), &mut following) => {}
         }
     }
 }
 
-/// The rests grow with calls that were not answered, and start anew with one that was, whether it
-/// brought an event or not: a feed may end its answers as it likes.
-fn next_rest(rest: Duration, answered: bool) -> Duration {
-    if answered {
-        REST[0]
-    } else {
-        (rest * 2).min(REST[1])
+/// A rest and the call after it.
+async fn turn(core: &Rc<Core>, at: Option<&str>, following: &mut Following) {
+    let Some(at) = at else { return std::future::pending().await };
+    sleep(span(following.patience(now()))).await;
+    following.begins(now());
+    let why = call(core, at, following).await.err().unwrap_or_else(|| "ended by the other side".into());
+    warn!("feed lost: {why}");
+    let rest = following.ended(now());
+    if rest.refused {
+        let ms = span(rest.span).as_millis() as u64;
+        warn!(rest_ms = ms, "feed refused the call: next in {ms} ms");
     }
 }
 
-async fn call(core: &Rc<Core>, address: &str, reader: &mut sse::Reader, unread: &mut Unread) -> String {
-    let mut stream = match timeout(DIAL, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return e.to_string(),
-        Err(_) => return "no connection in time".into(),
-    };
-    let request = sse::request(address, core.last_event());
-    if let Err(e) = stream.write_all(request.as_bytes()).await {
-        return e.to_string();
+/// A step of a call, within the follower's patience.
+async fn within<T, E: Error>(
+    following: &Following,
+    step: impl Future<Output = Result<T, E>>,
+) -> Result<T, String> {
+    match timeout(span(following.patience(now())), step).await {
+        Ok(done) => done.map_err(|e| reason(&e)),
+        Err(_) => Err(following.impatience().into()),
     }
-    let (mut bytes, mut sent) = (vec![0; 8192], Vec::new());
-    while !reader.over() {
-        let n = match timeout(SILENCE, stream.read(&mut bytes)).await {
-            Ok(Ok(0)) => return "ended by the other side".into(),
-            Ok(Ok(n)) => n,
-            Ok(Err(e)) => return e.to_string(),
-            Err(_) => return "silent".into(),
-        };
-        let was_open = reader.open();
-        if let Err(e) = reader.take(&bytes[..n], &mut sent) {
-            return e.to_string();
-        }
-        if reader.open() && !was_open {
-            core.fed();
-        }
+}
+
+/// An error with its causes, on one line.
+fn reason(e: &dyn Error) -> String {
+    let causes = std::iter::successors(e.source(), |e| (*e).source());
+    causes.fold(e.to_string(), |text, cause| format!("{text}: {cause}"))
+}
+
+/// Calls the feed and takes its events until the answer ends; an error says why it ended otherwise.
+async fn call(core: &Rc<Core>, at: &str, following: &mut Following) -> Result<(), String> {
+    let stream = within(following, TcpStream::connect(at)).await?;
+    following.connected(now());
+    let mut client = http1::Builder::new();
+    // The head of the answer is looked at for its status and for how its body is cut, no more. A call's few bytes
+    // go out in one plain write.
+    client.max_buf_size(AHEAD).ignore_invalid_headers_in_responses(true).writev(false);
+    let (mut sender, connection) =
+        within(following, client.handshake::<_, Empty<Bytes>>(TokioIo::new(stream))).await?;
+    // Dropped with the call, and the connection with it.
+    let mut driver = JoinSet::new();
+    driver.spawn_local(connection);
+    let request = Request::get("/v1/events")
+        .header(HOST, at)
+        .header(ACCEPT, "text/event-stream")
+        .header("Last-Event-ID", core.last_event())
+        .header(CONNECTION, "close")
+        .body(Empty::new())
+        .map_err(|e| reason(&e))?;
+    let mut answer = within(following, sender.send_request(request)).await?;
+    following.answered(answer.status().as_u16(), now())?;
+    core.fed();
+    let (mut decoder, mut sent) = (sse::Decoder::default(), Vec::new());
+    while let Some(frame) = within(following, async { answer.frame().await.transpose() }).await? {
+        following.heard(now());
+        let Ok(bytes) = frame.into_data() else { continue };
+        decoder.take(&bytes, &mut sent).map_err(|e| e.to_string())?;
         for event in sent.drain(..) {
-            match events::parse(&event.data) {
-                Ok(Some(list)) => core.on_list(&list, false),
-                Ok(None) => event.id.into_iter().for_each(|n| core.passed_event(n)),
-                Err(e) if unread.again(event.id) => return format!("an event could not be read: {e}"),
-                // Guards against one bad event that would come again with every call.
-                Err(e) => {
-                    error!("feed event skipped: {e}");
-                    event.id.into_iter().for_each(|n| core.passed_event(n));
-                }
-            }
+            take(core, &event, following)?;
         }
     }
-    "ended".into()
+    Ok(())
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards the rule on drains: a feed that ends its answers often, with nothing new in them, was
-    /// called again only after a whole second, while what it held counted as told.
-    #[test]
-    fn rests_grow_only_while_nobody_answers_and_stay_far_under_the_drain_grace() {
-        let mut rest = REST[0];
-        for _ in 0..20 {
-            rest = next_rest(rest, true);
-            assert_eq!(rest, REST[0]);
+/// Takes one event; an error where it is to be asked for anew.
+fn take(core: &Rc<Core>, event: &sse::Sent, following: &mut Following) -> Result<(), String> {
+    match events::parse(&event.data) {
+        Ok(Some(list)) => core.on_list(&list, false),
+        Ok(None) => event.id.into_iter().for_each(|n| core.passed_event(n)),
+        Err(e) if following.unreadable(event.id) => return Err(format!("an event could not be read: {e}")),
+        // Guards against one bad event that would come again with every call.
+        Err(e) => {
+            error!("feed event skipped: {e}");
+            event.id.into_iter().for_each(|n| core.passed_event(n));
         }
-        let rests: Vec<u128> = (0..6)
-            .map(|_| {
-                rest = next_rest(rest, false);
-                rest.as_millis()
-            })
-            .collect();
-        assert_eq!(rests, [40, 80, 160, 250, 250, 250]);
     }
+    Ok(())
 }
--- /dev/null
+++ b/src/core/following.rs
@@ -0,0 +1,153 @@
+//! When the control feed is called, when a call is given up, and what is asked for anew: the deciding half of its
+//! follower ([`super::feed`] is the acting one). It reads no clock and draws no numbers of its own.
+//!
+//! A call goes through [`Phase`]s, each with a bound on how long it may last with nothing heard.
+
+use sprucelink_coldstart::lists::{Ended, ListCalls};
+use sprucelink_policy::interface::Micros;
+
+/// First and longest rest between two calls. What the feed holds counts as told whether it is
+/// connected or not, and a drain must be heeded within 500 ms: no rest may come near that.
+pub const REST: [Micros; 2] = [Micros(20_000), Micros(250_000)];
+/// A comment comes each second: a feed silent for this long is dead.
+pub const SILENCE: Micros = Micros(2_500_000);
+/// For a connection to the feed.
+pub const DIAL: Micros = Micros(500_000);
+/// An event that cannot be read is asked for anew so many times before it is passed over: what spoilt it
+/// on the way may not come again, and what it told would be lost.
+pub const ANEW: u32 = 3;
+
+/// How far the follower is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The next call begins then.
+    Resting(Micros),
+    /// A connection is being made since then.
+    Dialling(Micros),
+    /// The call is made, and nothing was answered since then.
+    Asking(Micros),
+    /// It was answered; the last that was heard came then.
+    Reading(Micros),
+}
+
+/// The rest after a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest {
+    /// How long it lasts.
+    pub span: Micros,
+    /// The service said that it would not serve now: the rest is the schedule's for that.
+    pub refused: bool,
+}
+
+/// The follower's state. With the cold start's schedule, first calls wait for their turn in it, and rests are its own.
+#[derive(Clone, Debug)]
+pub struct Following {
+    phase: Phase,
+    calls: Option<ListCalls>,
+    rest: Micros,
+    refused: bool,
+    /// The event that could not be read last, and how often that was.
+    unread: (Option<u64>, u32),
+}
+
+impl Following {
+    /// A follower that starts now.
+    pub fn new(calls: Option<ListCalls>, now: Micros) -> Following {
+        let first = calls.as_ref().and_then(ListCalls::due).unwrap_or(now);
+        Following { phase: Phase::Resting(first), calls, rest: REST[0], refused: false, unread: (None, 0) }
+    }
+
+    /// How much longer the follower bears it if nothing happens: then it has to call, if it rests, or else to give
+    /// its call up. Zero where that is overdue.
+    pub fn patience(&self, now: Micros) -> Micros {
+        let until = match self.phase {
+            Phase::Resting(until) => until,
+            Phase::Dialling(since) => since + DIAL,
+            Phase::Asking(since) | Phase::Reading(since) => since + SILENCE,
+        };
+        (until - now).max(Micros(0))
+    }
+
+    /// Why the call is given up when its patience has run out.
+    pub fn impatience(&self) -> &'static str {
+        match self.phase {
+            Phase::Resting(_) | Phase::Dialling(_) => "no connection in time",
+            Phase::Asking(_) | Phase::Reading(_) => "silent",
+        }
+    }
+
+    /// A call begins.
+    pub fn begins(&mut self, now: Micros) {
+        if let Some(calls) = &mut self.calls {
+            calls.start(now);
+        }
+        (self.phase, self.refused) = (Phase::Dialling(now), false);
+    }
+
+    /// The connection is up and the call is made.
+    pub fn connected(&mut self, now: Micros) {
+        self.phase = Phase::Asking(now);
+    }
+
+    /// The head of an answer came, with this status.
+    ///
+    /// # Errors
+    /// Where the call is over by it: only 200 brings events. 429 (too many requests) and 503 (unavailable) say
+    /// that the service would not serve now (RFC 6585, 4; RFC 9110, 15.6.4).
+    pub fn answered(&mut self, status: u16, now: Micros) -> Result<(), String> {
+        self.refused = matches!(status, 429 | 503);
+        if status != 200 {
+            return Err(format!("field status is not 200: {status}"));
+        }
+        self.phase = Phase::Reading(now);
+        Ok(())
+    }
+
+    /// Something of an answer came.
+    pub fn heard(&mut self, now: Micros) {
+        if let Phase::Reading(since) = &mut self.phase {
+            *since = now;
+        }
+    }
+
+    /// An event could not be read: whether the call is given up to ask for it anew, or it is passed over.
+    pub fn unreadable(&mut self, event: Option<u64>) -> bool {
+        if self.unread.0 != event {
+            self.unread = (event, 0);
+        }
+        self.unread.1 += 1;
+        self.unread.1 <= ANEW
+    }
+
+    /// The call is over, however it was. The rests grow with calls that were not answered, and start anew with one
+    /// that was, whether it brought an event or not: a feed may end its answers as it likes.
+    pub fn ended(&mut self, now: Micros) -> Rest {
+        let answered = matches!(self.phase, Phase::Reading(_));
+        self.rest = if answered { REST[0] } else { Micros(self.rest.0 * 2).min(REST[1]) };
+        let mut rest = Rest { span: self.rest, refused: false };
+        if let Some(calls) = &mut self.calls {
+            let how = match (self.refused, answered) {
+                (true, _) => Ended::Refused,
+                (false, true) => Ended::Answered,
+                (false, false) => Ended::Failed,
+            };
+            rest = Rest { span: calls.ended(now, how) - now, refused: self.refused };
+        }
+        self.phase = Phase::Resting(now + rest.span);
+        rest
+    }
+
+    /// The feed has moved: it is called at once, whatever was under way, and the old one tells nothing more.
+    pub fn moved(&mut self, now: Micros) {
+        if !matches!(self.phase, Phase::Resting(_)) {
+            if let Some(calls) = &mut self.calls {
+                calls.ended(now, Ended::Answered);
+            }
+        }
+        (self.phase, self.rest) = (Phase::Resting(now), REST[0]);
+    }
+}
+
+#[cfg(test)]
+#[path = "following_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/core/following_tests.rs
@@ -0,0 +1,163 @@
+//! The follower's decisions against feeds of every kind, in virtual time.
+
+use super::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use sprucelink_coldstart::lists::ListTerms;
+
+/// What a feed does with one call, each step so many microseconds after the one before.
+#[derive(Clone, Debug)]
+struct Answer {
+    connects: i64,
+    answers: (i64, u16),
+    says: Vec<i64>,
+    /// After so many steps of the call the feed moves.
+    moves: Option<usize>,
+}
+
+/// Spans on both sides of a bound.
+fn around(bound: Micros) -> impl Strategy<Value = i64> {
+    prop_oneof![4 => 0..bound.0 / 10, 1 => bound.0 - 2..bound.0 + 2, 1 => Just(i64::MAX / 4)]
+}
+
+fn answer() -> impl Strategy<Value = Answer> {
+    let status =
+        prop_oneof![6 => Just(200u16), 1 => Just(503), 1 => Just(429), 1 => Just(302), 1 => Just(500)];
+    let says = proptest::collection::vec(around(SILENCE), 0..6);
+    let moves = proptest::option::weighted(0.1, 0usize..4);
+    (around(DIAL), (around(SILENCE), status), says, moves)
+        .prop_map(|(connects, answers, says, moves)| Answer { connects, answers, says, moves })
+}
+
+/// Goes on to what the feed does after `span`, or to the end of the follower's patience; `false` for that.
+fn step(f: &Following, now: &mut Micros, span: i64) -> bool {
+    let patience = f.patience(*now);
+    let comes = Micros(span) <= patience;
+    *now = *now + if comes { Micros(span) } else { patience };
+    comes
+}
+
+/// How a call went: what the feed's answer was, if it answered.
+#[derive(Debug, PartialEq)]
+enum Went {
+    Moved,
+    Over(Option<u16>),
+}
+
+/// Plays one call from its begin.
+fn play(f: &mut Following, now: &mut Micros, a: &Answer) -> Went {
+    let mut steps = 0;
+    let mut moves = || {
+        steps += 1;
+        a.moves == Some(steps - 1)
+    };
+    f.begins(*now);
+    if moves() {
+        return Went::Moved;
+    }
+    if !step(f, now, a.connects) {
+        assert_eq!(f.impatience(), "no connection in time");
+        return Went::Over(None);
+    }
+    f.connected(*now);
+    if moves() {
+        return Went::Moved;
+    }
+    if !step(f, now, a.answers.0) {
+        assert_eq!(f.impatience(), "silent");
+        return Went::Over(None);
+    }
+    if f.answered(a.answers.1, *now).is_err() {
+        return Went::Over(Some(a.answers.1));
+    }
+    for gap in &a.says {
+        if moves() {
+            return Went::Moved;
+        }
+        if !step(f, now, *gap) {
+            break;
+        }
+        f.heard(*now);
+    }
+    Went::Over(Some(200))
+}
+
+/// Guards the rule on drains: whatever the feed does, a call that was not refused is followed by another within
+/// 250 ms, no call outlives its silence, and a feed that moved is called at once.
+#[test]
+fn no_feed_keeps_the_follower_waiting() {
+    let runner = TestRunner::new(Config {
+        cases: 500,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(3),
+        ..Config::default()
+    });
+    let feeds = (proptest::collection::vec(answer(), 1..40), any::<bool>(), any::<u64>());
+    let run = { runner }.run(&feeds, |(answers, scheduled, seed)| {
+        let mut now = Micros(1_000_000_000_000);
+        let calls = scheduled.then(|| ListCalls::new(ListTerms::default(), 300, seed, now));
+        let mut f = Following::new(calls, now);
+        prop_assert!(f.patience(now) <= Micros(200_000), "the first call is within the window");
+        let mut rest = REST[0];
+        for a in &answers {
+            now = now + f.patience(now);
+            prop_assert_eq!(f.patience(now), Micros(0));
+            let began = now;
+            let went = play(&mut f, &mut now, a);
+            if went == Went::Moved {
+                f.moved(now);
+                prop_assert_eq!(f.patience(now), Micros(0), "a feed that moved is called at once");
+                rest = REST[0];
+                continue;
+            }
+            let longest = DIAL.0 + SILENCE.0 * (a.says.len() as i64 + 2);
+            prop_assert!((now - began).0 <= longest, "a call ends by itself");
+            let r = f.ended(now);
+            prop_assert_eq!(r.span, f.patience(now), "the rest is what it says");
+            let refused = matches!(went, Went::Over(Some(429 | 503)));
+            prop_assert_eq!(r.refused, refused && scheduled);
+            if !r.refused {
+                prop_assert!(r.span <= Micros(250_000), "{:?}", r);
+            }
+            rest = if went == Went::Over(Some(200)) { REST[0] } else { Micros(rest.0 * 2).min(REST[1]) };
+            if !scheduled {
+                prop_assert_eq!(r.span, rest, "rests double while nobody answers, and start anew after");
+            }
+        }
+        Ok(())
+    });
+    run.expect("holds");
+}
+
+/// Guards the rule on drains: a feed that ends its answers often, with nothing new in them, was
+/// called again only after a whole second, while what it held counted as told.
+#[test]
+fn rests_grow_only_while_nobody_answers_and_stay_far_under_the_drain_grace() {
+    let (mut f, mut now) = (Following::new(None, Micros(0)), Micros(0));
+    let mut call = |status: Option<u16>| {
+        f.begins(now);
+        if let Some(status) = status {
+            f.connected(now);
+            let _ = f.answered(status, now);
+        }
+        let rest = f.ended(now).span;
+        now = now + rest;
+        rest.0 / 1_000
+    };
+    assert!((0..20).all(|_| call(Some(200)) == 20));
+    let rests: Vec<i64> = (0..6).map(|i| call([None, Some(500), Some(503)][i % 3])).collect();
+    assert_eq!(rests, [40, 80, 160, 250, 250, 250]);
+    assert_eq!(call(Some(200)), 20);
+}
+
+/// Guards against one bad event that would come again with every call, and against giving up one that the way
+/// there spoilt.
+#[test]
+fn an_event_that_cannot_be_read_is_asked_for_anew_three_times() {
+    let mut f = Following::new(None, Micros(0));
+    for event in [Some(7), Some(8), None, Some(7)] {
+        let asked: Vec<bool> = (0..5).map(|_| f.unreadable(event)).collect();
+        assert_eq!(asked, [true, true, true, false, false], "{event:?}");
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 pub mod engines;
 pub mod facade;
 pub mod feed;
+pub mod following;
 pub mod links;
 mod outages;
 mod past;
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -64,7 +64,7 @@
         if let Ok(Some((_, n))) | Err((_, Some(n))) = pg::read_message(&bytes, 4096) {
             assert!(n <= bytes.len() || n <= 4096);
         }
-        drop(sse::Reader::default().take(&bytes, &mut Vec::new()));
+        drop(sse::Decoder::default().take(&bytes, &mut Vec::new()));
         let text = String::from_utf8_lossy(&bytes);
         drop(events::parse(&text));
         drop(fields::split(&text));
@@ -134,37 +134,34 @@
     });
 }
 
-/// A feed read in any pieces, chunked or not, gives the same events.
+/// A feed read in any pieces gives the same events.
 #[test]
 fn feeds_survive_any_cut() {
-    check(5, |(sizes, chunked): (Vec<u8>, bool)| {
-        let stream = ": hello\n\nid: 41\ndata: {\"a\":\ndata: 1}\n\n: still here\n\nid:42\ndata:x\n\n";
-        let (mut text, mut rest) = (String::from("HTTP/1.1 200 OK\r\nX: y\r\n"), stream);
-        if chunked {
-            text.push_str("Transfer-Encoding: chunked\r\n\r\n");
-            for n in sizes.iter().map(|n| usize::from(*n) % 9 + 1).chain([usize::MAX]) {
-                let (piece, more) = rest.split_at(n.min(rest.len()));
-                if !piece.is_empty() {
-                    text.push_str(&format!("{:x}\r\n{piece}\r\n", piece.len()));
-                }
-                rest = more;
-            }
-            text.push_str("0\r\n\r\n");
-        } else {
-            text.push_str("\r\n");
-            text.push_str(stream);
-        }
-        let (mut reader, mut out, mut rest) = (sse::Reader::default(), Vec::new(), text.as_bytes());
+    check(5, |sizes: Vec<u8>| {
+        let mut rest: &[u8] =
+            b": hello\n\nid: 41\ndata: {\"a\":\r\ndata: 1}\n\n: still here\n\nid:42\ndata:x\n\nid: 43\n";
+        let (mut decoder, mut out) = (sse::Decoder::default(), Vec::new());
         for n in sizes.iter().map(|n| usize::from(*n) % 13 + 1).chain([usize::MAX]) {
             let (piece, more) = rest.split_at(n.min(rest.len()));
-            reader.take(piece, &mut out).expect("legal");
+            decoder.take(piece, &mut out).expect("legal");
             rest = more;
         }
         let sent = |id, data: &str| sse::Sent { id: Some(id), data: data.into() };
-        out == [sent(41, "{\"a\":\n1}"), sent(42, "x")] && reader.over() == chunked
+        out == [sent(41, "{\"a\":\n1}"), sent(42, "x")]
     });
 }
 
+/// A feed that never ends a line, or an event, is refused before it fills the memory.
+#[test]
+fn an_event_without_end_is_refused() {
+    for line in ["x", "data: 0123456789abcdef\n"] {
+        let (mut decoder, mut out) = (sse::Decoder::default(), Vec::new());
+        let piece = line.repeat(8_192 / line.len()).into_bytes();
+        let took = (0..).take_while(|_| decoder.take(&piece, &mut out).is_ok()).count() * piece.len();
+        assert!((sse::MOST / 2..2 * sse::MOST).contains(&took) && out.is_empty(), "{took} bytes");
+    }
+}
+
 #[test]
 fn tables_are_found_where_they_are_named() {
     let cases = [
