--- a/tests/measure_plumbing.rs
+++ b/tests/measure_plumbing.rs
@@ -3,6 +3,7 @@
 //! `SPRUCELINK_BEFORE=PATH SPRUCELINK_AFTER=PATH cargo test --test measure_plumbing -- --ignored --nocapture`.
 mod support;
 
+use std::os::unix::fs::PermissionsExt;
 use std::thread;
 use std::time::Duration;
 use support::paced::BUSY;
@@ -42,9 +43,19 @@
     "peak KiB resident",
 ];
 
+/// A fresh copy of a program's file: how much of it a process holds resident goes by how the file lies in the page
+/// cache, and that by how and when it was written.
+fn copied(path: &str) -> std::path::PathBuf {
+    let copy = scratch().join("program");
+    std::fs::write(&copy, std::fs::read(path).expect("read")).expect("written");
+    std::fs::set_permissions(&copy, std::fs::Permissions::from_mode(0o755)).expect("set");
+    copy
+}
+
 /// One program's figures, under a limit of 32 MB.
 fn round(path: &str) -> [f64; 8] {
-    std::env::set_var("SPRUCELINK_PROGRAM", path);
+    let file = copied(path);
+    std::env::set_var("SPRUCELINK_PROGRAM", &file);
     let engines: Vec<Engine> = (0..8).map(|_| Engine::echo()).collect();
     let ids: Vec<String> = (1..=8).map(|n| format!("s-{n}")).collect();
     let named: Vec<_> = ids.iter().map(String::as_str).zip(engines.iter().map(|e| e.address)).collect();
@@ -79,6 +90,7 @@
     let end = [memory(&program, "VmRSS"), memory(&program, "RssAnon"), memory(&program, "VmHWM")];
     program.terminate();
     program.ended();
+    std::fs::remove_dir_all(file.parent().expect("a folder")).expect("removed");
     let a_request = (asked - before) / (SESSIONS * REQUESTS) as f64;
     let an_event = (told - asked) / EVENTS as f64;
     [start[0], start[1], start[2], a_request, an_event, end[0], end[1], end[2]]
