--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -313,6 +313,11 @@
 
 static DIRS: AtomicU64 = AtomicU64::new(0);
 
+/// The program's file: this build's, or another that is measured against it.
+fn program() -> std::ffi::OsString {
+    std::env::var_os("SPRUCELINK_PROGRAM").unwrap_or_else(|| env!("CARGO_BIN_EXE_sprucelink").into())
+}
+
 /// A folder of this test's own.
 pub fn scratch() -> std::path::PathBuf {
     let n = DIRS.fetch_add(1, Ordering::Relaxed);
@@ -385,7 +390,7 @@
             list(1, true, &ready)
         );
         std::fs::write(dir.join("config.json"), config).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_sprucelink"));
+        let mut command = Command::new(program());
         command.arg("serve").arg("--config").arg(dir.join("config.json")).args(more);
         if let Some(listener) = inherited {
             let parent_fd = listener.try_clone().expect("a second handle").into();
