--- /dev/null
+++ b/crates/council/src/council.rs
@@ -0,0 +1,578 @@
+//! One member: its state, its ticks and the messages that reach it.
+
+use crate::convert;
+use crate::digests::Digests;
+use crate::guard::{self, Check};
+use crate::ids::{MemberId, Micros, ProposalId};
+use crate::limits::{BUSY_BATCHES, MAX_ALARMS, MAX_COUNT, MAX_FRAMES_WAITING, MAX_TICKS_AT_ONCE};
+use crate::members::Members;
+use crate::mirror::Mirror;
+use crate::peers::{beyond, Peers, Start};
+use crate::proposals::{Outcome, Proposals, Unknown};
+use crate::ready::{Alarm, Flight, RoleChange, Snapshot};
+use crate::settings::{Config, Restored, SettingsError, Timing};
+use crate::vouch::{Answer, Floors, Probation, Vouched};
+use crate::wire::{self, envelope::Body, Witness};
+use crate::Frame;
+use raft::eraftpb::{HardState, MessageType};
+use raft::{ProgressState, RawNode, StateRole};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+
+/// Why a member is quarantined: what it was found to have lost.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    /// A peer saw it acknowledge more than its disk held at its start.
+    Forgot {
+        /// Who saw it.
+        by: MemberId,
+        /// What was seen.
+        witnessed: Witness,
+        /// What the disk held.
+        held: Witness,
+    },
+    /// A leader counts on an entry that it acknowledged and does not have.
+    LogShort {
+        /// The leader.
+        by: MemberId,
+        /// The entry counted on.
+        index: u64,
+        /// The last entry that is there.
+        last: u64,
+    },
+    /// It was found out at an earlier start, and its disk says so.
+    Before,
+}
+
+/// Why a member can't start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StartError {
+    /// The settings won't do.
+    Settings(SettingsError),
+    /// What the disk gave back does not fit together.
+    Inconsistent(&'static str),
+    /// The agreement's library refused.
+    Raft(String),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Settings(error) => write!(f, "{error}"),
+            StartError::Inconsistent(what) => write!(f, "the store does not fit together: {what}"),
+            StartError::Raft(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Where a member stands with regard to taking part.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// Started, and not yet vouched for.
+    Probation { probation: Probation, nonce: u64, next_hello: Micros },
+    /// Takes part.
+    Established,
+    /// Found to have lost what it acknowledged.
+    Quarantined(Fault),
+}
+
+/// One member of the council: the deciding half.
+///
+/// The caller owns time, disk and network: it calls [`Council::tick`] at least every tick, [`Council::step`] with every
+/// frame, and after each call [`Council::ready`] until it gives nothing, doing what each [`crate::Ready`] says.
+pub struct Council {
+    pub(crate) me: MemberId,
+    pub(crate) timing: Timing,
+    pub(crate) raw: RawNode<Mirror>,
+    rng: ChaCha8Rng,
+    drawn: (u64, StateRole, usize),
+    pub(crate) phase: Phase,
+    pub(crate) floors: Floors,
+    pub(crate) boot: u64,
+    /// Who is to be asked while the log says nothing.
+    contacts: (u64, Members),
+    pub(crate) peers: Peers,
+    /// What the disk held at the start.
+    pub(crate) held: Witness,
+    /// What is on disk now.
+    pub(crate) acked: Witness,
+    /// Number of the last batch handed out.
+    pub(crate) writes: u64,
+    pub(crate) flights: VecDeque<Flight>,
+    pub(crate) now: Micros,
+    last_tick: Micros,
+    /// Frames to send at once, and those to send behind the next batch.
+    pub(crate) waiting: Vec<(MemberId, Body)>,
+    pub(crate) after: Vec<(MemberId, Body)>,
+    pub(crate) proposals: Proposals,
+    pub(crate) outcomes: Vec<Outcome>,
+    pub(crate) alarms: Vec<Alarm>,
+    pub(crate) digests: Digests,
+    pub(crate) handed: u64,
+    pub(crate) applied: u64,
+    /// An entry that is applied, whose snapshot is not on disk yet.
+    pub(crate) apply_due: u64,
+    pub(crate) leading_since: Option<Micros>,
+    pub(crate) role: Option<RoleChange>,
+    pub(crate) base_due: bool,
+    pub(crate) state_due: bool,
+    pub(crate) witness_due: Micros,
+    pub(crate) snapshot_asked: bool,
+    snapshots_sent: BTreeMap<u64, Micros>,
+}
+
+impl fmt::Debug for Council {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Council")
+            .field("me", &self.me)
+            .field("phase", &self.phase)
+            .field("role", &self.role)
+            .finish()
+    }
+}
+
+impl Council {
+    /// Starts a member from what its disk gave back. It begins in probation, unless its disk says that it is
+    /// quarantined. The seed decides the spread of elections; it should differ from member to member and start to start.
+    ///
+    /// # Errors
+    /// Settings out of range, or a store that does not fit together.
+    pub fn new(config: Config, restored: Restored, seed: u64, now: Micros) -> Result<Self, StartError> {
+        config.check().map_err(StartError::Settings)?;
+        let held = restored.witness();
+        let state = restored.state.clone();
+        let last = restored.last().1;
+        let mut hard =
+            HardState { term: state.term, vote: state.vote, commit: state.commit, ..HardState::default() };
+        let (mut snapshot, mut founded) = (restored.snapshot, false);
+        if restored.writes == 0 && config.founders.contains(&config.member) {
+            // The founders' list stands as a snapshot of the first entry, so that whoever comes later gets it as such.
+            let members = Members::founded(&config.founders);
+            snapshot = Some(Snapshot { index: 1, term: 1, members, data: Vec::new() });
+            (hard.term, hard.commit, founded) = (1, 1, true);
+        }
+        let base = snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        hard.commit = hard.commit.max(base);
+        if hard.commit > last.max(base) {
+            return Err(StartError::Inconsistent("committed entries are missing"));
+        }
+        if restored.entries.iter().zip(base + 1..).any(|(entry, index)| entry.index != index) {
+            return Err(StartError::Inconsistent("entries with a gap"));
+        }
+        let mirror = Mirror::restored(hard, snapshot, restored.entries);
+        let own = mirror.members().cloned().unwrap_or_else(|| (0, Members::founded(&config.contacts)));
+        let contacts = (0, Members::founded(&config.contacts));
+        let raw =
+            RawNode::new(&raft_config(&config, base), mirror, &slog::Logger::root(slog::Discard, slog::o!()))
+                .map_err(|error| StartError::Raft(error.to_string()))?;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let phase = if state.quarantined {
+            Phase::Quarantined(Fault::Before)
+        } else {
+            let probation = Probation::new(config.member, own, now, config.timing.patience);
+            Phase::Probation { probation, nonce: rng.gen_range(1..=u64::MAX), next_hello: now }
+        };
+        let mut council = Council {
+            me: config.member,
+            raw,
+            rng,
+            drawn: (0, StateRole::Follower, 0),
+            phase,
+            floors: Floors::default(),
+            boot: state.boot + 1,
+            contacts,
+            peers: Peers::restored(&state.boots, &state.seen),
+            held,
+            acked: held,
+            writes: restored.writes,
+            flights: VecDeque::new(),
+            now,
+            last_tick: now,
+            waiting: Vec::new(),
+            after: Vec::new(),
+            proposals: Proposals::default(),
+            outcomes: Vec::new(),
+            alarms: Vec::new(),
+            digests: Digests::default(),
+            handed: base,
+            applied: base,
+            apply_due: 0,
+            leading_since: None,
+            role: None,
+            base_due: founded,
+            state_due: false,
+            witness_due: now + config.timing.witness_every,
+            snapshot_asked: false,
+            snapshots_sent: BTreeMap::new(),
+            timing: config.timing,
+        };
+        council.tick(now);
+        Ok(council)
+    }
+
+    /// Tells the time. To be called at least every tick; a longer gap counts as a stop of the process, and a
+    /// leader that was stopped for as long as an election takes steps down at once.
+    pub fn tick(&mut self, now: Micros) {
+        self.pass(now);
+        self.proposals.tick(now, &mut self.outcomes);
+        match &mut self.phase {
+            Phase::Quarantined(_) => self.last_tick = now,
+            Phase::Probation { probation, nonce, next_hello } => {
+                self.last_tick = now;
+                if now >= *next_hello {
+                    *next_hello = now + self.timing.hello_every;
+                    let hello = wire::Hello { nonce: *nonce, term: self.raw.raft.term };
+                    let asked = probation.asked();
+                    self.waiting.extend(asked.into_iter().map(|to| (to, Body::Hello(hello))));
+                }
+                self.judge();
+            }
+            Phase::Established => self.raft_ticks(now),
+        }
+    }
+
+    /// Takes note of the time; a leader that was stopped steps down before it does anything else.
+    fn pass(&mut self, now: Micros) {
+        let stopped = now.saturating_sub(self.last_tick) >= self.timing.pause();
+        if stopped && self.raw.raft.state == StateRole::Leader {
+            let term = self.raw.raft.term;
+            self.raw.raft.become_follower(term, 0);
+            self.alarm(Alarm::Stopped { for_micros: now - self.last_tick });
+            self.last_tick = now;
+        }
+        self.now = self.now.max(now);
+    }
+
+    fn raft_ticks(&mut self, now: Micros) {
+        let due = now.saturating_sub(self.last_tick) / self.timing.tick;
+        let ticks = due.min(MAX_TICKS_AT_ONCE);
+        self.last_tick = if due > ticks { now } else { self.last_tick + due * self.timing.tick };
+        let (shortest, longest) = (self.timing.election_ticks as usize, self.longest());
+        for _ in 0..ticks {
+            if self.may_campaign() {
+                let timeout = self.drawn_timeout();
+                self.raw.raft.set_randomized_election_timeout(timeout);
+            } else {
+                // It lets its lease on a silent leader run out, so that others can be elected, but never campaigns.
+                self.raw.raft.election_elapsed = self.raw.raft.election_elapsed.min(shortest);
+                self.raw.raft.set_randomized_election_timeout(longest);
+            }
+            self.raw.tick();
+        }
+        self.retry_snapshots(now);
+    }
+
+    fn longest(&self) -> usize {
+        (self.timing.election_ticks + self.timing.spread_ticks) as usize
+    }
+
+    /// The library draws its spread from a generator of its own; the one that counts comes from the seed, drawn
+    /// anew whenever term or role change.
+    fn drawn_timeout(&mut self) -> usize {
+        let (term, state) = (self.raw.raft.term, self.raw.raft.state);
+        if self.drawn.2 == 0 || (self.drawn.0, self.drawn.1) != (term, state) {
+            let drawn = self.rng.gen_range(self.timing.election_ticks as usize..=self.longest());
+            self.drawn = (term, state, drawn);
+        }
+        self.drawn.2
+    }
+
+    fn retry_snapshots(&mut self, now: Micros) {
+        if self.raw.raft.state != StateRole::Leader {
+            self.snapshots_sent.clear();
+            return;
+        }
+        let sending: Vec<u64> = self
+            .raw
+            .raft
+            .prs()
+            .iter()
+            .filter(|(_, progress)| progress.state == ProgressState::Snapshot)
+            .map(|(&id, _)| id)
+            .collect();
+        self.snapshots_sent.retain(|id, _| sending.contains(id));
+        for id in sending {
+            let since = *self.snapshots_sent.entry(id).or_insert(now);
+            if now.saturating_sub(since) >= self.timing.snapshot_retry {
+                self.snapshots_sent.remove(&id);
+                self.raw.report_snapshot(id, raft::SnapshotStatus::Failure);
+            }
+        }
+    }
+
+    /// Whether this member may ask for votes: its log must not be behind what it was told at its start.
+    pub(crate) fn may_campaign(&self) -> bool {
+        // Between a snapshot's coming and its being applied the library would look for entries that are gone.
+        let whole = self.applied >= self.raw.store().snapshot_index();
+        matches!(self.phase, Phase::Established) && whole && self.raft_last() >= self.floors.log
+    }
+
+    /// Term and index of the last entry in memory.
+    pub(crate) fn raft_last(&self) -> (u64, u64) {
+        (self.raw.raft.raft_log.last_term(), self.raw.raft.raft_log.last_index())
+    }
+
+    /// The members in force here, and from which entry on; before the first entry whoever is to be asked.
+    pub(crate) fn in_force(&self) -> &(u64, Members) {
+        self.raw.store().members().unwrap_or(&self.contacts)
+    }
+
+    pub(crate) fn alarm(&mut self, alarm: Alarm) {
+        if self.alarms.len() < MAX_ALARMS {
+            self.alarms.push(alarm);
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: MemberId, body: Body) {
+        if self.waiting.len() < MAX_FRAMES_WAITING {
+            self.waiting.push((to, body));
+        }
+    }
+
+    /// Takes a frame that came on the connection of `from`. A frame that is not for this member, or not by `from`, or
+    /// of a start of it that is over, is dropped.
+    pub fn step(&mut self, now: Micros, from: MemberId, frame: Frame) {
+        self.pass(now);
+        let envelope = frame.0;
+        if envelope.from != from.raw() || envelope.to != self.me.raw() || from == self.me {
+            return;
+        }
+        if let Some(Body::Hello(hello)) = envelope.body {
+            self.remember(from, &envelope);
+            return self.hello(from, envelope.boot, hello);
+        }
+        if envelope.boot < self.peers.boot(from) || envelope.boot > MAX_COUNT {
+            return;
+        }
+        self.learn(from, envelope.boot);
+        self.remember(from, &envelope);
+        match envelope.body {
+            Some(Body::Raft(message)) => self.raft(from, message),
+            Some(Body::Welcome(welcome)) => self.welcome(from, welcome),
+            Some(Body::Propose(propose)) => self.offered(from, propose),
+            Some(Body::Refused(refused)) => {
+                let id = ProposalId { origin: refused.origin, sequence: refused.sequence };
+                self.proposals.refused(id, &mut self.outcomes);
+            }
+            Some(Body::Hello(_)) | None => {}
+        }
+    }
+
+    /// What every frame tells beside its body.
+    fn remember(&mut self, from: MemberId, envelope: &wire::Envelope) {
+        if let Some(witness) = &envelope.acknowledged {
+            self.peers.saw(from, witness);
+        }
+        for boot in envelope.boots.iter().filter(|boot| boot.boot <= MAX_COUNT) {
+            self.learn(MemberId::from_raw(boot.member), boot.boot);
+        }
+        if envelope.digest.as_ref().is_some_and(|digest| self.digests.contradicts(digest)) {
+            let index = envelope.digest.map_or(0, |digest| digest.index);
+            self.alarm(Alarm::Diverged { peer: from, index });
+        }
+    }
+
+    fn learn(&mut self, member: MemberId, boot: u64) {
+        if member == self.me {
+            if boot > self.boot {
+                self.outnumbered(boot);
+            }
+        } else if self.peers.learn(member, boot) {
+            self.started_anew(member);
+        }
+    }
+
+    /// Somebody knows a start of this member with a higher number: the counter on the disk was lost.
+    fn outnumbered(&mut self, boot: u64) {
+        match &mut self.phase {
+            Phase::Probation { probation, next_hello, .. } => {
+                self.boot = boot + 1;
+                probation.restart();
+                *next_hello = self.now;
+            }
+            // An answer was missed that would have said so. What this start gave stands; it only takes a higher number, so
+            // that it is heard again. Where another process runs under its name the alarm comes back.
+            _ => {
+                self.boot = boot + 1;
+                self.state_due = true;
+                self.alarm(Alarm::Twin { boot });
+            }
+        }
+    }
+
+    /// A member has started anew: what it gave before its start no longer counts. A leader forgets what it acknowledged,
+    /// and asks again; a candidate, who may hold its vote, gives up.
+    fn started_anew(&mut self, member: MemberId) {
+        if let Phase::Probation { probation, .. } = &mut self.phase {
+            probation.forget(member);
+        }
+        match self.raw.raft.state {
+            StateRole::Leader => {
+                if let Some(progress) = self.raw.raft.mut_prs().get_mut(member.raw()) {
+                    let next = progress.matched + 1;
+                    progress.matched = 0;
+                    progress.become_probe();
+                    progress.next_idx = next;
+                }
+            }
+            StateRole::Candidate | StateRole::PreCandidate => {
+                let term = self.raw.raft.term;
+                self.raw.raft.become_follower(term, 0);
+            }
+            StateRole::Follower => {}
+        }
+    }
+
+    fn hello(&mut self, from: MemberId, boot: u64, hello: wire::Hello) {
+        if hello.term > MAX_COUNT || boot > MAX_COUNT {
+            return;
+        }
+        let Some(start) = self.peers.hello(from, boot, hello.nonce) else { return };
+        if start == Start::New {
+            self.started_anew(from);
+        }
+        let (accepted, your_boot) = match start {
+            Start::New | Start::Known => (true, boot),
+            Start::Behind(known) => (false, known),
+        };
+        let established = matches!(self.phase, Phase::Established);
+        let (members_index, members) = self.in_force().clone();
+        let leads = established && self.raw.raft.state == StateRole::Leader;
+        if leads && hello.term > self.raw.raft.term && members.voters.contains(&from) {
+            // The asker can't follow a leader of a lower term, and its own term is on its disk.
+            self.raw.raft.become_follower(hello.term, 0);
+        }
+        let last = self.raft_last().max(self.floors.log);
+        let welcome = wire::Welcome {
+            nonce: hello.nonce,
+            your_boot,
+            accepted,
+            witnessed: Some(self.peers.seen(from)),
+            term: self.raw.raft.term.max(self.floors.vote),
+            last_term: last.0,
+            last_index: last.1,
+            established,
+            quarantined: matches!(self.phase, Phase::Quarantined(_)),
+            members: Some(members.to_wire()),
+            members_index,
+        };
+        if self.after.len() < MAX_FRAMES_WAITING {
+            self.after.push((from, Body::Welcome(welcome)));
+        }
+    }
+
+    fn welcome(&mut self, from: MemberId, welcome: wire::Welcome) {
+        let Phase::Probation { probation, nonce, .. } = &mut self.phase else { return };
+        let figures = [welcome.term, welcome.last_term, welcome.last_index, welcome.your_boot];
+        if welcome.nonce != *nonce || figures.iter().any(|&figure| figure > MAX_COUNT) {
+            return;
+        }
+        let witnessed = welcome.witnessed.unwrap_or_default();
+        if !welcome.quarantined && beyond(&witnessed, &self.held) {
+            return self.quarantine(Fault::Forgot { by: from, witnessed, held: self.held });
+        }
+        if !welcome.accepted && welcome.your_boot >= self.boot {
+            return self.outnumbered(welcome.your_boot);
+        }
+        let members = welcome.members.as_ref().and_then(|members| Members::from_wire(members, &[]));
+        let Some(members) = members.filter(|_| welcome.accepted && welcome.your_boot == self.boot) else {
+            return;
+        };
+        probation.answer(
+            from,
+            Answer {
+                term: welcome.term,
+                last: (welcome.last_term, welcome.last_index),
+                established: welcome.established,
+                quarantined: welcome.quarantined,
+                members: (welcome.members_index, members),
+            },
+        );
+        self.judge();
+    }
+
+    /// Ends the probation when enough was heard.
+    fn judge(&mut self) {
+        let Phase::Probation { probation, .. } = &self.phase else { return };
+        let Some(vouched) = probation.outcome(self.now) else { return };
+        self.establish(vouched);
+    }
+
+    pub(crate) fn establish(&mut self, vouched: Vouched) {
+        if vouched.relaxed {
+            self.alarm(Alarm::Relaxed);
+        }
+        self.floors = vouched.floors;
+        self.floors.vote = self.floors.vote.max(self.raw.raft.term);
+        if self.floors.vote > self.raw.raft.term {
+            self.raw.raft.become_follower(self.floors.vote, 0);
+        }
+        self.phase = Phase::Established;
+        self.state_due = true;
+        self.last_tick = self.now;
+    }
+
+    pub(crate) fn quarantine(&mut self, fault: Fault) {
+        let term = self.raw.raft.term;
+        self.raw.raft.become_follower(term, 0);
+        self.alarm(Alarm::Quarantined(fault.clone()));
+        self.phase = Phase::Quarantined(fault);
+        self.state_due = true;
+        self.proposals.give_up(Unknown::Out, &mut self.outcomes);
+    }
+
+    fn raft(&mut self, from: MemberId, message: wire::RaftMessage) {
+        if !matches!(self.phase, Phase::Established) {
+            return;
+        }
+        let Some(message) = convert::message_from_wire(from.raw(), self.me.raw(), message) else { return };
+        match guard::check(&self.raw.raft.raft_log, self.raw.raft.term, &self.floors, &message) {
+            Check::Pass => {}
+            Check::Drop => return,
+            Check::Forgot => {
+                let (index, last) = (message.commit, self.raft_last().1);
+                return self.quarantine(Fault::LogShort { by: from, index, last });
+            }
+            Check::Diverged(index) => return self.alarm(Alarm::Diverged { peer: from, index }),
+        }
+        let kind = message.get_msg_type();
+        let busy = self.flights.len() >= BUSY_BATCHES || self.raw.store().is_full();
+        if (kind == MessageType::MsgAppend && busy)
+            || (kind == MessageType::MsgTimeoutNow && !self.may_campaign())
+        {
+            return;
+        }
+        // An error says that the message is of no use (its sender no member, say): nothing to be done about it.
+        let _ = self.raw.step(message);
+        if self.floors.log != (0, 0) && self.raft_last() >= self.floors.log {
+            self.floors.log = (0, 0);
+        }
+    }
+}
+
+fn raft_config(config: &Config, applied: u64) -> raft::Config {
+    use crate::limits::{
+        MAX_APPEND_BYTES, MAX_COMMITTED_BYTES, MAX_INFLIGHT_MESSAGES, MAX_UNCOMMITTED_BYTES,
+    };
+    let election = config.timing.election_ticks as usize;
+    raft::Config {
+        id: config.member.raw(),
+        election_tick: election,
+        min_election_tick: election,
+        // The range that the library allows; one more than ever drawn, for it leaves out the upper end.
+        max_election_tick: election + config.timing.spread_ticks as usize + 1,
+        heartbeat_tick: config.timing.heartbeat_ticks as usize,
+        applied,
+        max_size_per_msg: MAX_APPEND_BYTES,
+        max_inflight_msgs: MAX_INFLIGHT_MESSAGES,
+        check_quorum: true,
+        pre_vote: true,
+        max_uncommitted_size: MAX_UNCOMMITTED_BYTES,
+        max_committed_size_per_ready: MAX_COMMITTED_BYTES,
+        ..raft::Config::default()
+    }
+}
--- /dev/null
+++ b/crates/council/src/guard.rs
@@ -0,0 +1,63 @@
+//! What a message of the agreement must satisfy before the `raft` crate sees it. The crate takes its peers at their word
+//! and panics where their words can't be true; here such a word is dropped, or taken for the proof that it is.
+
+use crate::limits::MAX_COUNT;
+use crate::mirror::Mirror;
+use crate::vouch::Floors;
+use raft::eraftpb::{EntryType, Message, MessageType};
+use raft::RaftLog;
+
+/// What to do with a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Check {
+    Pass,
+    /// Not well formed, or against a floor.
+    Drop,
+    /// A leader counts on an entry that this member does not have, and must have acknowledged: its log is shorter
+    /// than its word.
+    Forgot,
+    /// A leader holds another entry than this member at a committed index.
+    Diverged(u64),
+}
+
+/// Checks a message against the own log and floors.
+pub(crate) fn check(log: &RaftLog<Mirror>, term: u64, floors: &Floors, message: &Message) -> Check {
+    let last = log.last_index();
+    match message.get_msg_type() {
+        MessageType::MsgRequestVote | MessageType::MsgRequestPreVote => {
+            let behind = message.term <= floors.vote || (message.log_term, message.index) < floors.log;
+            if behind {
+                Check::Drop
+            } else {
+                Check::Pass
+            }
+        }
+        MessageType::MsgHeartbeat if message.term >= term && message.commit > last => Check::Forgot,
+        MessageType::MsgAppend if message.term >= term => append(log, message),
+        MessageType::MsgAppendResponse if !message.reject && message.index > last => Check::Drop,
+        MessageType::MsgSnapshot if message.get_snapshot().get_metadata().index > MAX_COUNT => Check::Drop,
+        _ => Check::Pass,
+    }
+}
+
+fn append(log: &RaftLog<Mirror>, message: &Message) -> Check {
+    let mut before = (message.index, message.log_term);
+    for entry in &message.entries {
+        let follows = entry.index == before.0 + 1 && entry.term >= before.1 && entry.term <= message.term;
+        if !follows || entry.get_entry_type() == EntryType::EntryConfChangeV2 {
+            return Check::Drop;
+        }
+        before = (entry.index, entry.term);
+    }
+    let committed = log.committed;
+    if message.index < committed {
+        return Check::Pass;
+    }
+    // From here on the entry before is at or behind the committed one, so its term can't be lower.
+    let (_, committed_term) = log.commit_info();
+    if message.log_term < committed_term || (message.index == committed && message.log_term != committed_term)
+    {
+        return Check::Diverged(committed);
+    }
+    Check::Pass
+}
--- /dev/null
+++ b/crates/council/src/sim/nemesis.rs
@@ -0,0 +1,177 @@
+//! What breaks, when, and for how long.
+
+use super::world::World;
+use super::{App, Plan, MS};
+use crate::{MemberId, Micros};
+use rand::seq::SliceRandom;
+use rand::Rng;
+
+/// A trouble that the nemesis may make.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// One process dies and comes back.
+    Crash,
+    /// Several die at once, perhaps all.
+    CrashMany,
+    /// The leader dies.
+    CrashLeader,
+    /// Two parts that don't hear each other.
+    Split,
+    /// One link carries nothing, one way.
+    OneWay,
+    /// A member is heard by nobody, or hears nobody.
+    Deaf,
+    /// A process is stopped and goes on later.
+    Stop,
+    /// A member's messages take ten times as long.
+    Slow,
+    /// A disk's syncs take up to a second.
+    SlowSync,
+    /// A disk is full for a while.
+    Full,
+    /// A disk's syncs lie for a while, and then the process dies.
+    Lie,
+    /// A bit turns on the disk of a dead process.
+    Rot,
+    /// A member is replaced by its next incarnation.
+    Replace,
+    /// The lead is handed over.
+    Transfer,
+}
+
+impl Trouble {
+    /// All but lying and rotting disks, which have counts of their own.
+    pub const ALL: [Trouble; 12] = [
+        Trouble::Crash,
+        Trouble::CrashMany,
+        Trouble::CrashLeader,
+        Trouble::Split,
+        Trouble::OneWay,
+        Trouble::Deaf,
+        Trouble::Stop,
+        Trouble::Slow,
+        Trouble::SlowSync,
+        Trouble::Full,
+        Trouble::Replace,
+        Trouble::Transfer,
+    ];
+}
+
+/// The end of a trouble.
+#[derive(Debug, Clone)]
+pub(crate) enum Undo {
+    Restart(MemberId),
+    CrashLiar(MemberId),
+    Cuts(Vec<(u32, u32)>),
+    Wake(MemberId),
+    Slow(u32),
+    Disk(MemberId),
+}
+
+/// The maker of troubles.
+#[derive(Debug)]
+pub struct Nemesis {
+    liars_left: u32,
+    /// Troubles made so far.
+    pub strokes: u64,
+}
+
+impl Nemesis {
+    pub(crate) fn new(plan: &Plan) -> Self {
+        Nemesis { liars_left: plan.liars, strokes: 0 }
+    }
+
+    /// Makes one trouble, if it may; gives what ends it and when.
+    pub(crate) fn strike<A: App>(&mut self, world: &mut World<A>) -> Vec<(Micros, Undo)> {
+        let now = world.now();
+        let lasting = now + world.rng.gen_range(50 * MS..=3_000 * MS);
+        let running: Vec<MemberId> =
+            world.hosts.values().filter(|h| h.is_up() && !h.stopped).map(|h| h.id).collect();
+        let away = world.hosts.values().filter(|h| !h.is_out() && !h.is_established()).count() as u32;
+        let Some(&target) = running.choose(&mut world.rng) else { return Vec::new() };
+        let Some(&trouble) = world.plan.troubles.choose(&mut world.rng) else { return Vec::new() };
+        let spare = world.plan.down.saturating_sub(away);
+        self.strokes += 1;
+        let downs = |world: &mut World<A>, ids: Vec<MemberId>| {
+            let torn = world.rng.gen();
+            let back = |world: &mut World<A>| now + world.rng.gen_range(10 * MS..=2_000 * MS);
+            ids.into_iter()
+                .map(|id| {
+                    world.crash(id, torn);
+                    (back(world), Undo::Restart(id))
+                })
+                .collect()
+        };
+        match trouble {
+            Trouble::Crash if spare > 0 => downs(world, vec![target]),
+            Trouble::CrashLeader if spare > 0 => match world.leader() {
+                Some(leader) => downs(world, vec![leader]),
+                None => Vec::new(),
+            },
+            Trouble::CrashMany if spare > 0 => {
+                let count = world.rng.gen_range(1..=running.len()).min(spare as usize);
+                let ids = running.choose_multiple(&mut world.rng, count).copied().collect();
+                downs(world, ids)
+            }
+            Trouble::Rot if spare > 0 && self.liars_left > 0 => {
+                self.liars_left -= 1;
+                let undo = downs(world, vec![target]);
+                world.host_mut(target).rot();
+                undo
+            }
+            Trouble::Lie if self.liars_left > 0 && !world.host(target).lied => {
+                self.liars_left -= 1;
+                world.host_mut(target).lying = true;
+                vec![(lasting, Undo::CrashLiar(target))]
+            }
+            Trouble::Split => {
+                let mut left: Vec<u32> = world.hosts.keys().copied().collect();
+                left.shuffle(&mut world.rng);
+                let right = left.split_off(left.len() / 2 + world.rng.gen_range(0..=1));
+                let cuts =
+                    left.iter().flat_map(|&l| right.iter().flat_map(move |&r| [(l, r), (r, l)])).collect();
+                self.cut(world, cuts, lasting)
+            }
+            Trouble::OneWay => {
+                let other = *running.choose(&mut world.rng).unwrap_or(&target);
+                self.cut(world, vec![(target.node, other.node)], lasting)
+            }
+            Trouble::Deaf => {
+                let dumb = world.rng.gen();
+                let one = |other: u32| if dumb { (target.node, other) } else { (other, target.node) };
+                let cuts = world.hosts.keys().map(|&other| one(other)).collect();
+                self.cut(world, cuts, lasting)
+            }
+            Trouble::Stop => {
+                world.host_mut(target).stopped = true;
+                vec![(lasting, Undo::Wake(target))]
+            }
+            Trouble::Slow => {
+                world.net.slow.insert(target.node);
+                vec![(lasting, Undo::Slow(target.node))]
+            }
+            Trouble::SlowSync => {
+                world.host_mut(target).sync = 1_000 * MS;
+                vec![(lasting, Undo::Disk(target))]
+            }
+            Trouble::Full => {
+                world.host_mut(target).full = true;
+                vec![(lasting, Undo::Disk(target))]
+            }
+            Trouble::Replace => {
+                world.operator.replace(target);
+                Vec::new()
+            }
+            Trouble::Transfer => {
+                world.operator.hand_over(target);
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn cut<A: App>(&self, world: &mut World<A>, cuts: Vec<(u32, u32)>, until: Micros) -> Vec<(Micros, Undo)> {
+        world.net.cut.extend(&cuts);
+        vec![(until, Undo::Cuts(cuts))]
+    }
+}
--- /dev/null
+++ b/crates/council/src/sim/net.rs
@@ -0,0 +1,72 @@
+//! The network: every message takes its own time, so they overtake each other; some are lost, some come twice, and links
+//! may be cut, each way by itself.
+
+use super::{Plan, MS};
+use crate::frame::{Decoder, Frame};
+use crate::{MemberId, Micros};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeSet;
+
+/// The links and their troubles.
+#[derive(Debug, Default)]
+pub struct Net {
+    /// Links that carry nothing, from and to.
+    pub cut: BTreeSet<(u32, u32)>,
+    /// Members all of whose messages take this much longer.
+    pub slow: BTreeSet<u32>,
+    loss: u32,
+    twice: u32,
+    delay: Micros,
+    /// Messages handed over so far.
+    pub sent: u64,
+    /// Bytes handed over so far, as frames; counted for one message in sixteen, times sixteen.
+    pub bytes: u64,
+}
+
+impl Net {
+    pub(crate) fn new(plan: &Plan) -> Self {
+        Net { loss: plan.loss, twice: plan.twice, delay: plan.delay.max(MS / 5), ..Net::default() }
+    }
+
+    /// When copies of a message arrive, if any do.
+    pub(crate) fn arrivals(
+        &mut self,
+        rng: &mut ChaCha8Rng,
+        from: MemberId,
+        to: MemberId,
+        now: Micros,
+    ) -> Vec<Micros> {
+        self.sent += 1;
+        if self.cut.contains(&(from.node, to.node)) || rng.gen_range(0..1000) < self.loss {
+            return Vec::new();
+        }
+        let copies = 1 + usize::from(rng.gen_range(0..1000) < self.twice);
+        let slow = if self.slow.contains(&from.node) || self.slow.contains(&to.node) { 10 } else { 1 };
+        (0..copies).map(|_| now + rng.gen_range(MS / 10..=self.delay) * slow).collect()
+    }
+
+    /// One message in sixteen goes through bytes, in two pieces.
+    pub(crate) fn pass(&mut self, rng: &mut ChaCha8Rng, frame: Frame) -> Frame {
+        if self.sent % 16 != 0 {
+            return frame;
+        }
+        let bytes = frame.encode();
+        self.bytes += 16 * bytes.len() as u64;
+        let mut decoder = Decoder::default();
+        let middle = rng.gen_range(0..bytes.len());
+        decoder.push(&bytes[..middle]);
+        assert_eq!(decoder.next_frame(), Ok(None), "a part of a frame read as a whole");
+        decoder.push(&bytes[middle..]);
+        let read = decoder.next_frame();
+        assert_eq!(read.as_ref(), Ok(&Some(frame)), "a frame read otherwise than written");
+        read.ok().flatten().unwrap_or_else(|| unreachable!("compared above"))
+    }
+
+    /// Cuts nothing any more, and loses nothing.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        self.slow.clear();
+        (self.loss, self.twice) = (0, 0);
+    }
+}
--- /dev/null
+++ b/crates/council/src/sim/world.rs
@@ -0,0 +1,441 @@
+//! The world: hosts, network and time, driven by one seed.
+
+use super::check::{Checker, Violation};
+use super::host::{Host, Start};
+use super::nemesis::{Nemesis, Undo};
+use super::net::Net;
+use super::operator::Operator;
+use super::recorder::Recorder;
+use super::{App, Plan, Plant, MS, SECOND};
+use crate::frame::Frame;
+use crate::ready::Role;
+use crate::{MemberId, Micros, ProposalId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// How often the operator looks.
+const OPERATOR_EVERY: Micros = 200 * MS;
+/// How often a host is ticked, before jitter.
+const TICK_EVERY: Micros = 50 * MS;
+/// Bytes of a proposal, at most.
+const PROPOSAL: usize = 64;
+
+#[derive(Debug)]
+enum Event {
+    Tick(MemberId, u64),
+    Frame(Box<Frame>),
+    Synced(MemberId, u64),
+    Propose,
+    Strike,
+    Undo(Undo),
+    Operate,
+}
+
+struct Timed(Micros, u64, Event);
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub struct Report {
+    /// The first thing that must not be, if there was one.
+    pub violation: Option<Violation>,
+    /// Times from a leader's death to the next leader, where the world was otherwise whole.
+    pub elections: Vec<Micros>,
+    /// Proposals told committed, lost, unknown.
+    pub outcomes: [u64; 3],
+    /// Troubles made.
+    pub strokes: u64,
+    /// Members replaced.
+    pub replaced: u64,
+    /// Messages sent.
+    pub messages: u64,
+    /// Their bytes, estimated from one in sixteen.
+    pub bytes: u64,
+    /// Alarms by kind.
+    pub alarms: BTreeMap<&'static str, u64>,
+    /// Members found damaged at a start.
+    pub damaged: u64,
+    /// Last place with a record.
+    pub last: u64,
+}
+
+/// Hosts, network, time, nemesis and checker of one run.
+pub struct World<A = Recorder> {
+    pub(crate) rng: ChaCha8Rng,
+    /// The plan of the run.
+    pub plan: Plan,
+    /// One host a node.
+    pub hosts: BTreeMap<u32, Host<A>>,
+    /// The network.
+    pub net: Net,
+    /// The checker.
+    pub check: Checker,
+    pub(crate) operator: Operator,
+    nemesis: Option<Nemesis>,
+    founders: Vec<MemberId>,
+    contacts: BTreeMap<u32, Vec<MemberId>>,
+    queue: BinaryHeap<Reverse<Timed>>,
+    events: u64,
+    now: Micros,
+    next_proposal: u64,
+    broken: bool,
+    /// Whether the seed proposes.
+    pub proposing: bool,
+    /// When a leader died, for the times of elections.
+    leaderless: Option<Micros>,
+    elections: Vec<Micros>,
+    make: Box<dyn Fn(MemberId) -> A + Send>,
+}
+
+impl World<Recorder> {
+    /// Runs a plan under a seed, with the plain application.
+    pub fn run(plan: Plan, seed: u64) -> Report {
+        let careless = plan.has(Plant::RepeatsApplied);
+        let mut world = World::new(plan, seed, move |_| Recorder::new(careless));
+        let (trouble, calm) = (world.plan.trouble, world.plan.calm);
+        world.run_until(trouble);
+        world.heal();
+        world.run_until(trouble + calm);
+        // Without new proposals everybody comes to the same end.
+        world.proposing = false;
+        world.run_until(trouble + calm + 3 * SECOND);
+        world.judge();
+        world.report()
+    }
+
+    /// What must hold once all is whole again: everybody who takes part has all that was told committed, once.
+    pub fn judge(&mut self) {
+        if self.check.violation.is_some() {
+            return;
+        }
+        let Some(leader) = self.leader() else { return self.check.fail("no leader at the end".to_owned()) };
+        let members = self.host(leader).council.as_ref().map(|council| council.members()).unwrap_or_default();
+        let last = self.check.last_committed();
+        let mut faults = Vec::new();
+        for host in self.hosts.values().filter(|host| members.contains(host.id) && host.is_established()) {
+            let lost = self.check.told_committed.iter().find(|(id, _)| !host.app.applied.contains_key(id));
+            if let Some((id, index)) = lost {
+                faults.push(format!("{} lacks {id:?}, told committed at {index}, last is {last}", host.id));
+            }
+            if let Some((id, times)) = host.app.applied.iter().find(|(_, &times)| times != 1) {
+                faults.push(format!("{} applied {id:?} {times} times", host.id));
+            }
+        }
+        faults.into_iter().for_each(|fault| self.check.fail(fault));
+    }
+}
+
+impl<A: App> World<A> {
+    /// A council of founders, all started at time 0; `make` gives a new application at each start of a host.
+    pub fn new(plan: Plan, seed: u64, make: impl Fn(MemberId) -> A + Send + 'static) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let founders: Vec<MemberId> = (1..=plan.members).map(|node| MemberId::new(node, 1)).collect();
+        let hosts = founders.iter().map(|&id| (id.node, Host::new(id, make(id), &plan, &mut rng))).collect();
+        let mut world = World {
+            rng,
+            net: Net::new(&plan),
+            nemesis: Some(Nemesis::new(&plan)),
+            hosts,
+            check: Checker::default(),
+            operator: Operator::default(),
+            contacts: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            events: 0,
+            now: 0,
+            next_proposal: 0,
+            broken: plan.strike_every > 0,
+            proposing: plan.propose_every > 0,
+            leaderless: None,
+            elections: Vec::new(),
+            make: Box::new(make),
+            founders: founders.clone(),
+            plan,
+        };
+        founders.iter().for_each(|&id| world.start(id));
+        world.push(0, Event::Propose);
+        world.push(OPERATOR_EVERY, Event::Operate);
+        world.push(SECOND, Event::Strike);
+        world
+    }
+
+    /// The time.
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    /// A node's host.
+    pub fn host(&self, id: MemberId) -> &Host<A> {
+        &self.hosts[&id.node]
+    }
+
+    /// A node's host. What is done to its council shows at its next event.
+    pub fn host_mut(&mut self, id: MemberId) -> &mut Host<A> {
+        self.hosts.get_mut(&id.node).expect("every node has a host")
+    }
+
+    /// The member that leads in the highest term, if one that is up thinks that it does.
+    pub fn leader(&self) -> Option<MemberId> {
+        let leads = |host: &&Host<A>| host.is_up() && !host.stopped && host.role == Some(Role::Leader);
+        let term = |host: &&Host<A>| host.council.as_ref().map_or(0, |council| council.term());
+        self.hosts.values().filter(leads).max_by_key(term).map(|host| host.id)
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        self.events += 1;
+        self.queue.push(Reverse(Timed(at, self.events, event)));
+    }
+
+    /// Starts a node's process, if its disk lets it.
+    pub fn start(&mut self, id: MemberId) {
+        let now = self.now;
+        let app = (self.make)(id);
+        let joins = self.contacts.get(&id.node);
+        let founders: &[MemberId] = if joins.is_some() { &[] } else { &self.founders };
+        let start = Start { founders, contacts: joins.unwrap_or(&self.founders), plan: &self.plan };
+        let Some(host) = self.hosts.get_mut(&id.node) else { return };
+        if host.id != id || host.is_up() || host.damaged.is_some() {
+            return;
+        }
+        host.start(now, &start, app);
+        let jitter = self.rng.gen_range(1..=TICK_EVERY);
+        let starts = self.host(id).starts;
+        self.push(now + jitter, Event::Tick(id, starts));
+        self.work(id);
+    }
+
+    /// A process dies.
+    pub fn crash(&mut self, id: MemberId, torn: bool) {
+        if self.leader() == Some(id) {
+            self.leaderless = Some(self.now);
+        }
+        self.host_mut(id).crash(torn);
+    }
+
+    /// A node gets an empty disk and its next incarnation, which is to join.
+    pub(crate) fn renew(&mut self, id: MemberId, contacts: Vec<MemberId>) {
+        if self.host(id).id == id {
+            return;
+        }
+        let app = (self.make)(id);
+        self.host_mut(id).crash(false);
+        let host = Host::new(id, app, &self.plan, &mut self.rng);
+        self.hosts.insert(id.node, host);
+        self.contacts.insert(id.node, contacts);
+        self.start(id);
+    }
+
+    /// Proposes at a host chosen by the seed.
+    pub fn propose(&mut self, bytes: Vec<u8>) -> ProposalId {
+        let nodes: Vec<u32> = self.hosts.keys().copied().collect();
+        let node = nodes[self.rng.gen_range(0..nodes.len())];
+        let id = self.hosts[&node].id;
+        self.next_proposal += 1;
+        let name = ProposalId { origin: id.raw(), sequence: self.next_proposal };
+        let _ = self.host_mut(id).propose(bytes, name);
+        self.work(id);
+        name
+    }
+
+    /// Everything whole again: links, disks and processes; the nemesis rests.
+    pub fn heal(&mut self) {
+        self.broken = false;
+        self.net.heal();
+        let sync = self.plan.sync;
+        let ids: Vec<MemberId> = self.hosts.values().map(|host| host.id).collect();
+        for id in ids {
+            let host = self.host_mut(id);
+            (host.sync, host.full) = (sync, false);
+            if host.lying {
+                // The disk tells the truth from here on; what it swallowed is gone with the machine's memory.
+                host.crash(true);
+                host.lying = false;
+            }
+            if self.host(id).stopped {
+                self.undo(Undo::Wake(id));
+            }
+            self.start(id);
+        }
+    }
+
+    /// Runs to a time, or to the first violation.
+    pub fn run_until(&mut self, end: Micros) {
+        while self.check.violation.is_none() && self.queue.peek().is_some_and(|Reverse(next)| next.0 <= end) {
+            let Some(Reverse(Timed(at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            self.check.at(at);
+            self.happen(event);
+        }
+        self.now = self.now.max(end);
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick(id, starts) => {
+                let host = self.host(id);
+                if host.id != id || host.starts != starts || !host.is_up() {
+                    return;
+                }
+                self.host_mut(id).tick(now);
+                self.work(id);
+                let jitter = self.rng.gen_range(0..=TICK_EVERY / 5);
+                self.push(now + TICK_EVERY * 9 / 10 + jitter, Event::Tick(id, starts));
+            }
+            Event::Frame(frame) => {
+                let (from, to) = (frame.from(), frame.to());
+                if self.hosts.get(&to.node).is_some_and(|host| host.id == to) {
+                    let frame = self.net.pass(&mut self.rng, *frame);
+                    if let Some(host) = self.hosts.get_mut(&to.node) {
+                        host.deliver(now, from, frame, &self.plan);
+                    }
+                    self.work(to);
+                }
+            }
+            Event::Synced(id, starts) => {
+                let host = self.host(id);
+                if host.id != id || host.starts != starts || !host.is_up() {
+                    return;
+                }
+                if host.stopped {
+                    return self.push(now + 10 * MS, Event::Synced(id, starts));
+                }
+                let mut out = Vec::new();
+                let goes_on = match self.hosts.get_mut(&id.node) {
+                    Some(host) => host.synced(now, &self.plan, &mut out),
+                    None => true,
+                };
+                self.send(out);
+                if goes_on {
+                    self.work(id);
+                } else {
+                    self.crash(id, true);
+                    self.push(now + 100 * MS, Event::Undo(Undo::Restart(id)));
+                }
+            }
+            Event::Propose if !self.proposing => {}
+            Event::Propose => {
+                let bytes = vec![self.rng.gen(); self.rng.gen_range(0..PROPOSAL)];
+                self.propose(bytes);
+                let every = self.plan.propose_every;
+                let next = now + self.rng.gen_range(every / 2..=every * 3 / 2);
+                self.push(next, Event::Propose);
+            }
+            Event::Strike => self.strike(),
+            Event::Undo(undo) => self.undo(undo),
+            Event::Operate => {
+                Operator::step(self);
+                let ids: Vec<MemberId> = self.hosts.values().map(|host| host.id).collect();
+                ids.into_iter().for_each(|id| self.work(id));
+                self.push(now + OPERATOR_EVERY, Event::Operate);
+            }
+        }
+    }
+
+    fn strike(&mut self) {
+        let every = self.plan.strike_every;
+        if !self.broken || every == 0 {
+            return;
+        }
+        let Some(mut nemesis) = self.nemesis.take() else { return };
+        let undos = nemesis.strike(self);
+        self.nemesis = Some(nemesis);
+        undos.into_iter().for_each(|(at, undo)| self.push(at, Event::Undo(undo)));
+        let next = self.now + self.rng.gen_range(every / 2..=every * 3 / 2);
+        self.push(next, Event::Strike);
+    }
+
+    fn undo(&mut self, undo: Undo) {
+        match undo {
+            Undo::Restart(id) => self.start(id),
+            Undo::Cuts(cuts) => cuts.iter().for_each(|cut| {
+                self.net.cut.remove(cut);
+            }),
+            Undo::Slow(node) => {
+                self.net.slow.remove(&node);
+            }
+            Undo::Wake(id) if self.host(id).id == id && self.host(id).stopped => {
+                let now = self.now;
+                if let Some(host) = self.hosts.get_mut(&id.node) {
+                    host.wake(now, &mut self.rng, &self.plan);
+                }
+                self.work(id);
+            }
+            Undo::Wake(_) => {}
+            Undo::Disk(id) => {
+                let sync = self.plan.sync;
+                let host = self.host_mut(id);
+                (host.full, host.sync) = (false, sync);
+            }
+            Undo::CrashLiar(id) if self.host(id).id == id && self.host(id).lying => {
+                self.crash(id, true);
+                self.host_mut(id).lying = false;
+                let back = self.now + self.rng.gen_range(10 * MS..=SECOND);
+                self.push(back, Event::Undo(Undo::Restart(id)));
+            }
+            Undo::CrashLiar(_) => {}
+        }
+    }
+
+    /// Does what a member wants done, and sends what it says.
+    pub fn work(&mut self, id: MemberId) {
+        let mut out = Vec::new();
+        let Some(host) = self.hosts.get_mut(&id.node) else { return };
+        let before = host.sync_due;
+        host.work(self.now, &self.plan, &mut self.rng, &mut self.check, &mut out);
+        let (due, starts) = (host.sync_due, host.starts);
+        if let Some(at) = due.filter(|_| due != before) {
+            self.push(at, Event::Synced(id, starts));
+        }
+        self.send(out);
+        if let (Some(since), Some(_)) = (self.leaderless, self.leader()) {
+            self.leaderless = None;
+            self.elections.push(self.now - since);
+        }
+    }
+
+    fn send(&mut self, frames: Vec<Frame>) {
+        for mut frame in frames {
+            if self.plan.has(Plant::NoCrashVectors) {
+                frame.0.boots.clear();
+            }
+            self.check.sent(&frame);
+            for at in self.net.arrivals(&mut self.rng, frame.from(), frame.to(), self.now) {
+                self.push(at, Event::Frame(Box::new(frame.clone())));
+            }
+        }
+    }
+
+    /// What the run came to.
+    pub fn report(&mut self) -> Report {
+        Report {
+            violation: self.check.violation.clone(),
+            elections: std::mem::take(&mut self.elections),
+            outcomes: self.check.outcomes,
+            strokes: self.nemesis.as_ref().map_or(0, |nemesis| nemesis.strokes),
+            replaced: self.operator.replaced,
+            messages: self.net.sent,
+            bytes: self.net.bytes,
+            alarms: std::mem::take(&mut self.check.alarms),
+            damaged: self.hosts.values().filter(|host| host.damaged.is_some()).count() as u64,
+            last: self.check.last_committed(),
+        }
+    }
+}
