--- a/crates/council/src/commands.rs
+++ b/crates/council/src/commands.rs
@@ -260,13 +260,26 @@
             Phase::Probation { .. } => {
                 self.establish(Vouched { floors: Floors::default(), relaxed: false });
             }
-            Phase::Established if self.raft_last() < self.floors.log => self.floors.log = (0, 0),
+            Phase::Established if self.raft_last() < self.floors.log() => self.floors.logs.clear(),
             _ => return false,
         }
         self.alarm(Alarm::Overridden);
         true
     }
 
+    /// An operator says that a member's store is gone for good, so that nobody waits for what it knew. In probation
+    /// its silence counts as heard; a floor that it told is lifted. To be used where so many are gone that
+    /// the others can't come together by themselves: if this member's disk forgot what only that store still held, it is lost.
+    pub fn gone(&mut self, member: MemberId) {
+        match &mut self.phase {
+            Phase::Probation { probation, .. } => probation.gone(member),
+            Phase::Established => self.floors.logs.retain(|(told, _)| *told != member),
+            Phase::Quarantined(_) => return,
+        }
+        self.alarm(Alarm::Overridden);
+        self.judge();
+    }
+
     /// Why this member is quarantined, if it is.
     pub fn fault(&self) -> Option<&Fault> {
         match &self.phase {
@@ -306,6 +319,26 @@
         self.in_force().1.clone()
     }
 
+    /// One line about this member, for whoever looks into a run.
+    pub fn describe(&self) -> String {
+        let list =
+            |members: &[MemberId]| members.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ");
+        let (from, members) = self.in_force();
+        format!(
+            "{:?} term {} leader {:?} last {:?} commit {} applied {} floor {:?} boot {} voters [{}] learners [{}] from {from}",
+            self.role.map(|change| change.role),
+            self.raw.raft.term,
+            self.leader().map(|leader| leader.to_string()),
+            self.raft_last(),
+            self.raw.raft.raft_log.committed,
+            self.applied,
+            self.floors.log(),
+            self.boot,
+            list(&members.voters),
+            list(&members.learners),
+        )
+    }
+
     /// The last entry known to be committed.
     pub fn commit(&self) -> u64 {
         self.raw.raft.raft_log.committed
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -164,8 +164,8 @@
             return Err(StartError::Inconsistent("entries with a gap"));
         }
         let mirror = Mirror::restored(hard, snapshot, restored.entries);
-        let own = mirror.members().cloned().unwrap_or_else(|| (0, Members::founded(&config.contacts)));
         let contacts = (0, Members::founded(&config.contacts));
+        let own = mirror.members_on_disk().unwrap_or_else(|| contacts.clone());
         let raw =
             RawNode::new(&raft_config(&config, base), mirror, &slog::Logger::root(slog::Discard, slog::o!()))
                 .map_err(|error| StartError::Raft(error.to_string()))?;
@@ -308,7 +308,7 @@
     pub(crate) fn may_campaign(&self) -> bool {
         // Between a snapshot's coming and its being applied the library would look for entries that are gone.
         let whole = self.applied >= self.raw.store().snapshot_index();
-        matches!(self.phase, Phase::Established) && whole && self.raft_last() >= self.floors.log
+        matches!(self.phase, Phase::Established) && whole && self.raft_last() >= self.floors.log()
     }
 
     /// Term and index of the last entry in memory.
@@ -440,13 +440,16 @@
             Start::Behind(known) => (false, known),
         };
         let established = matches!(self.phase, Phase::Established);
-        let (members_index, members) = self.in_force().clone();
+        let (members_index, members) = match &self.phase {
+            Phase::Established => self.in_force().clone(),
+            _ => self.raw.store().members_on_disk().unwrap_or_else(|| self.contacts.clone()),
+        };
         let leads = established && self.raw.raft.state == StateRole::Leader;
         if leads && hello.term > self.raw.raft.term && members.voters.contains(&from) {
             // The asker can't follow a leader of a lower term, and its own term is on its disk.
             self.raw.raft.become_follower(hello.term, 0);
         }
-        let last = self.raft_last().max(self.floors.log);
+        let last = self.raft_last().max(self.floors.log());
         let welcome = wire::Welcome {
             nonce: hello.nonce,
             your_boot,
@@ -496,7 +499,7 @@
     }
 
     /// Ends the probation when enough was heard.
-    fn judge(&mut self) {
+    pub(crate) fn judge(&mut self) {
         let Phase::Probation { probation, .. } = &self.phase else { return };
         let Some(vouched) = probation.outcome(self.now) else { return };
         self.establish(vouched);
@@ -548,8 +551,8 @@
         }
         // An error says that the message is of no use (its sender no member, say): nothing to be done about it.
         let _ = self.raw.step(message);
-        if self.floors.log != (0, 0) && self.raft_last() >= self.floors.log {
-            self.floors.log = (0, 0);
+        if !self.floors.logs.is_empty() && self.raft_last() >= self.floors.log() {
+            self.floors.logs.clear();
         }
     }
 }
--- a/crates/council/src/guard.rs
+++ b/crates/council/src/guard.rs
@@ -24,9 +24,10 @@
 pub(crate) fn check(log: &RaftLog<Mirror>, term: u64, floors: &Floors, message: &Message) -> Check {
     let last = log.last_index();
     match message.get_msg_type() {
-        MessageType::MsgRequestVote | MessageType::MsgRequestPreVote => {
-            let behind = message.term <= floors.vote || (message.log_term, message.index) < floors.log;
-            if behind {
+        // A request of a lower term is only told the term, and a preliminary one binds nobody to its term.
+        MessageType::MsgRequestVote | MessageType::MsgRequestPreVote if message.term >= term => {
+            let vote = message.get_msg_type() == MessageType::MsgRequestVote && message.term <= floors.vote;
+            if vote || (message.log_term, message.index) < floors.log() {
                 Check::Drop
             } else {
                 Check::Pass
--- a/crates/council/src/mirror.rs
+++ b/crates/council/src/mirror.rs
@@ -150,6 +150,20 @@
         self.members.back()
     }
 
+    /// The members as of the last entry that the disk knows to be committed: before entries are handed out anew, those in
+    /// force are still the snapshot's.
+    pub fn members_on_disk(&self) -> Option<(u64, Members)> {
+        let (mut from, mut members) = self.members.back().cloned()?;
+        for entry in self.entries.iter().take_while(|entry| entry.index <= self.hard.commit) {
+            let change = convert::change_in(entry).filter(|_| entry.index > from);
+            if let Some(change) = change.filter(|&change| members.objection(change).is_none()) {
+                members.apply(change);
+                from = entry.index;
+            }
+        }
+        Some((from, members))
+    }
+
     pub fn set_members(&mut self, from: u64, members: Members) {
         self.members.push_back((from, members));
     }
--- a/crates/council/src/ready.rs
+++ b/crates/council/src/ready.rs
@@ -230,6 +230,12 @@
                         self.peers.forget(change.member);
                     }
                     self.raw.mut_store().set_members(entry.index, members.clone());
+                    if !members.contains(self.me) && self.raw.raft.state == StateRole::Leader {
+                        // An earlier leader's removal of this member, which came to lead meanwhile: the library would
+                        // go on and look for its own place in the list.
+                        let term = self.raw.raft.term;
+                        self.raw.raft.become_follower(term, 0);
+                    }
                     out.members = Some(members);
                 }
             } else if !entry.get_data().is_empty() {
--- a/crates/council/src/sim/mod.rs
+++ b/crates/council/src/sim/mod.rs
@@ -12,6 +12,7 @@
 mod nemesis;
 mod net;
 mod operator;
+mod plans;
 mod recorder;
 mod world;
 
--- a/crates/council/src/sim/nemesis.rs
+++ b/crates/council/src/sim/nemesis.rs
@@ -159,7 +159,8 @@
                 vec![(lasting, Undo::Disk(target))]
             }
             Trouble::Replace => {
-                world.operator.replace(target);
+                let node = world.hosts.keys().next_back().map_or(1, |last| last + 1);
+                world.operator.replace(target, MemberId::new(node, 1));
                 Vec::new()
             }
             Trouble::Transfer => {
--- a/crates/council/src/sim/operator.rs
+++ b/crates/council/src/sim/operator.rs
@@ -1,26 +1,31 @@
 //! The operator's part: replaces members that are out for good, or that the nemesis wants replaced, and hands over the
-//! lead, step by step through whoever leads.
+//! lead, step by step through whoever leads. Where none can lead, says who is gone for good.
 
 use super::world::World;
-use super::App;
-use crate::MemberId;
-use std::collections::BTreeMap;
+use super::{App, SECOND};
+use crate::{MemberId, Micros};
+
+/// With no leader for so long the operator says who is gone.
+const STUCK: Micros = 8 * SECOND;
 
 /// Wishes not yet fulfilled.
 #[derive(Debug, Default)]
 pub(crate) struct Operator {
-    /// Members to be replaced, by node: the old one.
-    replacing: BTreeMap<u32, MemberId>,
+    /// Members to be replaced, each by whom, the first first.
+    replacing: Vec<(MemberId, MemberId)>,
     hand_over: Option<MemberId>,
+    /// Members whose stores are no more.
+    gone: Vec<MemberId>,
+    led: Micros,
     /// Members replaced so far.
     pub replaced: u64,
 }
 
 impl Operator {
-    pub fn replace(&mut self, old: MemberId) {
-        // One at a time: each is a walk of several changes.
+    /// Wants a member that is well replaced by one on a node of its own.
+    pub fn replace(&mut self, old: MemberId, new: MemberId) {
         if self.replacing.is_empty() {
-            self.replacing.insert(old.node, old);
+            self.replacing.push((old, new));
         }
     }
 
@@ -28,42 +33,66 @@
         self.hand_over = Some(to);
     }
 
-    /// Takes the next step of every wish.
+    /// Takes the next step of the first wish.
     pub fn step<A: App>(world: &mut World<A>) {
         let out: Vec<MemberId> =
             world.hosts.values().filter(|host| host.is_out()).map(|host| host.id).collect();
         for old in out {
-            world.operator.replacing.entry(old.node).or_insert(old);
+            // It takes no part any more, so its node may begin anew in its place.
+            if !world.operator.replacing.iter().any(|(held, _)| *held == old) {
+                let new = MemberId::new(old.node, old.incarnation + 1);
+                world.operator.replacing.push((old, new));
+            }
         }
-        let Some(leader) = world.leader() else { return };
+        let Some(leader) = world.leader() else { return Self::stuck(world) };
+        world.operator.led = world.now();
         let hand_over = world.operator.hand_over.take();
-        let wishes: Vec<MemberId> = world.operator.replacing.values().copied().collect();
+        let wish = world.operator.replacing.first().copied();
+        let old_is_out =
+            wish.is_some_and(|(old, _)| world.hosts.get(&old.node).is_none_or(|h| h.id != old || h.is_out()));
         let Some(council) = world.host_mut(leader).council.as_mut() else { return };
         let members = council.members();
         if let Some(to) = hand_over {
             let _ = council.transfer(to);
         }
-        // The first wish only; members change one at a time.
-        let Some(&old) = wishes.first() else { return };
-        let new = MemberId::new(old.node, old.incarnation + 1);
+        let Some((old, new)) = wish else { return };
+        let voters = members.voters.len();
         if old == leader {
             if let Some(&other) = members.voters.iter().find(|&&voter| voter != old) {
                 let _ = council.transfer(other);
             }
-        } else if members.contains(old) && members.voters.len() > 3 {
-            // Out first, in where the list is long enough: at its longest there is no room for the new one beside it.
+        } else if members.contains(old) && voters > 3 && (old_is_out || voters == 7) {
+            // Out first: it only weighs on the majority, or there is no room for another beside it.
             let _ = council.remove(old);
         } else if !members.contains(new) {
             let _ = council.add_learner(new);
-            let contacts = members.voters.clone();
-            world.renew(new, contacts);
+            if world.renew(new, members.voters.clone()) && old.node == new.node {
+                world.operator.gone.push(old);
+            }
         } else if members.learners.contains(&new) {
             let _ = council.promote(new);
         } else if members.contains(old) {
             let _ = council.remove(old);
         } else {
-            world.operator.replacing.remove(&old.node);
+            world.operator.replacing.remove(0);
             world.operator.replaced += 1;
+            world.retire(old);
+        }
+    }
+
+    /// Nobody leads: after a while everybody is told whose stores are no more.
+    fn stuck<A: App>(world: &mut World<A>) {
+        if world.now() - world.operator.led < STUCK {
+            return;
+        }
+        world.operator.led = world.now();
+        let out = world.hosts.values().filter(|host| host.is_out()).map(|host| host.id);
+        let gone: Vec<MemberId> = out.chain(world.operator.gone.iter().copied()).collect();
+        for council in world.hosts.values_mut().filter_map(|host| host.council.as_mut()) {
+            let me = council.member();
+            for &member in gone.iter().filter(|&&member| member != me) {
+                council.gone(member);
+            }
         }
     }
 }
--- a/crates/council/src/sim/world.rs
+++ b/crates/council/src/sim/world.rs
@@ -126,7 +126,10 @@
         if self.check.violation.is_some() {
             return;
         }
-        let Some(leader) = self.leader() else { return self.check.fail("no leader at the end".to_owned()) };
+        let Some(leader) = self.leader() else {
+            let state = self.describe();
+            return self.check.fail(format!("no leader at the end\n{state}"));
+        };
         let members = self.host(leader).council.as_ref().map(|council| council.members()).unwrap_or_default();
         let last = self.check.last_committed();
         let mut faults = Vec::new();
@@ -229,17 +232,33 @@
         self.host_mut(id).crash(torn);
     }
 
-    /// A node gets an empty disk and its next incarnation, which is to join.
-    pub(crate) fn renew(&mut self, id: MemberId, contacts: Vec<MemberId>) {
-        if self.host(id).id == id {
-            return;
+    /// A node, new or with its disk emptied, gets a member that is to join. False when it has it already.
+    pub(crate) fn renew(&mut self, id: MemberId, contacts: Vec<MemberId>) -> bool {
+        if self.hosts.get(&id.node).is_some_and(|host| host.id == id) {
+            return false;
+        }
+        if let Some(old) = self.hosts.get(&id.node).map(|host| host.id) {
+            self.crash(old, false);
         }
         let app = (self.make)(id);
-        self.host_mut(id).crash(false);
         let host = Host::new(id, app, &self.plan, &mut self.rng);
         self.hosts.insert(id.node, host);
         self.contacts.insert(id.node, contacts);
         self.start(id);
+        true
+    }
+
+    /// A member that was removed goes away with its node, unless the node has a newer one.
+    pub(crate) fn retire(&mut self, id: MemberId) {
+        if self.hosts.get(&id.node).is_some_and(|host| host.id == id) {
+            self.crash(id, false);
+            self.hosts.remove(&id.node);
+        }
+    }
+
+    /// A member's host, if the node still has that member.
+    fn held(&self, id: MemberId) -> Option<&Host<A>> {
+        self.hosts.get(&id.node).filter(|host| host.id == id)
     }
 
     /// Proposes at a host chosen by the seed.
@@ -275,6 +294,22 @@
         }
     }
 
+    /// One line a host, for whoever looks into a run.
+    pub fn describe(&self) -> String {
+        let line = |host: &Host<A>| {
+            let flags = [("stopped", host.stopped), ("lied", host.lied), ("damaged", host.damaged.is_some())];
+            let flags: Vec<&str> = flags.iter().filter(|(_, on)| *on).map(|(name, _)| *name).collect();
+            let state = host.council.as_ref().map(|council| council.describe());
+            format!(
+                "  {} starts {} {flags:?} {}\n",
+                host.id,
+                host.starts,
+                state.unwrap_or_else(|| "down".to_owned())
+            )
+        };
+        self.hosts.values().map(line).collect()
+    }
+
     /// Runs to a time, or to the first violation.
     pub fn run_until(&mut self, end: Micros) {
         while self.check.violation.is_none() && self.queue.peek().is_some_and(|Reverse(next)| next.0 <= end) {
@@ -290,8 +325,7 @@
         let now = self.now;
         match event {
             Event::Tick(id, starts) => {
-                let host = self.host(id);
-                if host.id != id || host.starts != starts || !host.is_up() {
+                if !self.held(id).is_some_and(|host| host.starts == starts && host.is_up()) {
                     return;
                 }
                 self.host_mut(id).tick(now);
@@ -310,11 +344,10 @@
                 }
             }
             Event::Synced(id, starts) => {
-                let host = self.host(id);
-                if host.id != id || host.starts != starts || !host.is_up() {
+                if !self.held(id).is_some_and(|host| host.starts == starts && host.is_up()) {
                     return;
                 }
-                if host.stopped {
+                if self.host(id).stopped {
                     return self.push(now + 10 * MS, Event::Synced(id, starts));
                 }
                 let mut out = Vec::new();
@@ -371,7 +404,7 @@
             Undo::Slow(node) => {
                 self.net.slow.remove(&node);
             }
-            Undo::Wake(id) if self.host(id).id == id && self.host(id).stopped => {
+            Undo::Wake(id) if self.held(id).is_some_and(|host| host.stopped) => {
                 let now = self.now;
                 if let Some(host) = self.hosts.get_mut(&id.node) {
                     host.wake(now, &mut self.rng, &self.plan);
@@ -381,10 +414,11 @@
             Undo::Wake(_) => {}
             Undo::Disk(id) => {
                 let sync = self.plan.sync;
-                let host = self.host_mut(id);
-                (host.full, host.sync) = (false, sync);
+                if let Some(host) = self.hosts.get_mut(&id.node) {
+                    (host.full, host.sync) = (false, sync);
+                }
             }
-            Undo::CrashLiar(id) if self.host(id).id == id && self.host(id).lying => {
+            Undo::CrashLiar(id) if self.held(id).is_some_and(|host| host.lying) => {
                 self.crash(id, true);
                 self.host_mut(id).lying = false;
                 let back = self.now + self.rng.gen_range(10 * MS..=SECOND);
--- a/crates/council/src/vouch.rs
+++ b/crates/council/src/vouch.rs
@@ -28,17 +28,24 @@
 }
 
 /// What a member may not do once it takes part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Floors {
     /// It votes in no term up to this.
     pub vote: u64,
-    /// Term and index: it votes for no candidate whose last entry is behind this, and does not campaign
-    /// while its own is.
-    pub log: (u64, u64),
+    /// Term and index of the last entry of each that answered: it votes for no candidate whose last entry is behind any of
+    /// them, and does not campaign while its own is.
+    pub logs: Vec<(MemberId, (u64, u64))>,
+}
+
+impl Floors {
+    /// The furthest last entry told.
+    pub fn log(&self) -> (u64, u64) {
+        self.logs.iter().map(|(_, last)| *last).max().unwrap_or((0, 0))
+    }
 }
 
 /// How a member came through its probation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Vouched {
     /// The floors it takes along.
     pub floors: Floors,
@@ -62,21 +69,25 @@
         Probation { me, since: now, patience, own, answers: BTreeMap::new() }
     }
 
-    /// Whom to ask: all voters of the lists that count, but for itself.
+    /// Whom to ask: all voters of the list that counts, but for itself.
     pub fn asked(&self) -> Vec<MemberId> {
-        let mut asked: Vec<MemberId> = self.lists().flat_map(|list| self.others(list)).collect();
-        asked.sort_unstable();
-        asked.dedup();
-        asked
+        self.others(self.list())
     }
 
     /// Takes an answer, which stands in for an earlier one of the same member.
     pub fn answer(&mut self, from: MemberId, answer: Answer) {
-        if self.asked().contains(&from) {
+        let newer = answer.members.0 > self.list_from();
+        if newer || self.asked().contains(&from) {
             self.answers.insert(from, answer);
         }
     }
 
+    /// An operator says that a member is gone for good.
+    pub fn gone(&mut self, member: MemberId) {
+        let members = self.own.clone();
+        self.answer(member, Answer { term: 0, last: (0, 0), established: false, quarantined: true, members });
+    }
+
     /// A member has started anew: what it said before no longer counts.
     pub fn forget(&mut self, member: MemberId) {
         self.answers.remove(&member);
@@ -87,11 +98,19 @@
         self.answers.clear();
     }
 
-    /// The own list of members, and the newest that was told if it is newer.
-    fn lists(&self) -> impl Iterator<Item = &Members> {
+    /// The newest list of members that is known: the own disk's, or one that was told. Whoever stands behind the entry that
+    /// made it has all entries before it, so older lists have nothing to add.
+    fn newest(&self) -> &(u64, Members) {
         let told = self.answers.values().filter(|answer| !answer.quarantined).map(|answer| &answer.members);
-        let newest = told.filter(|(from, _)| *from > self.own.0).max_by_key(|(from, _)| *from);
-        std::iter::once(&self.own.1).chain(newest.map(|(_, members)| members))
+        told.chain([&self.own]).max_by_key(|(from, _)| *from).unwrap_or(&self.own)
+    }
+
+    fn list(&self) -> &Members {
+        &self.newest().1
+    }
+
+    fn list_from(&self) -> u64 {
+        self.newest().0
     }
 
     fn others(&self, list: &Members) -> Vec<MemberId> {
@@ -101,28 +120,27 @@
     /// Whether enough was heard, and with which floors the member goes on.
     pub fn outcome(&self, now: Micros) -> Option<Vouched> {
         let patient = now.saturating_sub(self.since) < self.patience;
-        let mut relaxed = false;
-        for list in self.lists() {
-            let others = self.others(list);
-            let need = if others.is_empty() { 0 } else { others.len() / 2 + 1 };
-            let answers = || others.iter().filter_map(|other| self.answers.get(other));
-            let sound = answers().filter(|answer| !answer.quarantined).count();
-            let established = answers().filter(|answer| answer.established && !answer.quarantined).count();
-            let unheard = others.len() - answers().count();
-            if established >= need {
-                continue;
-            }
-            let hopeless = established + unheard < need;
-            if sound < need || (patient && !hopeless) {
+        let others = self.others(self.list());
+        let need = if others.is_empty() { 0 } else { others.len() / 2 + 1 };
+        let answers = || others.iter().filter_map(|other| self.answers.get(other));
+        // Who is known to have forgotten is past being waited for: it counts as heard, and adds nothing to the floors.
+        let heard = answers().count();
+        let established = answers().filter(|answer| answer.established && !answer.quarantined).count();
+        let relaxed = established < need;
+        if relaxed {
+            let hopeless = established + (others.len() - heard) < need;
+            if heard < need || (patient && !hopeless) {
                 return None;
             }
-            relaxed = true;
         }
-        let sound = || self.answers.values().filter(|answer| !answer.quarantined);
-        let floors = Floors {
-            vote: sound().map(|answer| answer.term).max().unwrap_or(0),
-            log: sound().map(|answer| answer.last).max().unwrap_or((0, 0)),
-        };
-        Some(Vouched { floors, relaxed })
+        let sound: Vec<(MemberId, &Answer)> = self
+            .answers
+            .iter()
+            .filter(|(_, answer)| !answer.quarantined)
+            .map(|(&from, answer)| (from, answer))
+            .collect();
+        let vote = sound.iter().map(|(_, answer)| answer.term).max().unwrap_or(0);
+        let logs = sound.iter().map(|(from, answer)| (*from, answer.last)).collect();
+        Some(Vouched { floors: Floors { vote, logs }, relaxed })
     }
 }
