--- a/crates/council/src/commands.rs
+++ b/crates/council/src/commands.rs
@@ -199,7 +199,7 @@
         self.must_lead()?;
         let matched = self.raw.raft.prs().get(member.raw()).map_or(0, |progress| progress.matched);
         let lacks = self.raw.raft.raft_log.committed.saturating_sub(matched);
-        if lacks > PROMOTE_LAG && self.in_force().1.learners.contains(&member) {
+        if (lacks > PROMOTE_LAG || matched == 0) && self.in_force().1.learners.contains(&member) {
             return Err(MemberError::Behind(lacks));
         }
         self.change(Change { kind: ChangeKind::Promote, member })
@@ -319,6 +319,11 @@
         self.in_force().1.clone()
     }
 
+    /// Who is in the council, and from which entry on.
+    pub fn members_from(&self) -> (u64, Members) {
+        self.in_force().clone()
+    }
+
     /// One line about this member, for whoever looks into a run.
     pub fn describe(&self) -> String {
         let list =
--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -350,6 +350,9 @@
         }
         self.learn(from, envelope.boot);
         self.remember(from, &envelope);
+        if let Phase::Probation { probation, .. } = &mut self.phase {
+            probation.heard_from(from);
+        }
         match envelope.body {
             Some(Body::Raft(message)) => self.raft(from, message),
             Some(Body::Welcome(welcome)) => self.welcome(from, welcome),
@@ -449,7 +452,12 @@
             // The asker can't follow a leader of a lower term, and its own term is on its disk.
             self.raw.raft.become_follower(hello.term, 0);
         }
-        let last = self.raft_last().max(self.floors.log());
+        let last = self.raft_last();
+        let floor = |&(member, (term, index)): &(MemberId, (u64, u64))| wire::Floor {
+            member: member.raw(),
+            term,
+            index,
+        };
         let welcome = wire::Welcome {
             nonce: hello.nonce,
             your_boot,
@@ -462,6 +470,7 @@
             quarantined: matches!(self.phase, Phase::Quarantined(_)),
             members: Some(members.to_wire()),
             members_index,
+            floors: self.floors.logs.iter().map(floor).collect(),
         };
         if self.after.len() < MAX_FRAMES_WAITING {
             self.after.push((from, Body::Welcome(welcome)));
@@ -490,6 +499,11 @@
             Answer {
                 term: welcome.term,
                 last: (welcome.last_term, welcome.last_index),
+                floors: welcome
+                    .floors
+                    .iter()
+                    .map(|f| (MemberId::from_raw(f.member), (f.term, f.index)))
+                    .collect(),
                 established: welcome.established,
                 quarantined: welcome.quarantined,
                 members: (welcome.members_index, members),
--- a/crates/council/src/frame.rs
+++ b/crates/council/src/frame.rs
@@ -6,7 +6,9 @@
 //! | n | the envelope |
 
 use crate::ids::MemberId;
-use crate::limits::{MAX_APPEND_ENTRIES, MAX_CONTEXT_BYTES, MAX_FRAME_BYTES, MAX_PROPOSAL_BYTES, MAX_VOTERS};
+use crate::limits::{
+    MAX_APPEND_ENTRIES, MAX_CONTEXT_BYTES, MAX_FRAME_BYTES, MAX_PEERS, MAX_PROPOSAL_BYTES, MAX_VOTERS,
+};
 use crate::wire::envelope::Body;
 use crate::wire::Envelope;
 use prost::Message;
@@ -135,6 +137,7 @@
         Some(Body::Raft(message)) if message.context.len() > MAX_CONTEXT_BYTES => {
             Err(FrameError::Bounds("context"))
         }
+        Some(Body::Welcome(welcome)) if welcome.floors.len() > MAX_PEERS => Err(FrameError::Bounds("floors")),
         Some(Body::Propose(propose))
             if propose.record.as_ref().is_some_and(|record| record.data.len() > MAX_PROPOSAL_BYTES) =>
         {
--- a/crates/council/src/limits.rs
+++ b/crates/council/src/limits.rs
@@ -16,6 +16,9 @@
 /// not remembered, and gets no answer.
 pub const MAX_PEERS: usize = 1024;
 
+/// Most members outside its list that a member in probation asks because they spoke to it. Further ones are not asked.
+pub const MAX_STRANGERS: usize = 16;
+
 /// Longest proposal, bytes: a journal record is small; what is larger belongs elsewhere with its digest in the
 /// journal. Refused with `TooLarge`.
 pub const MAX_PROPOSAL_BYTES: usize = 64 << 10;
@@ -79,7 +82,7 @@
 pub const MAX_COUNT: u64 = 1 << 48;
 
 /// How many committed entries a learner may lack and still be made a voter: with more the majority would wait for it.
-pub const PROMOTE_LAG: u64 = 256;
+pub const PROMOTE_LAG: u64 = 64;
 
 /// Most alarms and outcomes waiting for the next `ready`; at it further alarms are dropped (outcomes are bounded by the
 /// proposals in hand).
--- a/crates/council/src/ready.rs
+++ b/crates/council/src/ready.rs
@@ -111,7 +111,7 @@
 }
 
 /// Work to be done, in this order: `persist` to disk; `send_now` at any time; `send_after` when all batches up to
-/// [`Ready::after`] are on disk; `install` when its own batch is, before anything later is applied; `committed` at any time.
+/// [`Ready::after`] are on disk, and not at all once the part is [`Role::Quarantined`]; `install` when its own batch is, before anything later is applied; `committed` at any time.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Ready {
     /// To be put on disk; then [`Council::persisted`] is to be called with its number.
--- a/crates/council/src/sim/check.rs
+++ b/crates/council/src/sim/check.rs
@@ -31,7 +31,9 @@
     /// The first thing that must not be.
     pub violation: Option<Violation>,
     leaders: BTreeMap<u64, MemberId>,
-    votes: BTreeMap<(MemberId, u64), u64>,
+    votes: BTreeMap<(MemberId, u64, u64), u64>,
+    /// Members whose disks forgot: one vote a term holds for each of their starts, and the older start's is void.
+    pub(crate) forgetful: BTreeSet<MemberId>,
     /// Term and digest of each committed record by its place.
     committed: BTreeMap<u64, (u64, u64)>,
     /// Every name under which something was committed.
@@ -133,7 +135,8 @@
             4 if !message.reject => frame.0.to,
             _ => return,
         };
-        let held = *self.votes.entry((from, message.term)).or_insert(vote);
+        let boot = if self.forgetful.contains(&from) { frame.0.boot } else { 0 };
+        let held = *self.votes.entry((from, message.term, boot)).or_insert(vote);
         if held != vote {
             self.fail(format!("{from} votes twice in term {}", message.term));
         }
--- a/crates/council/src/sim/host.rs
+++ b/crates/council/src/sim/host.rs
@@ -302,6 +302,9 @@
         ready.alarms.iter().for_each(|alarm: &Alarm| check.alarm(self.id, alarm));
         if let (Some(change), Some(council)) = (&ready.role, &self.council) {
             self.role = Some(change.role);
+            if change.role == Role::Quarantined {
+                self.held.clear();
+            }
             check.role(self.id, change, council);
         }
         if let Some(number) = written.filter(|_| early) {
--- a/crates/council/src/sim/world.rs
+++ b/crates/council/src/sim/world.rs
@@ -75,6 +75,8 @@
     pub damaged: u64,
     /// Last place with a record.
     pub last: u64,
+    /// So many members were out for good at the end that nobody could lead.
+    pub unavailable: bool,
 }
 
 /// Hosts, network, time, nemesis and checker of one run.
@@ -101,6 +103,7 @@
     pub proposing: bool,
     /// When a leader died, for the times of elections.
     leaderless: Option<Micros>,
+    unavailable: bool,
     elections: Vec<Micros>,
     make: Box<dyn Fn(MemberId) -> A + Send>,
 }
@@ -127,6 +130,10 @@
             return;
         }
         let Some(leader) = self.leader() else {
+            if !self.could_lead() {
+                self.unavailable = true;
+                return;
+            }
             let state = self.describe();
             return self.check.fail(format!("no leader at the end\n{state}"));
         };
@@ -167,6 +174,7 @@
             broken: plan.strike_every > 0,
             proposing: plan.propose_every > 0,
             leaderless: None,
+            unavailable: false,
             elections: Vec::new(),
             make: Box::new(make),
             founders: founders.clone(),
@@ -229,7 +237,12 @@
         if self.leader() == Some(id) {
             self.leaderless = Some(self.now);
         }
-        self.host_mut(id).crash(torn);
+        let host = self.host_mut(id);
+        let lied = host.lied;
+        host.crash(torn);
+        if lied {
+            self.check.forgetful.insert(id);
+        }
     }
 
     /// A node, new or with its disk emptied, gets a member that is to join. False when it has it already.
@@ -282,11 +295,12 @@
         for id in ids {
             let host = self.host_mut(id);
             (host.sync, host.full) = (sync, false);
-            if host.lying {
+            if host.lying && host.is_up() {
                 // The disk tells the truth from here on; what it swallowed is gone with the machine's memory.
                 host.crash(true);
-                host.lying = false;
+                self.check.forgetful.insert(id);
             }
+            self.host_mut(id).lying = false;
             if self.host(id).stopped {
                 self.undo(Undo::Wake(id));
             }
@@ -294,6 +308,18 @@
         }
     }
 
+    /// Whether a majority of the voters, by the newest list that anybody has, is not out for good.
+    fn could_lead(&self) -> bool {
+        let lists = self
+            .hosts
+            .values()
+            .filter_map(|host| host.council.as_ref())
+            .map(|council| council.members_from());
+        let Some((_, members)) = lists.max_by_key(|(from, _)| *from) else { return false };
+        let sound = |voter: &&MemberId| self.held(**voter).is_some_and(|host| !host.is_out());
+        members.voters.iter().filter(sound).count() > members.voters.len() / 2
+    }
+
     /// One line a host, for whoever looks into a run.
     pub fn describe(&self) -> String {
         let line = |host: &Host<A>| {
@@ -470,6 +496,7 @@
             alarms: std::mem::take(&mut self.check.alarms),
             damaged: self.hosts.values().filter(|host| host.damaged.is_some()).count() as u64,
             last: self.check.last_committed(),
+            unavailable: self.unavailable,
         }
     }
 }
--- a/crates/council/src/vouch.rs
+++ b/crates/council/src/vouch.rs
@@ -9,16 +9,19 @@
 //! why their answers alone count as a rule.
 
 use crate::ids::{MemberId, Micros};
+use crate::limits::MAX_STRANGERS;
 use crate::members::Members;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// One member's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
     /// Its term, or its own floor for votes.
     pub term: u64,
-    /// Term and index of its last entry, or of its own floor.
+    /// Term and index of its last entry.
     pub last: (u64, u64),
+    /// What it was itself told at its start and has not reached yet, by whom.
+    pub floors: Vec<(MemberId, (u64, u64))>,
     /// Whether it has been through its own probation.
     pub established: bool,
     /// Whether it was found to have forgotten; then it counts for nothing.
@@ -61,17 +64,28 @@
     patience: Micros,
     own: (u64, Members),
     answers: BTreeMap<MemberId, Answer>,
+    /// Members outside the list that spoke to this one: they may know a newer list.
+    strangers: BTreeSet<MemberId>,
 }
 
 impl Probation {
     /// Begins; `own` is who is in as the own disk says, or whom to ask.
     pub fn new(me: MemberId, own: (u64, Members), now: Micros, patience: Micros) -> Self {
-        Probation { me, since: now, patience, own, answers: BTreeMap::new() }
+        Probation { me, since: now, patience, own, answers: BTreeMap::new(), strangers: BTreeSet::new() }
     }
 
-    /// Whom to ask: all voters of the list that counts, but for itself.
+    /// Whom to ask: all voters of the list that counts, but for itself, and who else spoke to it.
     pub fn asked(&self) -> Vec<MemberId> {
-        self.others(self.list())
+        let mut asked = self.others(self.list());
+        asked.extend(self.strangers.iter().filter(|stranger| !self.list().voters.contains(stranger)));
+        asked
+    }
+
+    /// Somebody spoke: when the list does not have it, the list may be old, and it is to be asked too.
+    pub fn heard_from(&mut self, member: MemberId) {
+        if self.strangers.len() < MAX_STRANGERS && !self.list().voters.contains(&member) {
+            self.strangers.insert(member);
+        }
     }
 
     /// Takes an answer, which stands in for an earlier one of the same member.
@@ -85,7 +99,12 @@
     /// An operator says that a member is gone for good.
     pub fn gone(&mut self, member: MemberId) {
         let members = self.own.clone();
-        self.answer(member, Answer { term: 0, last: (0, 0), established: false, quarantined: true, members });
+        let (floors, established) = (Vec::new(), false);
+        self.answer(
+            member,
+            Answer { term: 0, last: (0, 0), floors, established, quarantined: true, members },
+        );
+        self.answers.values_mut().for_each(|answer| answer.floors.retain(|(told, _)| *told != member));
     }
 
     /// A member has started anew: what it said before no longer counts.
@@ -133,14 +152,25 @@
                 return None;
             }
         }
+        // Only voters of the list: parts that others gave were counted by nobody.
+        let counts = |from: &MemberId, answer: &Answer| !answer.quarantined && others.contains(from);
         let sound: Vec<(MemberId, &Answer)> = self
             .answers
             .iter()
-            .filter(|(_, answer)| !answer.quarantined)
+            .filter(|(from, answer)| counts(from, answer))
             .map(|(&from, answer)| (from, answer))
             .collect();
         let vote = sound.iter().map(|(_, answer)| answer.term).max().unwrap_or(0);
-        let logs = sound.iter().map(|(from, answer)| (*from, answer.last)).collect();
+        let mut logs = BTreeMap::new();
+        for (from, answer) in &sound {
+            for (told, last) in answer.floors.iter().copied().chain([(*from, answer.last)]) {
+                // What a member tells of itself, and what others were told by it, whichever is further.
+                let held = logs.entry(told).or_insert(last);
+                *held = last.max(*held);
+            }
+        }
+        // What this member itself told others is no news to it if it has forgotten nothing, and the more if it has.
+        let logs = logs.into_iter().collect();
         Some(Vouched { floors: Floors { vote, logs }, relaxed })
     }
 }
--- a/crates/council/tests/simulated.rs
+++ b/crates/council/tests/simulated.rs
@@ -1,41 +1,135 @@
-//! Seeded runs of whole councils in virtual time.
-
-use sprucelink_council::sim::{Plan, Report, World};
-
-/// Runs seeds on a few threads; gives each report with its seed, in the seeds' order.
-fn runs(plan: &Plan, seeds: std::ops::Range<u64>) -> Vec<(u64, Report)> {
-    let threads = 4;
-    let mut all: Vec<(u64, Report)> = std::thread::scope(|scope| {
-        let work = |lane: u64| {
-            let seeds = seeds.clone();
-            move || {
-                seeds
-                    .filter(|seed| seed % threads == lane)
-                    .map(|seed| (seed, World::run(plan.clone(), seed)))
-                    .collect::<Vec<_>>()
-            }
-        };
-        let lanes: Vec<_> = (0..threads).map(|lane| scope.spawn(work(lane))).collect();
-        lanes.into_iter().flat_map(|lane| lane.join().unwrap()).collect()
+//! Seeded runs of whole councils in virtual time. CI holds a few hundred seeds; `examples/seeds.rs` runs as many as wanted.
+
+use sprucelink_council::sim::{Plan, Plant, Report, Trouble, World, MS, SECOND};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// Runs seeds on a few threads, until one shows a violation when that is what is looked for.
+fn runs(plan: &Plan, seeds: std::ops::Range<u64>, stop_at_first: bool) -> Vec<(u64, Report)> {
+    let (next, all) = (AtomicU64::new(seeds.start), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                let found =
+                    all.lock().unwrap().iter().any(|(_, report): &(u64, Report)| report.violation.is_some());
+                if seed >= seeds.end || (stop_at_first && found) {
+                    return;
+                }
+                let report = World::run(plan.clone(), seed);
+                all.lock().unwrap().push((seed, report));
+            });
+        }
     });
-    all.sort_by_key(|(seed, _)| *seed);
-    all
-}
-
-#[test]
-fn one() {
-    let plan = Plan::default();
-    let all = runs(&plan, 0..24);
-    for (seed, report) in all {
-        println!(
-            "{seed} {:?} out {:?} strokes {} repl {} msgs {} el {:?} {:?}",
-            report.violation,
-            report.outcomes,
-            report.strokes,
-            report.replaced,
-            report.messages,
-            report.elections.iter().map(|e| e / 1000).collect::<Vec<_>>(),
-            report.alarms
-        );
+    all.into_inner().unwrap()
+}
+
+/// Runs seeds that must all hold, and must have been through something.
+fn hold(plan: Plan, seeds: std::ops::Range<u64>) {
+    let all = runs(&plan, seeds, false);
+    let broken: Vec<String> = all
+        .iter()
+        .filter_map(|(seed, report)| Some(format!("seed {seed}: {}", report.violation.as_ref()?)))
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    let (strokes, committed): (u64, u64) =
+        all.iter().fold((0, 0), |sum, (_, report)| (sum.0 + report.strokes, sum.1 + report.outcomes[0]));
+    assert!(strokes >= 3 * all.len() as u64 && committed >= 20 * all.len() as u64, "{strokes} {committed}");
+}
+
+/// A planted fault must show within so many seeds.
+fn caught(plan: Plan, seeds: u64, sign: &str) {
+    let all = runs(&plan, 0..seeds, true);
+    let signs: Vec<&str> = all
+        .iter()
+        .filter_map(|(_, report)| report.violation.as_ref())
+        .map(|violation| violation.what.as_str())
+        .collect();
+    assert!(signs.iter().any(|what| what.contains(sign)), "{} seeds, found: {signs:?}", all.len());
+}
+
+#[test]
+fn honest_disks_through_everything() {
+    hold(Plan::honest(3).shorter(6 * SECOND), 0..40);
+    hold(Plan::honest(5).shorter(6 * SECOND), 0..40);
+    hold(Plan::honest(7).shorter(6 * SECOND), 0..10);
+}
+
+#[test]
+fn one_disk_that_forgets_whatever_restarts() {
+    hold(Plan::one_liar(3).shorter(6 * SECOND), 0..60);
+    hold(Plan::one_liar(5).shorter(6 * SECOND), 0..30);
+}
+
+#[test]
+fn as_many_forgetful_disks_as_a_council_can_spare() {
+    hold(Plan::liars(5).shorter(6 * SECOND), 0..30);
+}
+
+/// The same seed gives the same run, to the last message.
+#[test]
+fn a_seed_replays() {
+    let run = || World::run(Plan::one_liar(5).shorter(6 * SECOND), 77);
+    let (one, two) = (run(), run());
+    assert_eq!(
+        (one.messages, one.bytes, one.outcomes, &one.elections, &one.alarms, one.last),
+        (two.messages, two.bytes, two.outcomes, &two.elections, &two.alarms, two.last)
+    );
+}
+
+/// A leader's death in a council that is otherwise whole: another leads within 2 s.
+#[test]
+fn another_leads_in_time() {
+    let all = runs(&Plan::leader_dies(5).shorter(60 * SECOND), 0..4, false);
+    let times: Vec<u64> = all.iter().flat_map(|(_, report)| report.elections.iter().copied()).collect();
+    assert!(times.len() >= 20, "only {} elections", times.len());
+    assert!(times.iter().all(|&time| time < 2 * SECOND), "{times:?}");
+}
+
+/// A short plan with crashes only, thick enough for a planted fault to bite.
+fn crashing(members: u32, plants: &[Plant]) -> Plan {
+    Plan {
+        plants: plants.to_vec(),
+        troubles: vec![
+            Trouble::Crash,
+            Trouble::CrashMany,
+            Trouble::CrashLeader,
+            Trouble::Split,
+            Trouble::Deaf,
+        ],
+        strike_every: 400 * MS,
+        sync: 20 * MS,
+        ..Plan::honest(members).shorter(8 * SECOND)
     }
 }
+
+#[test]
+fn a_vote_not_kept_is_caught() {
+    caught(crashing(3, &[Plant::VoteNotKept, Plant::TrustDisk]), 400, "votes twice");
+}
+
+#[test]
+fn words_before_the_disk_are_caught() {
+    caught(crashing(3, &[Plant::AckBeforeSync, Plant::TrustDisk]), 400, "");
+}
+
+#[test]
+fn a_forgetful_disk_without_check_and_floors_is_caught() {
+    let mut plan = Plan::one_liar(3).shorter(8 * SECOND);
+    plan.plants = vec![Plant::TrustDisk];
+    caught(plan, 400, "");
+}
+
+#[test]
+fn repeats_that_are_applied_are_caught() {
+    let mut plan = Plan::honest(3).shorter(4 * SECOND);
+    (plan.plants, plan.twice) = (vec![Plant::RepeatsApplied], 200);
+    caught(plan, 40, "times");
+}
+
+#[test]
+fn a_proposal_taken_in_another_term_is_caught() {
+    let mut plan = crashing(3, &[Plant::AnyTermProposals]);
+    (plan.delay, plan.twice) = (300 * MS, 300);
+    caught(plan, 400, "lost");
+}
