--- a/crates/council/tests/simulated.rs
+++ b/crates/council/tests/simulated.rs
@@ -129,7 +129,9 @@
 
 #[test]
 fn a_proposal_taken_in_another_term_is_caught() {
+    // The late copy must find the member that led leading anew, in a later term.
     let mut plan = crashing(3, &[Plant::AnyTermProposals]);
-    (plan.delay, plan.twice) = (300 * MS, 300);
-    caught(plan, 400, "lost");
+    plan.troubles = vec![Trouble::Transfer, Trouble::Transfer, Trouble::Slow, Trouble::Deaf];
+    (plan.delay, plan.twice, plan.loss, plan.propose_every) = (100 * MS, 500, 0, 15 * MS);
+    caught(plan, 200, "lost");
 }
