--- a/crates/council/src/convert.rs
+++ b/crates/council/src/convert.rs
@@ -91,8 +91,8 @@
 
     /// For the `raft` crate the whole snapshot is opaque data, beside the three things that it looks at.
     pub(crate) fn to_raft(&self) -> eraftpb::Snapshot {
-        let mut out = eraftpb::Snapshot::default();
-        out.data = self.to_wire().encode_to_vec().into();
+        let mut out =
+            eraftpb::Snapshot { data: self.to_wire().encode_to_vec().into(), ..eraftpb::Snapshot::default() };
         let meta = out.mut_metadata();
         (meta.index, meta.term) = (self.index, self.term);
         meta.set_conf_state(conf_state(&self.members));
--- a/crates/council/src/repeats.rs
+++ b/crates/council/src/repeats.rs
@@ -110,7 +110,7 @@
     /// When they are not what [`Repeats::encode`] gives.
     pub fn decode(bytes: &[u8]) -> Result<Self, RepeatsError> {
         let size = 16 + 8 * WORDS;
-        if bytes.len() % size != 0 || bytes.len() / size > MAX_ORIGINS {
+        if !bytes.len().is_multiple_of(size) || bytes.len() / size > MAX_ORIGINS {
             return Err(RepeatsError);
         }
         let mut repeats = Repeats::default();
--- a/crates/council/src/sim/host.rs
+++ b/crates/council/src/sim/host.rs
@@ -279,7 +279,7 @@
         for entry in &ready.committed {
             check.applied(self.id, entry);
             self.app.apply(now, entry);
-            if entry.index % 16 == 0 {
+            if entry.index.is_multiple_of(16) {
                 let digest = self.app.digest();
                 if let Some(council) = &mut self.council {
                     council.applied(entry.index, Some(digest));
--- a/crates/council/src/sim/net.rs
+++ b/crates/council/src/sim/net.rs
@@ -48,7 +48,7 @@
 
     /// One message in sixteen goes through bytes, in two pieces.
     pub(crate) fn pass(&mut self, rng: &mut ChaCha8Rng, frame: Frame) -> Frame {
-        if self.sent % 16 != 0 {
+        if !self.sent.is_multiple_of(16) {
             return frame;
         }
         let bytes = frame.encode();
