--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -38,6 +38,7 @@
 mod digests;
 pub mod frame;
 mod guard;
+mod hearing;
 mod ids;
 pub mod limits;
 mod members;
--- a/crates/council/src/sim/mod.rs
+++ b/crates/council/src/sim/mod.rs
@@ -14,6 +14,7 @@
 mod operator;
 mod plans;
 mod recorder;
+mod report;
 mod world;
 
 pub use check::{Checker, Violation};
@@ -21,7 +22,8 @@
 pub use nemesis::{Nemesis, Trouble};
 pub use net::Net;
 pub use recorder::Recorder;
-pub use world::{Report, World};
+pub use report::Report;
+pub use world::World;
 
 use crate::ready::Entry;
 use crate::settings::Timing;
