Council: starts carry their name in gossip, so that many starting at once can't outbid each other

A start learned from others was known by number only, and its own hello was then taken for another start of that number; seven members that started together outbid each other for good (seeds 65 and 79 of leader:7).

--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -73,7 +73,7 @@
 #[derive(Debug)]
 pub(crate) enum Phase {
     /// Started, and not yet vouched for.
-    Probation { probation: Probation, nonce: u64, next_hello: Micros },
+    Probation { probation: Probation, next_hello: Micros },
     /// Takes part.
     Established,
     /// Found to have lost what it acknowledged.
@@ -93,6 +93,8 @@
     pub(crate) phase: Phase,
     pub(crate) floors: Floors,
     pub(crate) boot: u64,
+    /// What this start names itself by.
+    pub(crate) nonce: u64,
     /// Who is to be asked while the log says nothing.
     pub(crate) contacts: (u64, Members),
     pub(crate) peers: Peers,
@@ -170,11 +172,12 @@
             RawNode::new(&raft_config(&config, base), mirror, &slog::Logger::root(slog::Discard, slog::o!()))
                 .map_err(|error| StartError::Raft(error.to_string()))?;
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nonce = rng.gen_range(1..=u64::MAX);
         let phase = if state.quarantined {
             Phase::Quarantined(Fault::Before)
         } else {
             let probation = Probation::new(config.member, own, now, config.timing.patience);
-            Phase::Probation { probation, nonce: rng.gen_range(1..=u64::MAX), next_hello: now }
+            Phase::Probation { probation, next_hello: now }
         };
         let mut council = Council {
             me: config.member,
@@ -184,6 +187,7 @@
             phase,
             floors: Floors::default(),
             boot: state.boot + 1,
+            nonce,
             contacts,
             peers: Peers::restored(&state.boots, &state.seen),
             held,
@@ -221,11 +225,11 @@
         self.proposals.tick(now, &mut self.outcomes);
         match &mut self.phase {
             Phase::Quarantined(_) => self.last_tick = now,
-            Phase::Probation { probation, nonce, next_hello } => {
+            Phase::Probation { probation, next_hello } => {
                 self.last_tick = now;
                 if now >= *next_hello {
                     *next_hello = now + self.timing.hello_every;
-                    let hello = wire::Hello { nonce: *nonce, term: self.raw.raft.term };
+                    let hello = wire::Hello { nonce: self.nonce, term: self.raw.raft.term };
                     let asked = probation.asked();
                     self.waiting.extend(asked.into_iter().map(|to| (to, Body::Hello(hello))));
                 }
@@ -345,10 +349,10 @@
             self.remember(from, &envelope);
             return self.hello(from, envelope.boot, hello);
         }
-        if envelope.boot < self.peers.boot(from) || envelope.boot > MAX_COUNT {
+        if !self.peers.is_current(from, envelope.boot, envelope.nonce) || envelope.boot > MAX_COUNT {
             return;
         }
-        self.learn(from, envelope.boot);
+        self.learn(from, envelope.boot, envelope.nonce);
         self.remember(from, &envelope);
         if let Phase::Probation { probation, .. } = &mut self.phase {
             probation.heard_from(from);
--- a/crates/council/src/hearing.rs
+++ b/crates/council/src/hearing.rs
@@ -18,7 +18,7 @@
             self.peers.saw(from, witness);
         }
         for boot in envelope.boots.iter().filter(|boot| boot.boot <= MAX_COUNT) {
-            self.learn(MemberId::from_raw(boot.member), boot.boot);
+            self.learn(MemberId::from_raw(boot.member), boot.boot, boot.nonce);
         }
         if envelope.digest.as_ref().is_some_and(|digest| self.digests.contradicts(digest)) {
             let index = envelope.digest.map_or(0, |digest| digest.index);
@@ -26,12 +26,12 @@
         }
     }
 
-    pub(crate) fn learn(&mut self, member: MemberId, boot: u64) {
+    pub(crate) fn learn(&mut self, member: MemberId, boot: u64, nonce: u64) {
         if member == self.me {
-            if boot > self.boot {
+            if boot > self.boot || (boot == self.boot && nonce != 0 && nonce != self.nonce) {
                 self.outnumbered(boot);
             }
-        } else if self.peers.learn(member, boot) {
+        } else if self.peers.learn(member, boot, nonce) {
             self.started_anew(member);
         }
     }
@@ -125,9 +125,9 @@
     }
 
     pub(crate) fn welcome(&mut self, from: MemberId, welcome: wire::Welcome) {
-        let Phase::Probation { probation, nonce, .. } = &mut self.phase else { return };
+        let Phase::Probation { probation, .. } = &mut self.phase else { return };
         let figures = [welcome.term, welcome.last_term, welcome.last_index, welcome.your_boot];
-        if welcome.nonce != *nonce || figures.iter().any(|&figure| figure > MAX_COUNT) {
+        if welcome.nonce != self.nonce || figures.iter().any(|&figure| figure > MAX_COUNT) {
             return;
         }
         let witnessed = welcome.witnessed.unwrap_or_default();
--- a/crates/council/src/peers.rs
+++ b/crates/council/src/peers.rs
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Default)]
 struct Peer {
     boot: u64,
-    /// What the start named itself by when it asked here; 0 when it did not.
+    /// What the start names itself by; 0 when that is not known.
     nonce: u64,
     /// When it last said hello, counted in hellos; 0 when it did not since the own start.
     asked: u64,
@@ -47,7 +47,8 @@
     pub fn restored(boots: &[Boot], seen: &[Seen]) -> Self {
         let mut peers = Peers::default();
         for boot in boots {
-            peers.table.entry(MemberId::from_raw(boot.member)).or_default().boot = boot.boot;
+            let peer = peers.table.entry(MemberId::from_raw(boot.member)).or_default();
+            (peer.boot, peer.nonce) = (boot.boot, boot.nonce);
         }
         for seen in seen {
             peers.table.entry(MemberId::from_raw(seen.member)).or_default().seen =
@@ -56,10 +57,6 @@
         peers
     }
 
-    pub fn boot(&self, member: MemberId) -> u64 {
-        self.table.get(&member).map_or(0, |peer| peer.boot)
-    }
-
     pub fn seen(&self, member: MemberId) -> Witness {
         self.table.get(&member).map_or_else(Witness::default, |peer| peer.seen)
     }
@@ -72,13 +69,23 @@
         Some(self.table.entry(member).or_default())
     }
 
+    /// Whether a frame is of the newest start known of its sender, or of a newer one.
+    pub fn is_current(&self, member: MemberId, boot: u64, nonce: u64) -> bool {
+        let Some(known) = self.table.get(&member) else { return true };
+        let same = known.nonce == 0 || nonce == known.nonce;
+        boot > known.boot || (boot == known.boot && same)
+    }
+
     /// Learns of a start, from anybody. True when it is newer than the one known.
-    pub fn learn(&mut self, member: MemberId, boot: u64) -> bool {
+    pub fn learn(&mut self, member: MemberId, boot: u64, nonce: u64) -> bool {
         let Some(known) = self.entry(member) else { return false };
+        if boot == known.boot && known.nonce == 0 {
+            known.nonce = nonce;
+        }
         if boot <= known.boot {
             return false;
         }
-        (known.boot, known.nonce) = (boot, 0);
+        (known.boot, known.nonce) = (boot, nonce);
         self.changed = true;
         true
     }
@@ -94,6 +101,11 @@
             (self.changed, self.urgent) = (true, true);
             Some(Start::New)
         } else if boot == known.boot && nonce == known.nonce && nonce != 0 {
+            if known.asked == 0 {
+                // Known from others so far; like a new one it must be on disk before it is answered.
+                known.asked = asked;
+                (self.changed, self.urgent) = (true, true);
+            }
             Some(Start::Known)
         } else {
             Some(Start::Behind(known.boot))
@@ -123,11 +135,16 @@
         others.sort_unstable_by_key(|(_, peer)| std::cmp::Reverse(peer.asked));
         let voters = voters.iter().filter_map(|voter| self.table.get_key_value(voter));
         let known = voters.chain(others).filter(|(_, peer)| peer.boot > 0).take(2 * MAX_VOTERS);
-        known.map(|(member, peer)| Boot { member: member.raw(), boot: peer.boot }).collect()
+        known
+            .map(|(member, peer)| Boot { member: member.raw(), boot: peer.boot, nonce: peer.nonce })
+            .collect()
     }
 
     pub fn boots(&self) -> Vec<Boot> {
-        self.table.iter().map(|(member, peer)| Boot { member: member.raw(), boot: peer.boot }).collect()
+        self.table
+            .iter()
+            .map(|(member, peer)| Boot { member: member.raw(), boot: peer.boot, nonce: peer.nonce })
+            .collect()
     }
 
     pub fn all_seen(&self) -> Vec<Seen> {
--- a/crates/council/src/ready.rs
+++ b/crates/council/src/ready.rs
@@ -300,6 +300,7 @@
                 from: self.me.raw(),
                 to: to.raw(),
                 boot: self.boot,
+                nonce: self.nonce,
                 acknowledged: Some(witness),
                 boots: boots.clone(),
                 digest: self.digests.newest(),
--- a/crates/council/tests/rules.rs
+++ b/crates/council/tests/rules.rs
@@ -133,7 +133,7 @@
         council.progress().into_iter().find(|(id, _)| *id == restarted).map(|(_, index)| index)
     };
     assert!(matched(council).unwrap() > 1);
-    let boots = vec![Boot { member: restarted.raw(), boot: 1000 }];
+    let boots = vec![Boot { member: restarted.raw(), boot: 1000, nonce: 7 }];
     let (from, to) = (teller.raw(), leader.raw());
     // Any frame tells it; this one is a hello that itself asks for nothing new.
     let body = Some(Body::Hello(Hello { nonce: 1, term: 1 }));
