--- a/crates/council/src/ready.rs
+++ b/crates/council/src/ready.rs
@@ -94,7 +94,8 @@
         /// The entry.
         index: u64,
     },
-    /// Somebody knows a later start of this member: another process runs under its name.
+    /// Somebody knows another start of this member, of the same number or a later one. Once, after a start: an earlier one got no
+    /// further than its probation. Again and again: another process runs under its name.
     Twin {
         /// The other start.
         boot: u64,
