One clock for spans: Unix time at the start, monotonic from there on

Cause: src/core/mod.rs read SystemTime for everything. The module's time never goes back (Brain::handle takes the greater of both), timers are set at now + delay: after the system's clock had stepped back by an hour no timer would have been due for that hour, no deadline, no review.

Change: now() is Unix time as of the first look, and on from there by the monotonic clock. What others tell in Unix time (up_since_ms of engines) is put on that clock once for each start told, so that the same start stays the same moment: a later one would have made a warm engine cold again (entry.since > started in the module's on_list).

Tests: clock_tests.rs, facade_tests.rs.

--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -1,6 +1,7 @@
 //! The decision module in blocking style: `pick` for a request, `report` for news, `tick` for the
 //! time. Network code sees orders, never the module's events or actions.
 
+use super::from_unix;
 use crate::proto::events::{ListEvent, Phase};
 use crate::proto::resp::{How, Stats};
 use sprucelink_capture::recorder::{Counters, Recorder};
@@ -52,6 +53,13 @@
     NotRun,
 }
 
+impl End {
+    /// Whether it is proven that no engine ran any of it.
+    pub fn never_ran(self) -> bool {
+        matches!(self, End::Overload | End::Unreachable | End::NotRun)
+    }
+}
+
 /// News for the module.
 #[derive(Debug)]
 pub enum News<'a> {
@@ -113,6 +121,9 @@
     recorder: Option<Recorder>,
     /// Numbers given and taken back that the recorder has not heard of yet.
     numbered: Vec<(String, u32, bool)>,
+    /// When engines started: as told, in Unix milliseconds, and on this process's clock as of the first time it was
+    /// told, so that the same start stays the same whatever the system's clock does. By number, as long as that holds.
+    starts: BTreeMap<u32, (i64, Micros)>,
 }
 
 fn place(names: &[String], name: &str) -> u32 {
@@ -134,6 +145,7 @@
             out: Vec::new(),
             recorder: None,
             numbered: Vec::new(),
+            starts: BTreeMap::new(),
         }
     }
 
@@ -172,11 +184,25 @@
         let id = self.engines.iter().find(|(_, n)| **n == number).map(|(id, _)| id.clone());
         if let Some(id) = id {
             self.engines.remove(&id);
+            self.starts.remove(&number);
             self.free.push(number);
             self.note_number(&id, number, true);
         }
     }
 
+    /// When an engine started that the list says started late: `told` in Unix milliseconds, 0 where it did not.
+    fn started(&mut self, id: &str, told: i64) -> Option<Micros> {
+        let number = self.engine(id) as u32;
+        if told <= 0 {
+            self.starts.remove(&number);
+            return None;
+        }
+        let known = self.starts.get(&number).filter(|s| s.0 == told).map(|s| s.1);
+        let at = known.unwrap_or_else(|| from_unix(Micros(told.saturating_mul(1_000))));
+        self.starts.insert(number, (told, at));
+        Some(at)
+    }
+
     /// What the module believes of every engine, by number.
     pub fn beliefs(&self) -> Vec<EngineView> {
         self.brain.engines()
@@ -216,7 +242,7 @@
                         Phase::Draining => EngineState::Draining,
                         Phase::Gone => EngineState::Gone,
                     },
-                    since: (m.up_since_ms > 0).then_some(Micros(m.up_since_ms.saturating_mul(1000))),
+                    since: self.started(&m.id, m.up_since_ms),
                 });
                 Event::List { kind, entries: entries.collect() }
             }
@@ -308,3 +334,7 @@
         orders
     }
 }
+
+#[cfg(test)]
+#[path = "facade_tests.rs"]
+mod tests;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,15 +16,39 @@
 pub mod zones;
 
 use sprucelink_policy::interface::Micros;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The system's Unix clock: every deadline and every time told to the module is read off it.
+/// This process's clock: Unix time as it was at the first look, and on from there by the monotonic clock. Every
+/// deadline, span and time told to the module is read off it, so that a step of the system's clock neither ends nor
+/// holds up anything.
 pub fn now() -> Micros {
+    static FIRST: OnceLock<(Instant, Micros)> = OnceLock::new();
+    let (first, at) = FIRST.get_or_init(|| (Instant::now(), unix()));
+    *at + Micros(i64::try_from(first.elapsed().as_micros()).unwrap_or(i64::MAX))
+}
+
+/// The system's Unix clock, which may step; 0 before 1970.
+pub fn unix() -> Micros {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    Micros(since.as_micros() as i64)
+    Micros(i64::try_from(since.as_micros()).unwrap_or(i64::MAX))
+}
+
+/// A Unix time that others tell, on this process's clock as of now.
+pub fn from_unix(told: Micros) -> Micros {
+    on_clock(told, unix(), now())
+}
+
+/// A Unix time on a clock that shows `now` where Unix time is `unix`.
+fn on_clock(told: Micros, unix: Micros, now: Micros) -> Micros {
+    now + (told - unix)
 }
 
 /// A span to sleep; none if it lies behind.
 pub fn span(t: Micros) -> Duration {
     Duration::from_micros(t.0.max(0) as u64)
 }
+
+#[cfg(test)]
+#[path = "clock_tests.rs"]
+mod tests;
