A stop: later requests get the time that is left, parting sessions are waited for

Causes, each seen with tests/stopping.rs against the release build before this change: - A request that came after SIGTERM was sent on with all of its client's time (its engine was told wait=20000 where the kill comes after 3.7 s at the soonest). Core::take knew nothing of the stop. - A SIGHUP whose file is never read whole (a pipe that nobody writes to) kept the process from ending: the runtime's drop waits for its blocking threads. It hung until it was killed. - The process ended 50 ms after the last answer was written, whether or not its session's connection was still being parted: a client that goes on writing meets a reset (Front::part had no one to wait for it), and past 24 parting connections the rest were closed at once, also where no newcomer needs the descriptors any more.

Change: Core::ends_by bounds the deadline of what is taken from then on, and turns away what is read after the last words; the runtime's threads are left behind at the end; the end waits for parting connections, each bounded as before, and the whole by the stop's own time; a closed front parts with all of them.

Tests: four in tests/stopping.rs.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -174,6 +174,12 @@
         self.tls.replace(Some(acceptor));
     }
 
+    /// Connections whose last word is written and whose end the other side has yet to see: closed over what it still
+    /// sends they would be reset, and the last word go with it.
+    pub fn parting(&self) -> usize {
+        self.parting.get()
+    }
+
     /// Requests whose answer is not written yet.
     pub fn busy(&self) -> usize {
         self.busy.get()
@@ -225,7 +231,8 @@
         }
         let _parting = Counted::one(&self.parting);
         let flushed = timeout(LAST_WORD, wire.flush()).await;
-        if matches!(flushed, Ok(Ok(()))) && self.parting.get() <= MOST_PARTING {
+        // Where the front is closed no descriptor is needed for newcomers any more.
+        if matches!(flushed, Ok(Ok(()))) && (self.parting.get() <= MOST_PARTING || self.closing.get()) {
             wire.part().await;
         }
     }
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -40,7 +40,7 @@
 const LAST_WORDS: Duration = Duration::from_millis(250);
 /// Between two looks at whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
-/// Looks in a row that must find nothing open before the end: what came while this program had no turn on its
+/// Looks in a row that must find nothing open and nobody parting before the end: what came while this program had no turn on its
 /// processor is read only now, and a new connection takes some turns until its first request is.
 const QUIET: u32 = 5;
 
@@ -74,7 +74,10 @@
 pub fn serve(start: Start, files: Files, reread: Reread) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(start, files, reread))
+    let served = LocalSet::new().block_on(&runtime, run(start, files, reread));
+    // Nothing that still reads a file on another thread holds the end up.
+    runtime.shutdown_background();
+    served
 }
 
 /// Reads the configuration anew at every SIGHUP, one after the other. Only where the control feed is
@@ -217,6 +220,8 @@
     let longest = span(longest).min(patience);
     let stop = Instant::now() + STILL_COMING + longest;
     let mut last_words = Some(stop - LAST_WORDS);
+    // What is read from now on and could not end before is not sent on.
+    core.ends_by(now() + Micros((STILL_COMING + longest - LAST_WORDS).as_micros() as i64));
     sleep(STILL_COMING).await;
     // The timer may have fired before the sockets were asked, where this program had no turn meanwhile.
     sleep(LOOK).await;
@@ -234,7 +239,8 @@
                 warn!(ended, "stopping: {ended} given up, for the time is over");
             }
         }
-        quiet = if fronts.iter().any(|f| f.0.busy() > 0) { 0 } else { quiet + 1 };
+        let open = |f: &Opened| f.0.busy() > 0 || f.0.parting() > 0;
+        quiet = if fronts.iter().any(open) { 0 } else { quiet + 1 };
     }
     if let Some(member) = member {
         member.leave().await;
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -168,3 +168,91 @@
     assert!(after > Duration::from_secs(3), "{after:?}");
     engine.wait_for("undo", 1);
 }
+
+/// A request that comes in the time of the stop, whose client would wait for longer than the process lives: its engine
+/// is told no more time than there is, and its client hears its end before the kill.
+#[test]
+fn what_comes_during_a_stop_is_given_the_time_that_is_left() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let mut program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    program.terminate();
+    program.wait_line("stopping: ");
+    raw.send(&query(&sql(1, 1)));
+    let seen = engine.wait_for("do", 1);
+    let wait: u64 = seen[0].field("wait").and_then(|w| w.parse().ok()).expect("a figure");
+    assert!(wait <= 3_450, "its engine is told to go on for {wait} ms");
+    let got = raw.until_ready();
+    assert!(["40003", "53000", "53400", "57014"].contains(&error(&got)[0].as_str()), "{:?}", error(&got));
+    assert_eq!(program.ended(), Some(0));
+}
+
+/// What ends and reloads a process comes again while it ends: it changes nothing.
+#[test]
+fn signals_during_a_stop_change_nothing() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let feed = Feed::start();
+    let mut program = Program::start(&[("s-1", engine.address)], Some(&feed), None);
+    let mut raw = Raw::connect(program.platform);
+    raw.send(&query(&sql(1, 1)));
+    engine.wait_for("do", 1);
+    program.terminate();
+    program.wait_line("stopping: ");
+    for name in ["-TERM", "-HUP", "-INT", "-TERM"] {
+        signal(&program, name);
+    }
+    let got = raw.until_ready();
+    assert_eq!(error(&got)[0], "40003", "it may have run");
+    assert_eq!(program.ended(), Some(0));
+    assert_eq!(program.lines().iter().filter(|l| l.contains("stopping: 1 open")).count(), 1);
+}
+
+/// The configuration's file has become one that is never read to its end: the reading goes on on its own thread, and the
+/// process ends all the same.
+#[test]
+fn a_configuration_that_is_never_read_whole_does_not_hold_the_end_up() {
+    let mut program = Program::start(&[], None, None);
+    program.replace_config_by_pipe();
+    signal(&program, "-HUP");
+    let mut raw = Raw::connect(program.platform);
+    // Served meanwhile, and the reading is under way by then or begins during the stop.
+    raw.send(&query(""));
+    assert_eq!(kinds(&raw.until_ready()), "IZ");
+    program.terminate();
+    assert_eq!(program.ended(), Some(0));
+}
+
+/// A client that has not read its last answer yet and goes on writing: closed over what it writes, its connection would
+/// be reset, and the answer go with it.
+#[test]
+fn the_last_answer_outlives_what_its_client_still_writes() {
+    let engine = Paced::start();
+    let mut program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut raw = Raw::connect(program.platform);
+    raw.send(&query(&sql(1, 1_500)));
+    until(|| (engine.in_hand() == 1).then_some(()));
+    program.terminate();
+    // All of it is here, unread.
+    let mut seen = [0; 4096];
+    until(|| {
+        let n = raw.stream.peek(&mut seen).expect("peeked");
+        seen[..n].windows(6).any(|w| w == b"Z\0\0\0\x05I").then_some(())
+    });
+    let (mut last, mut gap) = (Instant::now(), Duration::ZERO);
+    for n in 0..40 {
+        let written = raw.stream.write_all(&query(&sql(2 + n, 1)));
+        assert!(written.is_ok(), "write {n} met a reset: {written:?}");
+        thread::sleep(Duration::from_millis(10));
+        gap = gap.max(last.elapsed());
+        last = Instant::now();
+    }
+    if gap < Duration::from_millis(250) {
+        assert_eq!(rows(&raw.until_ready()).len(), 1);
+        assert!(raw.message().is_none(), "nothing behind the last answer");
+    } else {
+        eprintln!("shows nothing: {gap:?} between two writes");
+    }
+    drop(raw);
+    assert_eq!(program.ended(), Some(0));
+    assert_eq!(engine.served(), 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -448,6 +448,13 @@
         self.signal("-HUP");
     }
 
+    /// Puts a named pipe in the configuration's place, which nobody writes to.
+    pub fn replace_config_by_pipe(&self) {
+        let path = self.dir.join("config.json");
+        std::fs::remove_file(&path).expect("removed");
+        assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
+    }
+
     /// The configuration's text, with its feed at another address.
     pub fn config_with_feed(&self, at: SocketAddr) -> String {
         let text = std::fs::read_to_string(self.dir.join("config.json")).expect("read");
