An attempt is looked at just before its first byte, and taken back where a rule says no

Cause, by reading src/core/links.rs, attempts.rs, engines.rs: between the module's choice and the first byte lie a dial of up to the dial's time-out, a peer that takes nothing, or no turn on the processor. Only the request's final answer was looked at on the way (withdraw). Not looked at: an engine that began to drain while the command stood behind a slow peer on a connection that was up (on_members closed dials only); an engine that a whole list leaves out (forget_gone told its links nothing); an engine that restarted, or another that came to its address, while a dial to it was under way (retire() kept the dial); the window of a keyed class, the deadline and the ration at that moment. Besides: an attempt called off before it left ended as one that may have run (Undone), a command cut in the middle too (start >= written instead of end > written), both at a cost to its class's rule; an answer that grows by a byte now and then held its link for ever (only growth was looked at); a link's end and a write that was due at the same time went by chance.

Change: the link's writer asks its owner for every attempt that begins with the bytes it is about to write. The core checks request, client, engine, window, deadline, ration and the stop in one place (src/core/gate.rs, no I/O); a no withdraws the attempt, which ends as one that never ran. What waits for an engine that drains, has gone, moved or restarted is taken back at once. An answer must be whole 2 s after its first byte. A link reads before it writes.

Tests: gate_tests.rs, requests/leaving_tests.rs with real connections.

--- a/src/core/attempts.rs
+++ b/src/core/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::engines::link_for;
 use super::facade::{End, News, Order};
+use super::gate::Leaving;
 use super::links::{Link, Owner, Terms, Withdrawn};
 use super::now;
 use super::pool::Pool;
@@ -41,6 +42,14 @@
     fn terms(&self) -> &Terms {
         self.terms()
     }
+    fn may_leave(self: &Rc<Self>, link: &Link, id: u64, attempt: u32) -> bool {
+        let fit = self.inner.borrow_mut().clear(link, id, attempt);
+        if !fit {
+            // Its end is told with the next tick.
+            self.wake.notify_one();
+        }
+        fit
+    }
     fn on_forwarded(&self, attempts: u64) {
         (0..attempts).for_each(|_| self.figures().forwarded());
     }
@@ -146,6 +155,41 @@
         Vec::new()
     }
 
+    /// The one place by which an attempt leaves: whether it may, just before its first byte. One that may not is
+    /// withdrawn, and ends as one that never ran. One without an owner is withdrawn, and that is all.
+    fn clear(&mut self, link: &Link, id: u64, attempt: u32) -> bool {
+        let (at, spare) = (now(), self.spare());
+        let entry = self.open.get_mut(&id);
+        let owner = entry.and_then(|e| {
+            let here = |o: &&Out| o.attempt == attempt && std::ptr::eq(&*o.link, link) && o.undone.is_none();
+            let _ = e.out.as_ref().filter(here)?;
+            Some(e)
+        });
+        let Some(entry) = owner else {
+            link.withdraw(id);
+            return false;
+        };
+        let leaving = Leaving {
+            open: entry.answer.is_some(),
+            deadline: entry.deadline,
+            class: entry.class_number,
+            further: attempt > 0,
+            may_have_run: entry.may_have_run,
+            engine_ready: self.engines.get(link.engine).is_some_and(|e| e.ready),
+        };
+        let Err(why) = self.gate.check(at, spare, &leaving) else {
+            self.gate.left(at, leaving.further);
+            return true;
+        };
+        link.withdraw(id);
+        if let Some(out) = &mut entry.out {
+            (out.ends, out.undone) = (End::NotRun, Some((0, Some(at - UNDO_LANDS))));
+        }
+        self.landing.insert((at, id, attempt));
+        debug!(request = format!("{id:016x}"), number = link.engine, attempt, "attempt held back: {why:?}");
+        false
+    }
+
     /// Tells the module how an attempt ended: what came before must have taken it off `out`.
     pub(super) fn tell_end(
         &mut self,
@@ -188,6 +232,9 @@
                 "attempt ended as {end:?} after {ms} ms"
             );
         }
+        if !end.never_ran() {
+            self.open.get_mut(&id).into_iter().for_each(|e| _ = e.may_have_run.get_or_insert(out.sent));
+        }
         let orders = self.tell_end(id, out.attempt, end, latency, out.bill, out.stats);
         // One that was given up before has nobody to answer.
         if end == End::Served && self.open.get(&id).is_some_and(|e| e.answer.is_some()) {
@@ -216,7 +263,7 @@
             Withdrawn::Whole => {}
         }
         // Nothing has to land: it never left.
-        out.undone = Some((0, Some(now() - UNDO_LANDS)));
+        (out.ends, out.undone) = (End::NotRun, Some((0, Some(now() - UNDO_LANDS))));
         self.landing.insert((now(), id, out.attempt));
         Vec::new()
     }
@@ -227,7 +274,7 @@
         let out = self.open.get_mut(&id).and_then(|e| e.out.as_mut());
         let Some(out) = out.filter(|o| o.attempt == attempt && o.undone.is_none()) else { return false };
         if out.link.withdraw(id) == Withdrawn::Whole {
-            out.undone = Some((0, Some(now() - UNDO_LANDS)));
+            (out.ends, out.undone) = (End::NotRun, Some((0, Some(now() - UNDO_LANDS))));
             return true;
         }
         let (word, name): (&[u8], _) = (if out.served { b"forget" } else { b"undo" }, format!("{id:016x}"));
--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -1,8 +1,8 @@
 //! Engines as the control feed names them, and their links: which are there, which are let go.
 
-use super::attempts::UNDO_LANDS;
+use super::attempts::{Out, UNDO_LANDS};
 use super::facade::{End, News, Order};
-use super::links::{self, Link};
+use super::links::{self, Link, Withdrawn};
 use super::now;
 use super::requests::{Core, Inner};
 use crate::proto::events::{ListEvent, Member, Phase};
@@ -26,6 +26,8 @@
     pub(super) word: Option<Micros>,
     /// What the list said of it last, whatever was made of that.
     pub(super) told: Option<Member>,
+    /// The list held has it ready, and nobody has taken it out: attempts may leave for it.
+    pub(super) ready: bool,
 }
 
 impl Engine {
@@ -70,26 +72,51 @@
             let engine = &mut self.engines[i];
             engine.told = Some(told.clone());
             let address = member.address.parse().ok();
-            if engine.address != address || engine.since != member.up_since_ms {
+            let moved = engine.address != address || engine.since != member.up_since_ms;
+            if moved {
                 engine.links.iter().for_each(|l| l.retire());
             }
             (engine.address, engine.since) = (address, member.up_since_ms);
+            engine.ready = member.phase == Phase::Ready;
             engine.id.clone_from(&member.id);
             engine.gone = (member.phase == Phase::Gone).then(now);
             if engine.gone.is_some() {
                 engine.links.iter().for_each(|l| l.retire());
             }
-            if member.phase != Phase::Ready {
-                // Guards the rule on drains: what waits for a connection would go out after the word.
-                let dialing: Vec<_> = engine.links.iter().filter(|l| l.dialing()).cloned().collect();
-                for link in dialing {
-                    orders.extend(self.close_link(&link, false));
-                }
+            if moved {
+                // What was meant for the process before would reach the one that has started since, or another
+                // engine that has its address now.
+                orders.extend(self.recall(i));
             }
             let (id, phase, address) = (&told.id, told.phase, &member.address);
             let out = if member.phase == phase { "" } else { ", taken out" };
             info!(engine = %id, number = i, "engine {id} is {phase:?} at {address}, number {i}{out}");
         }
+        // Guards the rule on drains: what waits for a connection, or behind a slow peer, would go out after the word.
+        for i in 0..self.engines.len() {
+            if !self.engines[i].ready {
+                orders.extend(self.recall(i));
+            }
+        }
+        orders
+    }
+
+    /// Takes back what has not begun to leave for an engine, and gives up its dials: none of it ever ran, so it is
+    /// moved elsewhere at no cost to its class's rule.
+    fn recall(&mut self, engine: usize) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for link in self.engines[engine].links.clone() {
+            for id in link.waiting() {
+                let here = |o: &Out| Rc::ptr_eq(&o.link, &link);
+                let out = self.open.get(&id).and_then(|e| e.out.as_ref());
+                if out.is_some_and(here) && link.withdraw(id) == Withdrawn::Whole {
+                    orders.extend(self.end(id, End::NotRun));
+                }
+            }
+            if link.dialing() {
+                orders.extend(self.close_link(&link, false));
+            }
+        }
         orders
     }
 
@@ -133,6 +160,7 @@
             if list.complete {
                 // What a whole list does not name is gone, too.
                 engine.gone.get_or_insert(at);
+                engine.ready = false;
             }
             if engine.links.is_empty() && engine.gone.is_some_and(|t| at - t > self.keep) {
                 *engine = Engine::default();
--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -21,6 +21,9 @@
 /// An answer that has begun and grows no further for so long will not be whole: engines write answers in
 /// one go, and this is long even for a busy machine.
 const STALL: Duration = Duration::from_millis(500);
+/// An answer must be whole so long after its first byte, however it grows: all that is out on the link waits behind
+/// it, and one that grows by a byte now and then would hold it for ever.
+const WHOLE: Micros = Micros(2_000_000);
 /// Share of the idle time after which this side closes: engines close at the whole of it, and a
 /// request that crosses their close would count as one that may have run.
 const IDLE_SHARE: f64 = 0.8;
@@ -60,6 +63,17 @@
     start: u64,
     end: u64,
     sent: Micros,
+    /// It was taken back before its first byte.
+    withdrawn: bool,
+}
+
+/// A command that sends an attempt and has not left whole: its request, and where it begins and ends in the stream.
+#[derive(Clone, Copy, Debug)]
+struct Unsent {
+    id: u64,
+    attempt: u32,
+    start: u64,
+    end: u64,
 }
 
 /// What became of an attempt that is not to leave any more.
@@ -89,8 +103,8 @@
     riders: RefCell<BTreeMap<u64, Rider>>,
     /// Parts of the stream that are passed over when their turn comes: from where to where.
     withdrawn: RefCell<BTreeMap<u64, u64>>,
-    /// Where the commands that send attempts end, of those that have not left whole.
-    ends: RefCell<VecDeque<u64>>,
+    /// The commands that send attempts, of those that have not left whole, in the stream's order.
+    unsent: RefCell<VecDeque<Unsent>>,
     undone: RefCell<BTreeSet<u64>>,
     heard: Cell<Micros>,
     /// Not dialled before this: the cold start's slot.
@@ -112,7 +126,7 @@
             taken: Cell::new(0),
             riders: RefCell::default(),
             withdrawn: RefCell::default(),
-            ends: RefCell::default(),
+            unsent: RefCell::default(),
             undone: RefCell::default(),
             heard: Cell::new(now()),
             dial_at: Cell::new(Micros(0)),
@@ -199,8 +213,8 @@
         let queued = self.put(parts, || pool.get());
         if queued {
             let (end, sent) = (self.queued.get(), now());
-            self.ends.borrow_mut().push_back(end);
-            self.riders.borrow_mut().insert(id, Rider { attempt, start, end, sent });
+            self.unsent.borrow_mut().push_back(Unsent { id, attempt, start, end });
+            self.riders.borrow_mut().insert(id, Rider { attempt, start, end, sent, withdrawn: false });
         }
         queued
     }
@@ -208,32 +222,46 @@
     /// Whether some of the command that sends a request's attempt has still to leave.
     pub fn unsent(&self, id: u64) -> bool {
         self.state.get() != State::Dead
-            && self.riders.borrow().get(&id).is_some_and(|r| r.end > self.written.get())
+            && self.riders.borrow().get(&id).is_some_and(|r| !r.withdrawn && r.end > self.written.get())
     }
 
     /// Takes the command that sends a request's attempt back, if it has not left: its bytes are passed over.
     /// Guards the one final answer: a connection that comes up late would send on what was answered long ago.
     pub fn withdraw(&self, id: u64) -> Withdrawn {
+        if self.riders.borrow().get(&id).is_some_and(|r| r.withdrawn) {
+            return Withdrawn::Whole;
+        }
         if !self.unsent(id) {
             return Withdrawn::Late;
         }
-        let riders = self.riders.borrow();
-        let Some(rider) = riders.get(&id).filter(|r| r.start >= self.written.get()) else {
+        let mut riders = self.riders.borrow_mut();
+        let Some(rider) = riders.get_mut(&id).filter(|r| r.start >= self.written.get()) else {
             return Withdrawn::InPart;
         };
+        rider.withdrawn = true;
         self.withdrawn.borrow_mut().insert(rider.start, rider.end);
-        self.ends.borrow_mut().retain(|end| *end != rider.end);
+        self.unsent.borrow_mut().retain(|u| u.end != rider.end);
         Withdrawn::Whole
     }
 
+    /// The attempts of which some has still to leave: their requests.
+    pub fn waiting(&self) -> Vec<u64> {
+        self.unsent.borrow().iter().map(|u| u.id).collect()
+    }
+
+    /// The first attempt that would begin to leave with the bytes up to a place, from `from` on.
+    fn next_start(&self, from: u64, to: u64) -> Option<Unsent> {
+        self.unsent.borrow().iter().find(|u| u.start >= from && u.start < to).copied()
+    }
+
     /// Bytes were written: attempts that have left whole by them.
     fn wrote(&self, n: usize) -> u64 {
         let written = self.written.get() + n as u64;
         self.written.set(written);
-        let mut ends = self.ends.borrow_mut();
+        let mut unsent = self.unsent.borrow_mut();
         let mut whole = 0;
-        while ends.front().is_some_and(|end| *end <= written) {
-            ends.pop_front();
+        while unsent.front().is_some_and(|u| u.end <= written) {
+            unsent.pop_front();
             whole += 1;
         }
         whole
@@ -278,14 +306,16 @@
         self.undone.borrow().contains(&id)
     }
 
-    /// Closes it: what was on it, and whether each command never left.
+    /// Closes it: what was on it, and whether each command never left whole. An engine runs whole commands only, so
+    /// one that was cut never ran.
     pub fn close(&self) -> Vec<(u64, u32, bool)> {
         self.state.set(State::Dead);
         self.queue.borrow_mut().clear();
+        self.unsent.borrow_mut().clear();
         self.wake.notify_one();
         let written = self.written.get();
         let riders = std::mem::take(&mut *self.riders.borrow_mut());
-        riders.into_iter().map(|(id, r)| (id, r.attempt, r.start >= written)).collect()
+        riders.into_iter().map(|(id, r)| (id, r.attempt, r.withdrawn || r.end > written)).collect()
     }
 
     fn idle(&self, terms: &Terms) -> bool {
@@ -304,6 +334,11 @@
     fn on_answer(self: &Rc<Self>, link: &Link, parts: &[&[u8]]) -> Result<(), Malformed>;
     /// A link has ended; `ours` if this side gave up on it.
     fn on_link_down(self: &Rc<Self>, link: &Rc<Link>, why: &str, ours: bool);
+    /// Whether an attempt may leave, asked just before its first byte; with a no it has been withdrawn. Guards every
+    /// rule on what is sent: between the choice and this moment lie dials, slow peers and turns on the processor.
+    fn may_leave(self: &Rc<Self>, _link: &Link, _id: u64, _attempt: u32) -> bool {
+        true
+    }
     /// So many attempts have been written whole.
     fn on_forwarded(&self, _attempts: u64) {}
     /// A link has come up.
@@ -345,6 +380,8 @@
     core.on_link_up(link);
     let (reader, writer) = stream.into_split();
     tokio::select! {
+        // An end that has come is seen before anything more is written: what was not written never left.
+        biased;
         why = read(core, link, reader) => why,
         why = write(core, link, writer) => why,
     }
@@ -375,6 +412,10 @@
         };
         let from = (at - start) as usize;
         let to = cut.map_or(buf.len(), |c| ((c - start) as usize).min(buf.len()));
+        if !cleared(core, link, at, start + to as u64) {
+            // What was withdrawn is passed over on the next round.
+            continue;
+        }
         match writer.try_write(&buf[from..to]) {
             Ok(0) => return theirs("closed by the engine"),
             Ok(n) => core.on_forwarded(link.wrote(n)),
@@ -389,16 +430,29 @@
     }
 }
 
+/// Whether all attempts that begin in this part of the stream may leave; those that may not are withdrawn.
+fn cleared<O: Owner>(core: &Rc<O>, link: &Link, mut at: u64, to: u64) -> bool {
+    let mut all = true;
+    while let Some(u) = link.next_start(at, to) {
+        all &= core.may_leave(link, u.id, u.attempt);
+        at = u.end;
+    }
+    all
+}
+
 async fn read<O: Owner>(core: &Rc<O>, link: &Link, mut reader: OwnedReadHalf) -> Why {
     let mut held = None;
+    // Since when an answer is here in part.
+    let mut begun = None;
     loop {
-        let patience = if held.is_some() { STALL } else { LOOK };
+        let whole_by = begun.map(|since: Micros| since + WHOLE);
+        let patience = whole_by.map_or(LOOK, |by| STALL.min(span(by - now())));
         match timeout(patience, read_into(core.pool(), &mut reader, &mut held)).await {
             Ok(Ok(0)) => return theirs("closed by the engine"),
             Ok(Ok(_)) => {}
             Ok(Err(e)) => return theirs(e),
             // Guards against an answer that stops short: all that is out here would wait behind it.
-            Err(_) if held.is_some() => return spoilt("an answer stopped growing"),
+            Err(_) if held.is_some() => return spoilt("an answer does not become whole"),
             Err(_) if link.idle(core.terms()) => return theirs(""),
             Err(_) => continue,
         }
@@ -419,9 +473,11 @@
         }
         buf.drain(..at);
         if buf.is_empty() {
-            held = None;
+            (held, begun) = (None, None);
         } else if !buf.has_room(1) {
             return spoilt("an answer longer than any may be");
+        } else if at > 0 || begun.is_none() {
+            begun = Some(now());
         }
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod facade;
 pub mod feed;
 pub mod following;
+mod gate;
 pub mod links;
 mod outages;
 mod past;
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -4,6 +4,7 @@
 use super::attempts::{Out, UNDO_LEAVES};
 use super::engines::Engine;
 use super::facade::{Asked, End, Facade, News, Order};
+use super::gate::Gate;
 use super::links::{Terms, Withdrawn};
 use super::past::Past;
 use super::pool::{Buf, Pool, SIZE};
@@ -76,6 +77,8 @@
 
 pub(super) struct Entry {
     pub(super) class: String,
+    /// The class, by number.
+    pub(super) class_number: usize,
     pub(super) once: Option<String>,
     pub(super) statement: Buf,
     pub(super) taken: Micros,
@@ -87,6 +90,8 @@
     pub(super) sends: u32,
     pub(super) out: Option<Out>,
     pub(super) last: Option<End>,
+    /// When the first attempt that may have run was sent.
+    pub(super) may_have_run: Option<Micros>,
     pub(super) answer: Option<oneshot::Sender<Final>>,
     /// In the figures, until it has ended.
     pub(super) counted: Option<Taken>,
@@ -111,6 +116,8 @@
     pub(super) deadlines: BTreeSet<(Micros, u64)>,
     /// Attempts called off whose undo is on its way, by when it has landed.
     pub(super) landing: BTreeSet<(Micros, u64, u32)>,
+    /// What an attempt must still be fit for when it leaves.
+    pub(super) gate: Gate,
     pub(super) engines: Vec<Engine>,
     pub(super) last_event: u64,
     /// An engine is remembered for so long after it has gone: no request is open for longer.
@@ -192,6 +199,7 @@
         let [zones, kinds] = names;
         let keep = set.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let fleet = (set.gateways, set.spare);
+        let gate = Gate::new(&set);
         let facade = Facade::new(set, seed, zones, kinds, now());
         let (open, deadlines, landing) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
         let (tally, next_figures) = (Tally::default(), now() + FIGURES);
@@ -202,6 +210,7 @@
             open,
             deadlines,
             landing,
+            gate,
             engines: Vec::new(),
             last_event: 0,
             keep,
@@ -353,17 +362,20 @@
     }
 
     /// Takes a request. `None` if its id is open, or was another statement's not long ago.
-    pub fn take(self: &Rc<Self>, request: Request) -> Option<Ticket> {
+    pub fn take(self: &Rc<Self>, mut request: Request) -> Option<Ticket> {
         let mut inner = self.inner.borrow_mut();
         let (id, at) = (request.asked.id, now());
         if inner.open.contains_key(&id) || !inner.past.note(id, &request.statement, at) {
             return None;
         }
         let (sender, answer) = oneshot::channel();
-        let deadline = at + request.asked.left;
+        let deadline = inner.gate.answer_by(at + request.asked.left);
+        request.asked.left = deadline - at;
+        inner.gate.took(at);
         inner.deadlines.insert((deadline, id));
         let entry = Entry {
             class: request.class,
+            class_number: request.asked.class,
             once: request.once,
             statement: request.statement,
             taken: at,
@@ -374,6 +386,7 @@
             sends: 0,
             out: None,
             last: None,
+            may_have_run: None,
             answer: Some(sender),
             counted: Some(self.figures.take(request.asked.class)),
         };
@@ -385,7 +398,8 @@
         }
         // What a start does not take in hand yet is refused before the module hears of it: it is told of none
         // that it does not decide on.
-        let over = inner.cold.as_mut().and_then(|c| c.admission.admit(at, in_hand).err());
+        let closed = inner.gate.closed(at).then_some(COME_BACK_LEAST);
+        let over = closed.or_else(|| inner.cold.as_mut().and_then(|c| c.admission.admit(at, in_hand).err()));
         let orders = match over {
             Some(wait) => vec![Order::Refuse(id, wait)],
             None => inner.facade.pick(at, &request.asked),
@@ -409,6 +423,12 @@
         }
     }
 
+    /// This process ends: what comes from now on is answered by then, whatever its client would wait for, and
+    /// nothing leaves for an engine later.
+    pub fn ends_by(&self, by: Micros) {
+        self.inner.borrow_mut().gate.ends_by(by);
+    }
+
     /// Gives every open request its final answer now, for this process ends: those of which no attempt has left are
     /// refused, the others failed. How many.
     pub fn end_all(self: &Rc<Self>) -> usize {
@@ -495,6 +515,11 @@
 }
 
 impl Inner {
+    /// Further attempts that the others of the fleet leave to this manager.
+    pub(super) fn spare(&self) -> f64 {
+        self.fleet.1
+    }
+
     /// A connection to an engine came up, or failed to.
     pub(super) fn reached(&mut self, engine: usize, up: bool) {
         let (Some(shared), Some(e)) = (&mut self.shared, self.engines.get(engine)) else { return };
@@ -620,5 +645,7 @@
     }
 }
 
+#[cfg(test)]
+mod leaving_tests;
 #[cfg(test)]
 mod tests;
--- a/src/core/requests/tests.rs
+++ b/src/core/requests/tests.rs
@@ -33,32 +33,58 @@
 }
 
 /// A core with two engines that accept connections and say nothing.
-async fn core() -> (Rc<Core>, Vec<TcpListener>) {
+pub(super) async fn core() -> (Rc<Core>, Vec<TcpListener>) {
+    let listen = || TcpListener::bind("127.0.0.1:0");
+    let listeners = vec![listen().await.expect("a port"), listen().await.expect("a port")];
+    core_with(listeners, 32, 8.0)
+}
+
+/// A core with an engine of so many cores behind each of these, and so many attempts on a link at a time.
+pub(super) fn core_with(
+    listeners: Vec<TcpListener>,
+    streams: usize,
+    cores: f64,
+) -> (Rc<Core>, Vec<TcpListener>) {
     let dial = Micros(5_000_000);
-    let terms =
-        Terms { streams: 32, dial, idle: Micros(15_000_000), notes: Micros(0), most: 4, most_links: 8 };
-    let core = Core::new(settings(), 7, [Vec::new(), Vec::new()], terms, Pool::new(64), figures());
-    let (mut members, mut listeners) = (Vec::new(), Vec::new());
-    for id in ["s-1", "s-2"] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let terms = Terms { streams, dial, idle: Micros(15_000_000), notes: Micros(0), most: 4, most_links: 8 };
+    let pool = Pool::new(2 * streams);
+    let set = Settings { kind_cores: vec![cores], ..settings() };
+    let core = Core::new(set, 7, [Vec::new(), Vec::new()], terms, pool, figures());
+    let mut members = Vec::new();
+    for (i, listener) in listeners.iter().enumerate() {
         let address = listener.local_addr().expect("an address").to_string();
         let (zone, kind) = (String::new(), String::new());
-        let (id, phase, cell, up_since_ms) = (id.to_owned(), Phase::Ready, 0, 0);
+        let (id, phase, cell, up_since_ms) = (format!("s-{}", i + 1), Phase::Ready, 0, 0);
         members.push(Member { id, address, zone, kind, cell, phase, up_since_ms });
-        listeners.push(listener);
     }
     core.on_list(&ListEvent { n: 1, revision: 0, complete: true, members }, true);
     (core, listeners)
 }
 
-fn request(core: &Core, id: u64) -> Request {
+/// Who links belong to that carry what no table knows: all of it may leave.
+pub(super) struct Nobody(pub(super) Pool, pub(super) Terms);
+
+impl Owner for Nobody {
+    fn pool(&self) -> &Pool {
+        &self.0
+    }
+    fn terms(&self) -> &Terms {
+        &self.1
+    }
+    fn on_answer(self: &Rc<Self>, _: &Link, _: &[&[u8]]) -> Result<(), crate::proto::Malformed> {
+        Ok(())
+    }
+    fn on_link_down(self: &Rc<Self>, _: &Rc<Link>, _: &str, _: bool) {}
+}
+
+pub(super) fn request(core: &Core, id: u64) -> Request {
     let (cost_ms, left) = (Some(1.0), Micros(20_000_000));
     let asked = Asked { id, class: 0, tenant: 0, tables: 1, left, cost_ms, memory_mb: None };
     let statement = core.pool().get().expect("a buffer");
     Request { asked, class: "c".into(), once: None, statement }
 }
 
-fn local<T>(test: impl std::future::Future<Output = T>) -> T {
+pub(super) fn local<T>(test: impl std::future::Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test)
 }
@@ -271,7 +297,8 @@
         (0..4).for_each(send);
         assert_eq!(link.withdraw(0), Withdrawn::Whole);
         assert_eq!(link.withdraw(2), Withdrawn::Whole);
-        tokio::task::spawn_local(crate::core::links::run(Rc::clone(&core), Rc::clone(&link)));
+        let nobody = Rc::new(Nobody(pool.clone(), *core.terms()));
+        tokio::task::spawn_local(crate::core::links::run(nobody, Rc::clone(&link)));
         let (mut peer, _) = listeners[0].accept().await.expect("a link");
         // More than the peer's and this side's kernel buffers hold: it reads nothing yet.
         (4..1_000).for_each(send);
