A link that rests is asked for its end before an attempt's first byte

Cause: an engine closes an idle connection in the instant of its use. Its end is in this side's kernel, but the runtime hears of it only with its next look at the sockets; the link's writer wrote (writer.try_write, src/core/links.rs), the write succeeded, the attempt counted as one that may have run, and a class that may run once failed for nothing. Ruled out: yielding once before each write, for it costs every attempt a turn.

Test: what_meets_the_close_of_an_idle_link_..., with real connections; the close is at this side before the request is taken.

--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -4,10 +4,12 @@
 use super::pool::{read_into, Buf, Pool, SIZE};
 use super::{now, span};
 use crate::proto::{resp, Malformed};
+use socket2::SockRef;
 use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -163,6 +165,11 @@
         self.state.get() == State::Dialing
     }
 
+    /// Whether nothing is out on it: what is on it has still to leave.
+    fn rests(&self) -> bool {
+        self.riders.borrow().values().all(|r| r.withdrawn || r.start >= self.written.get())
+    }
+
     /// Attempts on it.
     pub fn riders(&self) -> usize {
         self.riders.borrow().len()
@@ -412,6 +419,9 @@
         };
         let from = (at - start) as usize;
         let to = cut.map_or(buf.len(), |c| ((c - start) as usize).min(buf.len()));
+        if link.rests() && link.next_start(at, start + to as u64).is_some() && closed(writer.as_ref()) {
+            return theirs("closed by the engine");
+        }
         if !cleared(core, link, at, start + to as u64) {
             // What was withdrawn is passed over on the next round.
             continue;
@@ -430,6 +440,17 @@
     }
 }
 
+/// Whether the other side has closed a connection on which nothing was said since, asked of the system itself: the
+/// runtime hears of it only with its next look. Guards what is sent on a link that its engine closes for being idle in
+/// that moment: written, it would count as one that may have run.
+fn closed(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    match SockRef::from(stream).peek(&mut byte) {
+        Ok(n) => n == 0,
+        Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
+}
+
 /// Whether all attempts that begin in this part of the stream may leave; those that may not are withdrawn.
 fn cleared<O: Owner>(core: &Rc<O>, link: &Link, mut at: u64, to: u64) -> bool {
     let mut all = true;
--- a/src/core/requests/leaving_tests.rs
+++ b/src/core/requests/leaving_tests.rs
@@ -244,3 +244,41 @@
         assert!(left > 1_000, "{:?}", begun.elapsed());
     });
 }
+
+/// Guards a class that may run once against an engine that closes an idle connection in the instant of its use: its end
+/// is here, this program has had no turn to hear of it, and what is written now would count as one that may have run.
+#[test]
+fn what_meets_the_close_of_an_idle_link_goes_elsewhere_as_one_that_never_ran() {
+    local(async {
+        let (core, listeners) = core().await;
+        tokio::task::spawn_local(Rc::clone(&core).run());
+        let mut first = core.take(request(&core, 1)).expect("taken");
+        let link = link_of(&core, 1).expect("out");
+        let (mut peer, _) = listeners[link.engine].accept().await.expect("the link");
+        let answer =
+            b"*4\r\n$16\r\n0000000000000001\r\n$6\r\nserved\r\n$9\r\nbatches=1\r\n$6\r\na\tb\tc\n\r\n";
+        // All of it is read: closed over unread bytes, its end would be a reset, which the next write meets.
+        let mut got = Vec::new();
+        while resp::read_array(&got, usize::MAX).expect("a command").is_none() {
+            assert!(peer.read_buf(&mut got).await.expect("read") > 0);
+        }
+        peer.write_all(answer).await.expect("written");
+        assert!(matches!(first.wait().await, Final::Served(_)));
+        // Requests until one is on that link: the module draws engines by chance.
+        let mut tickets = Vec::new();
+        let mut closing = Some(peer);
+        for id in 2..200 {
+            // On loopback the end is at this side when this returns; nothing of this program has run since.
+            drop(closing.take());
+            tickets.push(core.take(request(&core, id)).expect("taken"));
+            if link_of(&core, id).is_some_and(|l| Rc::ptr_eq(&l, &link)) {
+                until(|| link_of(&core, id).is_none_or(|l| !Rc::ptr_eq(&l, &link))).await;
+                let inner = core.inner.borrow();
+                assert!(inner.open[&id].may_have_run.is_none(), "it counts as one that may have run");
+                assert!(inner.open[&id].sends > 1 || inner.open[&id].out.is_none());
+                return;
+            }
+        }
+        panic!("no request came to that link");
+    });
+}
