Feed: an answer that trickles, or an event that cannot be read, holds up nothing behind it

Need: read for races, eight ways were found in which a feed that still talks told nothing more, while what it holds counts as told (src/core/feed.rs, following.rs, src/proto/sse.rs, events.rs): - heard() took every byte for a sign of life: an answer of a byte a second was never given up; - a call without a head cost 2.5 s, so a silent watch and two such calls passed the 7 s after which all is told (7.64 s); - patience grew by as much as the clock was set back; - an event over 1 MiB ended every call that brought it, without end; - two unreadable events in one answer, one without a number, started each other's count anew, without end; - bytes that are no UTF-8 became another engine's name, and the drain of the right one was ticked off; - an event counted under the n of its data, not under its id, which the next call goes on from; - an id of u64::MAX let all that came later pass. Change: a whole event or comment has to come within 4 s (WHOLE) while bytes come; a head within 1.5 s (ANSWER), 2.5 s after a call without one; patience is at most its phase's bound; too long an event is asked for anew three times like any unreadable one and then passed over to its end; counts with and without numbers are kept apart; U+FFFD in the data is unreadable; id goes before n; numbers end at 2^53 - 1. An unreadable repeat is passed over at once.

--- a/src/core/feed.rs
+++ b/src/core/feed.rs
@@ -4,7 +4,7 @@
 use super::following::Following;
 use super::requests::Core;
 use super::{now, span};
-use crate::proto::{events, sse};
+use crate::proto::{events, sse, Malformed};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
@@ -96,27 +96,52 @@
     core.fed();
     let (mut decoder, mut sent) = (sse::Decoder::default(), Vec::new());
     while let Some(frame) = within(following, async { answer.frame().await.transpose() }).await? {
-        following.heard(now());
         let Ok(bytes) = frame.into_data() else { continue };
-        decoder.take(&bytes, &mut sent).map_err(|e| e.to_string())?;
-        for event in sent.drain(..) {
-            take(core, &event, following)?;
+        let before = decoder.whole();
+        let mut read = decoder.take(&bytes, &mut sent);
+        loop {
+            following.heard(decoder.whole() > before, now());
+            for event in sent.drain(..) {
+                take(core, &event, following)?;
+            }
+            let Err(e) = read else { break };
+            // Guards against an event without end that would come again with every call.
+            let event = decoder.id();
+            let fresh = event.is_none_or(|n| n > core.last_event());
+            if fresh && following.unreadable(event) {
+                return Err(e.to_string());
+            }
+            skip(core, event, &e);
+            read = decoder.pass(&mut sent);
         }
     }
     Ok(())
 }
 
-/// Takes one event; an error where it is to be asked for anew.
+/// Takes one event; an error where it is to be asked for anew. Its number is the one that the next call goes on from,
+/// and only where it has none the one that its data tells.
 fn take(core: &Rc<Core>, event: &sse::Sent, following: &mut Following) -> Result<(), String> {
+    let last = core.last_event();
     match events::parse(&event.data) {
-        Ok(Some(list)) => core.on_list(&list, false),
+        Ok(Some(mut list)) => {
+            list.n = event.id.unwrap_or(list.n);
+            core.on_list(&list, false);
+        }
         Ok(None) => event.id.into_iter().for_each(|n| core.passed_event(n)),
+        // What was had before is of no use again, whatever became of it on the way.
+        Err(_) if event.id.is_some_and(|n| n <= last) => {}
         Err(e) if following.unreadable(event.id) => return Err(format!("an event could not be read: {e}")),
         // Guards against one bad event that would come again with every call.
-        Err(e) => {
-            error!("feed event skipped: {e}");
-            event.id.into_iter().for_each(|n| core.passed_event(n));
-        }
+        Err(e) => skip(core, event.id, &e),
+    }
+    if core.last_event() != last {
+        following.progressed();
     }
     Ok(())
 }
+
+/// Passes over an event that cannot be read.
+fn skip(core: &Core, event: Option<u64>, why: &Malformed) {
+    error!("feed event skipped: {why}");
+    event.into_iter().for_each(|n| core.passed_event(n));
+}
--- a/src/core/following.rs
+++ b/src/core/following.rs
@@ -11,6 +11,12 @@
 pub const REST: [Micros; 2] = [Micros(20_000), Micros(250_000)];
 /// A comment comes each second: a feed silent for this long is dead.
 pub const SILENCE: Micros = Micros(2_500_000);
+/// Of an answer that keeps coming, a whole event or comment has to come at least so often: bytes alone may trickle for
+/// ever. Longer than [`SILENCE`], for a long list on a busy machine comes in parts.
+pub const WHOLE: Micros = Micros(4_000_000);
+/// For the head of an answer, where the call before was answered: the feed answers at once. After one that was not
+/// answered it is [`SILENCE`], so that a slow feed is reached all the same.
+pub const ANSWER: Micros = Micros(1_500_000);
 /// For a connection to the feed.
 pub const DIAL: Micros = Micros(500_000);
 /// An event that cannot be read is asked for anew so many times before it is passed over: what spoilt it
@@ -20,14 +26,19 @@
 /// How far the follower is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
-    /// The next call begins then.
-    Resting(Micros),
+    /// The next call begins then, after a rest of so long.
+    Resting(Micros, Micros),
     /// A connection is being made since then.
     Dialling(Micros),
     /// The call is made, and nothing was answered since then.
     Asking(Micros),
-    /// It was answered; the last that was heard came then.
-    Reading(Micros),
+    /// It was answered.
+    Reading {
+        /// When the last byte came.
+        heard: Micros,
+        /// When the last event or comment was whole.
+        whole: Micros,
+    },
 }
 
 /// The rest after a call.
@@ -46,33 +57,38 @@
     calls: Option<ListCalls>,
     rest: Micros,
     refused: bool,
-    /// The event that could not be read last, and how often that was.
-    unread: (Option<u64>, u32),
+    /// The numbered event that could not be read last, and how often that was.
+    unread: (u64, u32),
+    /// How often an event without a number could not be read, with no other taken between.
+    nameless: u32,
 }
 
 impl Following {
     /// A follower that starts now.
     pub fn new(calls: Option<ListCalls>, now: Micros) -> Following {
         let first = calls.as_ref().and_then(ListCalls::due).unwrap_or(now);
-        Following { phase: Phase::Resting(first), calls, rest: REST[0], refused: false, unread: (None, 0) }
+        let phase = Phase::Resting(first, first - now);
+        Following { phase, calls, rest: REST[0], refused: false, unread: (0, 0), nameless: 0 }
     }
 
     /// How much longer the follower bears it if nothing happens: then it has to call, if it rests, or else to give
-    /// its call up. Zero where that is overdue.
+    /// its call up. Zero where that is overdue, and never longer than the phase's bound, should the clock be set back.
     pub fn patience(&self, now: Micros) -> Micros {
-        let until = match self.phase {
-            Phase::Resting(until) => until,
-            Phase::Dialling(since) => since + DIAL,
-            Phase::Asking(since) | Phase::Reading(since) => since + SILENCE,
+        let (until, most) = match self.phase {
+            Phase::Resting(until, rest) => (until, rest),
+            Phase::Dialling(since) => (since + DIAL, DIAL),
+            Phase::Asking(since) if self.rest == REST[0] => (since + ANSWER, ANSWER),
+            Phase::Asking(since) => (since + SILENCE, SILENCE),
+            Phase::Reading { heard, whole } => ((heard + SILENCE).min(whole + WHOLE), SILENCE),
         };
-        (until - now).max(Micros(0))
+        (until - now).min(most).max(Micros(0))
     }
 
     /// Why the call is given up when its patience has run out.
     pub fn impatience(&self) -> &'static str {
         match self.phase {
-            Phase::Resting(_) | Phase::Dialling(_) => "no connection in time",
-            Phase::Asking(_) | Phase::Reading(_) => "silent",
+            Phase::Resting(..) | Phase::Dialling(_) => "no connection in time",
+            Phase::Asking(_) | Phase::Reading { .. } => "silent",
         }
     }
 
@@ -99,30 +115,46 @@
         if status != 200 {
             return Err(format!("field status is not 200: {status}"));
         }
-        self.phase = Phase::Reading(now);
+        self.phase = Phase::Reading { heard: now, whole: now };
         Ok(())
     }
 
-    /// Something of an answer came.
-    pub fn heard(&mut self, now: Micros) {
-        if let Phase::Reading(since) = &mut self.phase {
-            *since = now;
+    /// Something of an answer came; `complete` if an event or a comment is whole by it.
+    pub fn heard(&mut self, complete: bool, now: Micros) {
+        if let Phase::Reading { heard, whole } = &mut self.phase {
+            *heard = now;
+            if complete {
+                *whole = now;
+            }
         }
     }
 
-    /// An event could not be read: whether the call is given up to ask for it anew, or it is passed over.
+    /// An event could not be read: whether the call is given up to ask for it anew, or it is passed over. Those
+    /// without a number count as one, apart from the others: two bad events in one answer must not start each other's
+    /// count anew.
     pub fn unreadable(&mut self, event: Option<u64>) -> bool {
-        if self.unread.0 != event {
-            self.unread = (event, 0);
-        }
-        self.unread.1 += 1;
-        self.unread.1 <= ANEW
+        let count = match event {
+            Some(n) => {
+                if self.unread.0 != n {
+                    self.unread = (n, 0);
+                }
+                &mut self.unread.1
+            }
+            None => &mut self.nameless,
+        };
+        *count += 1;
+        *count <= ANEW
+    }
+
+    /// A new event was taken.
+    pub fn progressed(&mut self) {
+        self.nameless = 0;
     }
 
     /// The call is over, however it was. The rests grow with calls that were not answered, and start anew with one
     /// that was, whether it brought an event or not: a feed may end its answers as it likes.
     pub fn ended(&mut self, now: Micros) -> Rest {
-        let answered = matches!(self.phase, Phase::Reading(_));
+        let answered = matches!(self.phase, Phase::Reading { .. });
         self.rest = if answered { REST[0] } else { Micros(self.rest.0 * 2).min(REST[1]) };
         let mut rest = Rest { span: self.rest, refused: false };
         if let Some(calls) = &mut self.calls {
@@ -133,18 +165,18 @@
             };
             rest = Rest { span: calls.ended(now, how) - now, refused: self.refused };
         }
-        self.phase = Phase::Resting(now + rest.span);
+        self.phase = Phase::Resting(now + rest.span, rest.span);
         rest
     }
 
     /// The feed has moved: it is called at once, whatever was under way, and the old one tells nothing more.
     pub fn moved(&mut self, now: Micros) {
-        if !matches!(self.phase, Phase::Resting(_)) {
+        if !matches!(self.phase, Phase::Resting(..)) {
             if let Some(calls) = &mut self.calls {
                 calls.ended(now, Ended::Answered);
             }
         }
-        (self.phase, self.rest) = (Phase::Resting(now), REST[0]);
+        (self.phase, self.rest) = (Phase::Resting(now, Micros(0)), REST[0]);
     }
 }
 
--- a/src/core/following_tests.rs
+++ b/src/core/following_tests.rs
@@ -77,7 +77,7 @@
         if !step(f, now, *gap) {
             break;
         }
-        f.heard(*now);
+        f.heard(true, *now);
     }
     Went::Over(Some(200))
 }
@@ -161,3 +161,109 @@
         assert_eq!(asked, [true, true, true, false, false], "{event:?}");
     }
 }
+
+/// What a feed that has stopped telling does to the calls after it.
+#[derive(Clone, Copy, Debug)]
+enum Dumb {
+    /// No connection comes up.
+    Undialled,
+    /// A connection comes up and no head.
+    Headless,
+    /// A head comes and nothing behind it.
+    Wordless,
+}
+
+/// From the last that a silent watch told until a call is answered, if these calls come to nothing before.
+fn until_heeded(calls: &[Dumb]) -> Micros {
+    let (mut f, mut now) = (Following::new(None, Micros(0)), Micros(0));
+    let wait = |f: &Following, now: &mut Micros| *now = *now + f.patience(*now);
+    f.begins(Micros(0));
+    f.connected(Micros(0));
+    f.answered(200, Micros(0)).expect("answered");
+    wait(&f, &mut now);
+    for call in calls {
+        f.ended(now);
+        wait(&f, &mut now);
+        f.begins(now);
+        match call {
+            Dumb::Undialled => {}
+            Dumb::Headless => f.connected(now),
+            Dumb::Wordless => {
+                f.connected(now);
+                f.answered(200, now).expect("answered");
+            }
+        }
+        wait(&f, &mut now);
+    }
+    f.ended(now);
+    wait(&f, &mut now);
+    now
+}
+
+/// Guards the rule on drains: whatever the feed has to tell counts as told 7 s later at the latest, whether it arrived
+/// or not. Two calls that nobody answers used that up, and six dials.
+#[test]
+fn a_silent_watch_is_heard_again_before_what_it_had_to_tell_counts_as_told() {
+    use Dumb::{Headless, Undialled, Wordless};
+    let ms = |calls: &[Dumb]| until_heeded(calls).0 / 1_000;
+    assert_eq!(ms(&[]), 2_520);
+    assert_eq!((ms(&[Undialled]), ms(&[Headless]), ms(&[Wordless])), (3_060, 4_060, 5_040));
+    for calls in [
+        &[Headless, Headless][..],
+        &[Undialled, Headless],
+        &[Headless, Undialled],
+        &[Wordless, Headless],
+        &[Wordless, Undialled],
+        &[Undialled; 5],
+    ] {
+        assert!(ms(calls) < 7_000, "{calls:?}: {} ms", ms(calls));
+    }
+}
+
+/// Guards the rule on drains: an answer of one byte now and then was never given up, and what it told never whole. A
+/// comment each second keeps it, also while a long event comes in parts.
+#[test]
+fn an_answer_must_bring_something_whole_now_and_then() {
+    let (mut f, mut now) = (Following::new(None, Micros(0)), Micros(0));
+    f.begins(now);
+    f.connected(now);
+    f.answered(200, now).expect("answered");
+    for i in 1..=40 {
+        now = now + Micros(500_000);
+        assert!(f.patience(now - Micros(1)) > Micros(0), "half second {i}");
+        f.heard(i % 7 == 0, now);
+    }
+    let trickles = (1..100).take_while(|_| {
+        now = now + Micros(500_000);
+        f.heard(false, now);
+        f.patience(now) > Micros(0)
+    });
+    assert_eq!(trickles.count(), 2, "at the third 4 s are over since the 35th half second");
+    assert_eq!(f.impatience(), "silent");
+}
+
+/// Guards the rule on drains: a clock set back by an hour kept the feed from being called for that hour.
+#[test]
+fn a_clock_that_is_set_back_makes_nothing_last_longer() {
+    let late = Micros(10_000_000_000);
+    let mut f = Following::new(None, late);
+    let early = late - Micros(3_600_000_000);
+    assert_eq!(f.patience(early), Micros(0));
+    f.begins(late);
+    assert_eq!(f.patience(early), DIAL);
+    f.connected(late);
+    assert_eq!(f.patience(early), ANSWER);
+    f.answered(200, late).expect("answered");
+    assert_eq!(f.patience(early), SILENCE);
+    assert_eq!(f.ended(late).span, f.patience(early));
+}
+
+/// Guards against two bad events that start each other's count anew: then neither is ever passed over.
+#[test]
+fn events_with_and_without_a_number_are_counted_apart() {
+    let mut f = Following::new(None, Micros(0));
+    let asked: Vec<(bool, bool)> = (0..5).map(|_| (f.unreadable(None), f.unreadable(Some(7)))).collect();
+    assert_eq!(asked, [(true, true), (true, true), (true, true), (false, false), (false, false)]);
+    f.progressed();
+    assert!(f.unreadable(None), "after one that could be read it is another");
+}
--- a/src/proto/events.rs
+++ b/src/proto/events.rs
@@ -58,8 +58,18 @@
     }
 }
 
+/// The highest number of an event: above it JSON's numbers are no longer told apart, and no feed counts as far.
+pub const MOST_N: u64 = (1 << 53) - 1;
+
 /// Reads an event from its text.
+///
+/// # Errors
+/// Where it is no event. So is one that holds U+FFFD, which the reader of a stream puts in the place of bytes that are
+/// no UTF-8: a name that came spoilt would be another engine's.
 pub fn parse(text: &str) -> Result<Option<ListEvent>, Malformed> {
+    if text.contains(char::REPLACEMENT_CHARACTER) {
+        return Err(Malformed::field("data", "is not UTF-8"));
+    }
     let value: Value =
         serde_json::from_str(text).map_err(|e| Malformed(format!("field data is not JSON: {e}")))?;
     decode(&value)
@@ -68,6 +78,9 @@
 /// Understands an event; `None` for one about something else.
 pub fn decode(value: &Value) -> Result<Option<ListEvent>, Malformed> {
     let n = value["n"].as_u64().ok_or_else(|| Malformed::field("n", "is missing or no number"))?;
+    if n > MOST_N {
+        return Err(Malformed::field("n", "is no event's number"));
+    }
     let Some(list) = value.get("members") else { return Ok(None) };
     let rows =
         list["members"].as_array().ok_or_else(|| Malformed::field("members", "is missing or no list"))?;
--- /dev/null
+++ b/tests/watches.rs
@@ -0,0 +1,219 @@
+//! Watches of the control feed in every bad order: silent, trickling, moved under way, numbered anew, late or twice. The
+//! feed here does nothing by itself: each call is the test's, which writes its bytes and ends it when it will.
+mod support;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::Duration;
+use support::*;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// A feed whose calls the test takes.
+struct Watched {
+    address: SocketAddr,
+    calls: Receiver<(u64, TcpStream)>,
+}
+
+impl Watched {
+    fn start() -> Watched {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (tell, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let input = BufReader::new(stream.try_clone().expect("a second handle"));
+                let head = input.lines().map_while(Result::ok).take_while(|l| !l.is_empty());
+                let asked = head.filter_map(|l| {
+                    l.to_ascii_lowercase().strip_prefix("last-event-id: ").and_then(|n| n.parse().ok())
+                });
+                if tell.send((asked.last().expect("a number"), stream)).is_err() {
+                    return;
+                }
+            }
+        });
+        Watched { address, calls }
+    }
+
+    /// The next call: the number after which it asks for events, and its connection.
+    fn call(&self) -> (u64, TcpStream) {
+        self.calls.recv_timeout(PATIENCE).expect("a call")
+    }
+
+    /// The next call, answered with these bytes.
+    fn answer(&self, bytes: impl AsRef<[u8]>) -> (u64, TcpStream) {
+        let (asked, mut stream) = self.call();
+        say(&mut stream, HEAD);
+        say(&mut stream, bytes);
+        (asked, stream)
+    }
+}
+
+/// A caller that hung up has had enough: what it made of it the test sees.
+fn say(to: &mut TcpStream, bytes: impl AsRef<[u8]>) {
+    let _ = to.write_all(bytes.as_ref());
+}
+
+fn sent(n: usize, data: &str) -> String {
+    format!("id: {n}\ndata: {data}\n\n")
+}
+
+fn nowhere() -> SocketAddr {
+    "127.0.0.1:9".parse().expect("an address")
+}
+
+/// An event that names one engine, which is nowhere.
+fn told(n: usize, id: &str, phase: &str) -> String {
+    sent(n, &list(n, false, &[(id, nowhere(), phase)]))
+}
+
+/// The program with engine `s-1` by event 1, and its feed here.
+fn start(feed: &Watched) -> Program {
+    let program = Program::start(&[("s-1", nowhere())], None, None);
+    program.reload(&program.config_with_feed(feed.address));
+    program
+}
+
+fn count(program: &Program, text: &str) -> usize {
+    program.lines().iter().filter(|l| l.contains(text)).count()
+}
+
+// ---- What is heard when --------------------------------------------------------------------
+
+/// Guards the rule on drains: one byte now and then kept a call that told nothing for ever.
+#[test]
+fn a_watch_that_only_trickles_is_called_again() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let (_, mut stream) = feed.answer(": here\n\n");
+    thread::spawn(move || {
+        // Always well within the silence that a watch is granted, and never a whole comment.
+        while stream.write_all(b":").is_ok() {
+            thread::sleep(Duration::from_millis(300));
+        }
+    });
+    let (asked, mut again) = feed.answer(told(2, "s-1", "draining"));
+    assert_eq!(asked, 1);
+    program.wait_line("engine s-1 is Draining");
+    assert_eq!(count(&program, "feed lost: silent"), 1);
+    say(&mut again, ": here\n\n");
+}
+
+/// Guards the rule on drains: a call that nobody answers costs no more than the time of one head.
+#[test]
+fn a_silent_watch_and_a_silent_call_after_it_are_both_given_up() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let (_, silent) = feed.answer(": here\n\n");
+    let (_, dumb) = feed.call();
+    let (asked, _third) = feed.answer(told(2, "s-1", "draining"));
+    assert_eq!(asked, 1);
+    program.wait_line("engine s-1 is Draining");
+    assert_eq!(count(&program, "feed lost: silent"), 2);
+    // Both were let go: nothing that they still say is read.
+    for mut stream in [silent, dumb] {
+        let mut rest = Vec::new();
+        assert_eq!(stream.read_to_end(&mut rest).map_err(|e| e.kind()).unwrap_or(0), 0);
+    }
+}
+
+// ---- Numbers -------------------------------------------------------------------------------
+
+/// Guards the rule on drains: the number in an event's data, where it was not the event's own, let all that came after
+/// pass.
+#[test]
+fn an_event_counts_under_its_own_number() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let other = sent(
+        2,
+        &list(900, false, &[("s-2", nowhere(), "ready")]).replace("\"revision\":900", "\"revision\":2"),
+    );
+    let (_, first) = feed.answer([other, told(3, "s-1", "draining")].concat());
+    program.wait_line("engine s-2 is Ready");
+    program.wait_line("engine s-1 is Draining");
+    drop(first);
+    // Without one, that in its data counts.
+    let (asked, second) =
+        feed.answer(format!("data: {}\n\n", list(4, false, &[("s-4", nowhere(), "ready")])));
+    assert_eq!(asked, 3);
+    program.wait_line("engine s-4 is Ready");
+    drop(second);
+    assert_eq!(feed.call().0, 4);
+}
+
+/// Guards the rule on drains: one number that no feed counts up to let all that came after pass.
+#[test]
+fn a_number_that_no_feed_counts_to_passes_nothing_over() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    // It is asked for anew three times, and then passed over; what it is about plays no part.
+    let both = format!(
+        "id: {0}\ndata: {{\"n\":7}}\n\nid: {0}\ndata: {{\"n\":{0}}}\n\n{1}",
+        u64::MAX,
+        told(2, "s-1", "draining")
+    );
+    for _ in 0..4 {
+        let (asked, stream) = feed.answer(&both);
+        assert_eq!(asked, 1);
+        drop(stream);
+    }
+    program.wait_line("engine s-1 is Draining");
+    assert_eq!(feed.call().0, 2);
+}
+
+// ---- Events that cannot be read ------------------------------------------------------------
+
+/// Guards the rule on drains: two bad events in one answer started each other's count anew, and nothing behind them
+/// was ever read.
+#[test]
+fn two_events_that_cannot_be_read_are_both_passed_over_in_the_end() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let bad = format!("data: {{\n\n{}{}", sent(2, "{"), told(3, "s-1", "draining"));
+    // Three calls for each that are given up, and one more that reads them.
+    for _ in 0..7 {
+        let (asked, stream) = feed.answer(&bad);
+        assert_eq!(asked, 1);
+        drop(stream);
+    }
+    program.wait_line("engine s-1 is Draining");
+    assert_eq!(feed.call().0, 3);
+}
+
+/// Guards the rule on drains: an event too long to be read came again with every call, and nothing behind it was ever
+/// read.
+#[test]
+fn an_event_that_is_too_long_is_passed_over_in_the_end() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let long = "x".repeat((1 << 20) + 10);
+    let bad = format!("{}{}", sent(2, &long), told(3, "s-1", "draining"));
+    for _ in 0..4 {
+        let (asked, mut stream) = feed.answer(&bad);
+        assert_eq!(asked, 1);
+        // Until it has hung up, or has read it all.
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let _ = stream.read_to_end(&mut Vec::new());
+    }
+    program.wait_line("engine s-1 is Draining");
+    assert_eq!(feed.call().0, 3);
+    assert_eq!(count(&program, "feed event skipped: field data is too long"), 1);
+}
+
+/// Guards the rule on drains: bytes that are no UTF-8 became another engine's name, and that one's drain was ticked off.
+#[test]
+fn an_event_that_is_not_utf_8_is_asked_for_anew() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let mut spoilt = told(2, "s-1", "draining").into_bytes();
+    let at = spoilt.windows(3).position(|w| w == b"s-1").expect("its name");
+    spoilt[at + 1] = 0xff;
+    let (_, first) = feed.answer(&spoilt);
+    let (asked, _second) = feed.answer(told(2, "s-1", "draining"));
+    assert_eq!(asked, 1, "what was spoilt on the way may not come so again");
+    program.wait_line("engine s-1 is Draining");
+    drop(first);
+}
