Lists: what a whole one leaves out ends as gone, and numbers that begin anew are followed

Need (src/core/engines.rs): - forget_gone noted engines that a whole list leaves out as gone and no more: a request that waited for a connection to one went out when that came up, seconds after the word; put back by hand, such an engine was told to the module as ready; - on_list passed over all numbers up to the last: a feed that counts from 1 again was never heard any more, and an event out of its turn, a drain too, counted as a repeat; - of two words on one engine in one list the later counted, so that [draining, ready] sent on. Change: end_unnamed adds what a whole list leaves out as gone, so that there is one way to end; fresh takes, under a number that was passed, what has a new revision (numbering anew) or speaks of a known engine of which nothing later was said; cautious leaves one entry an engine, the most cautious.

--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -9,6 +9,7 @@
 use sprucelink_coldstart::dials::DialStager;
 use sprucelink_coldstart::held::Says;
 use sprucelink_policy::interface::Micros;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -26,6 +27,9 @@
     pub(super) word: Option<Micros>,
     /// What the list said of it last, whatever was made of that.
     pub(super) told: Option<Member>,
+    /// The number of the event that said so, and the highest revision of the list told with this place in the table; that
+    /// outlives the engine.
+    said: (u64, u64),
 }
 
 impl Engine {
@@ -36,18 +40,17 @@
 }
 
 impl Core {
-    /// News of the list of engines. Events that came before are passed over.
+    /// News of the list of engines. Of an event that was had before, or comes late, only what is new is taken.
     pub fn on_list(self: &Rc<Self>, list: &ListEvent, remembered: bool) {
         let mut inner = self.inner.borrow_mut();
-        if list.n <= inner.last_event {
-            return;
-        }
-        inner.last_event = list.n;
-        let guarded = inner.guarded(list);
-        let list = guarded.as_ref().unwrap_or(list);
-        inner.note_listed(list);
-        inner.forget_gone(list);
-        let orders = inner.on_members(list, remembered);
+        let Some(fresh) = inner.fresh(list) else { return };
+        let mut list = inner.guarded(&fresh).unwrap_or(fresh);
+        cautious(&mut list);
+        inner.end_unnamed(&mut list);
+        inner.note_listed(&list);
+        inner.forget_gone();
+        let orders = inner.on_members(&list, remembered);
+        inner.note_said(&list);
         let listed = inner.listed();
         if let Some(cold) = &mut inner.cold {
             cold.ready.listed(listed);
@@ -57,7 +60,80 @@
     }
 }
 
+/// Leaves one entry of each engine that a list names more than once: the most cautious.
+fn cautious(list: &mut ListEvent) {
+    let weight = |m: &Member| match m.phase {
+        Phase::Ready => 0,
+        Phase::Draining => 1,
+        Phase::Gone => 2,
+    };
+    let mut most: BTreeMap<String, u8> = BTreeMap::new();
+    for m in &list.members {
+        let held = most.entry(m.id.clone()).or_default();
+        *held = weight(m).max(*held);
+    }
+    // Of several as cautious the last counts.
+    let mut rest: Vec<Member> = list.members.drain(..).rev().collect();
+    rest.retain(|m| most.get(&m.id) == Some(&weight(m)) && most.remove(&m.id).is_some());
+    list.members = rest.into_iter().rev().collect();
+}
+
 impl Inner {
+    /// What an event tells that is new, and its number as the last where it counts on from there.
+    ///
+    /// Under a number that was passed already there is news in two cases. Its revision is above all that were told: then
+    /// the numbering has begun anew, and the feed would never be heard again if that went by numbers alone. Or it comes
+    /// late, out of its turn: then it counts for the engines that are known and of which nothing later was said.
+    fn fresh(&mut self, list: &ListEvent) -> Option<ListEvent> {
+        let (n, last) = (list.n, self.last_event);
+        if n > last {
+            self.last_event = n;
+            return Some(list.clone());
+        }
+        let held = self.engines.iter().map(|e| e.said.1).max().unwrap_or(0);
+        if list.revision > held {
+            let revision = list.revision;
+            warn!(
+                n,
+                last,
+                revision,
+                held,
+                "list {n} comes after {last}, but {revision} is a new revision: numbers begin anew"
+            );
+            self.engines.iter_mut().for_each(|e| e.said.0 = 0);
+            self.last_event = n;
+            return Some(list.clone());
+        }
+        let old = |m: &Member| self.engines.iter().any(|e| e.id == m.id && e.said.0 < n);
+        let members: Vec<Member> = list.members.iter().filter(|m| old(m)).cloned().collect();
+        (!members.is_empty()).then(|| ListEvent { n, revision: list.revision, complete: false, members })
+    }
+
+    /// Names the engines that a whole list leaves out, as gone: what a list ends, it ends in one way.
+    fn end_unnamed(&self, list: &mut ListEvent) {
+        if !list.complete {
+            return;
+        }
+        let named: BTreeSet<&str> = list.members.iter().map(|m| m.id.as_str()).collect();
+        let left = self.engines.iter().filter(|e| e.gone.is_none() && !named.contains(e.id.as_str()));
+        let told = left.filter_map(|e| e.told.clone());
+        let gone: Vec<Member> = told.map(|m| Member { phase: Phase::Gone, ..m }).collect();
+        list.members.extend(gone);
+    }
+
+    /// Notes which event spoke last of the engines that a list names, and its revision also where it names none.
+    fn note_said(&mut self, list: &ListEvent) {
+        if let Some(first) = self.engines.first_mut() {
+            first.said.1 = first.said.1.max(list.revision);
+        }
+        for member in &list.members {
+            let engine = self.facade.engine(&member.id);
+            if let Some(e) = self.engines.get_mut(engine) {
+                e.said = (list.n, list.revision.max(e.said.1));
+            }
+        }
+    }
+
     /// Takes in what a list says of engines; what follows from it.
     pub(super) fn on_members(&mut self, list: &ListEvent, remembered: bool) -> Vec<Order> {
         let masked = self.masked(list);
@@ -126,16 +202,12 @@
     }
 
     /// Forgets the engines that have been gone for long enough and have no connection left.
-    pub(super) fn forget_gone(&mut self, list: &ListEvent) {
+    pub(super) fn forget_gone(&mut self) {
         let at = now();
         for i in 0..self.engines.len() {
             let engine = &mut self.engines[i];
-            if list.complete {
-                // What a whole list does not name is gone, too.
-                engine.gone.get_or_insert(at);
-            }
             if engine.links.is_empty() && engine.gone.is_some_and(|t| at - t > self.keep) {
-                *engine = Engine::default();
+                *engine = Engine { said: (0, engine.said.1), ..Engine::default() };
                 self.facade.forget(i);
             }
         }
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::Duration;
+use support::calls::figure;
 use support::*;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
@@ -80,6 +81,10 @@
     program.lines().iter().filter(|l| l.contains(text)).count()
 }
 
+fn sql(id: u64) -> String {
+    format!("/* kind=lane-rate,req={id:016x},timeout=20000 */ SELECT price FROM rates_1.lanes")
+}
+
 // ---- What is heard when --------------------------------------------------------------------
 
 /// Guards the rule on drains: one byte now and then kept a call that told nothing for ever.
@@ -121,6 +126,71 @@
 
 // ---- Numbers -------------------------------------------------------------------------------
 
+/// Guards the rule on drains: a feed that counts from 1 again was never heard any more.
+#[test]
+fn numbers_that_begin_anew_are_followed() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let (_, first) = feed.answer(told(40, "s-2", "ready"));
+    program.wait_line("engine s-2 is Ready");
+    drop(first);
+    // The whole list under number 1, of a revision after that of event 40, and what follows on it.
+    let whole = list(41, true, &[("s-2", nowhere(), "ready"), ("s-3", nowhere(), "ready")]);
+    let (asked, second) = feed.answer(
+        [sent(1, &whole.replace("{\"n\":41", "{\"n\":1")), {
+            let drain = list(42, false, &[("s-2", nowhere(), "draining")]);
+            sent(2, &drain.replace("{\"n\":42", "{\"n\":2"))
+        }]
+        .concat(),
+    );
+    assert_eq!(asked, 40);
+    program.wait_line("engine s-3 is Ready");
+    program.wait_line("engine s-2 is Draining");
+    program.wait_line("engine s-1 is Gone");
+    drop(second);
+    // From there it goes on by the new numbers, and repeats are passed over as ever.
+    let again = sent(1, &whole.replace("{\"n\":41", "{\"n\":1"));
+    let (asked, _third) = feed.answer([again, told(43, "s-4", "ready").replace("43", "3")].concat());
+    assert_eq!(asked, 2);
+    program.wait_line("engine s-4 is Ready");
+    assert_eq!(count(&program, "engine s-3 is Ready"), 1);
+}
+
+/// Guards the rule on drains: an event out of its turn was taken for a repeat. It counts for engines of which nothing
+/// later was said, and for no others.
+#[test]
+fn an_event_that_comes_late_is_heeded_where_nothing_later_was_said() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let both = list(3, false, &[("s-1", nowhere(), "draining"), ("s-2", nowhere(), "ready")]);
+    let (_, first) = feed.answer(
+        [told(2, "s-2", "ready"), told(4, "s-2", "gone"), sent(3, &both), told(5, "s-5", "ready")].concat(),
+    );
+    program.wait_line("engine s-5 is Ready");
+    assert_eq!(count(&program, "engine s-1 is Draining"), 1);
+    assert_eq!(count(&program, "engine s-2 is Ready"), 1, "event 3 doesn't bring it back");
+    drop(first);
+    assert_eq!(feed.call().0, 5);
+}
+
+/// Guards against engines that are gone and come back with an old event: a list that names nobody, told twice, is no new
+/// numbering.
+#[test]
+fn a_list_that_names_nobody_begins_no_new_numbering() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let (ready, gone, none) =
+        (told(2, "s-2", "ready"), told(3, "s-2", "gone"), sent(4, &list(4, false, &[])));
+    let (_, first) = feed.answer([&*ready, &gone, &none].concat());
+    program.wait_line("engine s-2 is Gone");
+    drop(first);
+    let (asked, _second) = feed.answer([&*none, &ready, &told(5, "s-5", "ready")].concat());
+    assert_eq!(asked, 4);
+    program.wait_line("engine s-5 is Ready");
+    assert_eq!(count(&program, "engine s-2 is Ready"), 1);
+    assert_eq!(count(&program, "numbers begin anew"), 0);
+}
+
 /// Guards the rule on drains: the number in an event's data, where it was not the event's own, let all that came after
 /// pass.
 #[test]
@@ -217,3 +287,47 @@
     program.wait_line("engine s-1 is Draining");
     drop(first);
 }
+
+// ---- Lists ---------------------------------------------------------------------------------
+
+/// Guards the rule on drains: a whole list that leaves an engine out ends it, and what waited for a connection to it
+/// went out seconds later.
+#[test]
+fn what_a_whole_list_leaves_out_gets_nothing_new() {
+    let (feed, late, next) = (Watched::start(), Late::listen(), Engine::echo());
+    let program = Program::with_operators(&[("s-1", late.address)], None, SETTINGS);
+    let operators = program.operators.expect("an address");
+    program.reload(&program.config_with_feed(feed.address));
+    let (_, mut stream) = feed.answer(": here\n\n");
+    let mut client = Raw::connect(program.platform);
+    client.send(&query(&sql(1)));
+    // It was drawn for s-1, the only engine, when it was taken, and waits for the connection.
+    until(|| (figure(operators, "outstanding") == 1).then_some(()));
+    let whole = list(2, true, &[("s-2", next.address, "ready")]);
+    say(&mut stream, sent(2, &whole));
+    program.wait_line("engine s-2 is Ready");
+    let old = late.open(|_| Reply::Pages(vec!["a\tb\tc\n".into()]));
+    assert_eq!(rows(&client.until_ready()).len(), 1);
+    assert_eq!((old.seen("do").len(), next.seen("do").len()), (0, 1), "it went to the engine that is left");
+    assert_eq!(count(&program, "engine s-1 is Gone"), 1);
+}
+
+/// Guards the rule on drains: of two words on one engine in one list the later counted, whichever it was.
+#[test]
+fn of_two_words_on_an_engine_in_one_list_the_cautious_one_counts() {
+    let (feed, engine, next) = (Watched::start(), Engine::echo(), Engine::echo());
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    program.reload(&program.config_with_feed(feed.address));
+    let rows_of = [
+        ("s-1", engine.address, "draining"),
+        ("s-2", next.address, "ready"),
+        ("s-1", engine.address, "ready"),
+    ];
+    let (_, _stream) = feed.answer(sent(2, &list(2, false, &rows_of)));
+    program.wait_line("engine s-2 is Ready");
+    let mut client = Raw::connect(program.platform);
+    for id in 1..20 {
+        assert_eq!(rows(&client.ask(&sql(id))).len(), 1);
+    }
+    assert_eq!((engine.seen("do").len(), next.seen("do").len()), (0, 19));
+}
