SIGHUP: a stop does not wait for the configuration's reader, and a feed that is no address moves nothing

Need (reload in src/run/serve.rs): the reader was a thread of the runtime's, whose end waits for its own, so that a file that cannot be read to its end (a pipe, a file system that hangs) kept a stopped process up until the kill; and a file whose feed is empty, or no host and port, took the feed away from a program that had a good one. Change: the reader has a thread of its own; a feed without host or port is refused like a file without one. The orders found right are held by two more that pass before, too: a signal while the file is read, and a move with half an event in hand.

--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -24,8 +24,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
-use tokio::task::{spawn_blocking, spawn_local, JoinHandle, LocalSet};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 use tracing::{info, warn};
 
@@ -77,16 +77,23 @@
     LocalSet::new().block_on(&runtime, run(start, files, reread))
 }
 
-/// Reads the configuration anew at every SIGHUP, one after the other. Only where the control feed is
-/// changes in a running program: no session, request or link to an engine is touched.
+/// Reads the configuration anew at every SIGHUP, one after the other: of signals that come while it is read one is
+/// kept, so that the last file put in its place is read in any case. Only where the control feed is changes in a
+/// running program: no session, request or link to an engine is touched.
 async fn reload(mut hup: Signal, files: Files, reread: Reread, feed: watch::Sender<Option<String>>) {
     while hup.recv().await.is_some() {
         let files = files.clone();
-        // Off the serving path: a slow file system must not hold up requests.
-        let read = spawn_blocking(move || reread(&files)).await;
-        let read = read.unwrap_or_else(|_| Err("the reader failed".into()));
+        let (tell, read) = oneshot::channel();
+        // Off the serving path: a slow file system must not hold up requests. Nor the end, which would wait for a
+        // thread of the runtime's.
+        let reader = std::thread::Builder::new().name("reload".into());
+        let reader = reader.spawn(move || drop(tell.send(reread(&files))));
+        let read = match reader {
+            Ok(_) => read.await.unwrap_or_else(|_| Err("the reader failed".into())),
+            Err(e) => Err(format!("no reader: {e}")),
+        };
         let address = read.and_then(|c| c.feed.ok_or_else(|| "configuration: feed: missing".into()));
-        match address {
+        match address.and_then(named) {
             Ok(address) => {
                 info!("configuration read anew: feed at {address}");
                 feed.send_if_modified(|old| {
@@ -101,6 +108,15 @@
     }
 }
 
+/// An address that can be called: a host, and a port that is not 0.
+fn named(address: String) -> Result<String, String> {
+    let (host, port) = address.rsplit_once(':').unwrap_or_default();
+    match port.parse::<u16>() {
+        Ok(1..) if !host.is_empty() => Ok(address),
+        _ => Err(format!("configuration: feed: {address:?} is no address and port")),
+    }
+}
+
 async fn run(start: Start, files: Files, reread: Reread) -> Result<(), String> {
     let Start { mut config, operators, inherited, operator, recorder, cold_start, membership, failover } =
         start;
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
 use std::sync::mpsc::{channel, Receiver};
 use std::thread;
 use std::time::Duration;
@@ -331,3 +332,116 @@
     }
     assert_eq!((engine.seen("do").len(), next.seen("do").len()), (0, 19));
 }
+
+// ---- The feed moves ------------------------------------------------------------------------
+
+/// Guards the rule on drains: half an event of the old feed must neither count nor be told twice.
+#[test]
+fn a_feed_that_moves_with_half_an_event_in_hand_tells_it_from_the_new_one() {
+    let (old, new) = (Watched::start(), Watched::start());
+    let program = start(&old);
+    let drain = told(3, "s-1", "draining");
+    let (half, rest) = drain.split_at(drain.len() - 1);
+    let (_, mut first) = old.answer([&told(2, "s-2", "ready"), half].concat());
+    program.wait_line("engine s-2 is Ready");
+    program.reload(&program.config_with_feed(new.address));
+    let (asked, mut second) = new.call();
+    assert_eq!(asked, 2, "what came whole of the old one counts, and no more");
+    // The last byte comes only now.
+    say(&mut first, rest);
+    say(&mut second, [HEAD, &drain, &told(4, "s-4", "ready")].concat());
+    program.wait_line("engine s-4 is Ready");
+    assert_eq!(count(&program, "engine s-1 is Draining"), 1);
+}
+
+/// The configuration's file of a program, and a pipe in its place: who reads it waits for the test.
+struct Held {
+    file: std::path::PathBuf,
+    pipe: std::path::PathBuf,
+    id: String,
+}
+
+impl Held {
+    /// Puts the pipe in the file's place and sends SIGHUP.
+    fn hold(program: &Program) -> Held {
+        let id = program.id().to_string();
+        let line = std::fs::read_to_string(format!("/proc/{id}/cmdline")).expect("read");
+        let mut parts = line.split('\0').skip_while(|p| *p != "--config");
+        let file = std::path::PathBuf::from(parts.nth(1).expect("a file"));
+        let pipe = file.with_extension("pipe");
+        assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo").success());
+        let held = Held { file, pipe, id };
+        std::fs::rename(&held.pipe, &held.file).expect("renamed");
+        held.hang_up();
+        held
+    }
+
+    fn hang_up(&self) {
+        assert!(Command::new("kill").args(["-HUP", &self.id]).status().expect("kill").success());
+    }
+
+    /// Waits until the program's reader is at the pipe, which only then can be opened for writing at once.
+    fn reader(&self) -> std::fs::File {
+        use std::os::unix::fs::OpenOptionsExt;
+        let open = || std::fs::OpenOptions::new().write(true).custom_flags(O_NONBLOCK).open(&self.file).ok();
+        until(open)
+    }
+}
+
+/// Linux's number for it.
+const O_NONBLOCK: i32 = 0o4000;
+
+/// Guards moves that follow on each other: while one file is read the next is put in its place, and that one counts.
+#[test]
+fn a_hang_up_while_the_file_is_read_is_heeded_after_it() {
+    let (old, new) = (Watched::start(), Watched::start());
+    let program = Program::start(&[("s-1", nowhere())], None, None);
+    let (first, second) = (program.config_with_feed(old.address), program.config_with_feed(new.address));
+    let held = Held::hold(&program);
+    let mut reader = held.reader();
+    // The reader has the pipe in hand: another file takes its place, and a second signal comes.
+    std::fs::write(held.file.with_extension("next"), second).expect("written");
+    std::fs::rename(held.file.with_extension("next"), &held.file).expect("renamed");
+    held.hang_up();
+    held.hang_up();
+    let (_, mut client) = (reader.write_all(first.as_bytes()), Raw::connect(program.platform));
+    drop(reader);
+    program.wait_line(&format!("feed at {}", old.address));
+    program.wait_line(&format!("feed at {}", new.address));
+    let (asked, _stream) = new.answer(told(2, "s-1", "draining"));
+    assert_eq!(asked, 1);
+    program.wait_line("engine s-1 is Draining");
+    client.send(&query(""));
+    assert!(client.message().is_some());
+}
+
+/// Guards the stop: a file that cannot be read to its end held the process up when all was answered.
+#[test]
+fn a_stop_does_not_wait_for_a_configuration_that_is_being_read() {
+    let mut program = Program::start(&[("s-1", nowhere())], None, None);
+    let held = Held::hold(&program);
+    let reader = held.reader();
+    program.terminate();
+    assert_eq!(program.ended(), Some(0));
+    drop(reader);
+}
+
+/// Guards the feed against a file that names none: the old one stays.
+#[test]
+fn a_file_whose_feed_is_no_address_moves_nothing() {
+    let feed = Watched::start();
+    let program = start(&feed);
+    let (_, mut stream) = feed.answer(": here\n\n");
+    let good = program.config_with_feed(feed.address);
+    for bad in ["", "nowhere", ":7070", "127.0.0.1:0", "127.0.0.1:70707"] {
+        program.reload(&good.replace(&feed.address.to_string(), bad));
+        program.wait_line(&format!("feed: {bad:?} is no address and port"));
+    }
+    // So does the same address: the call that is open goes on.
+    program.reload(&good);
+    until(|| (count(&program, "configuration read anew") == 2).then_some(()));
+    say(&mut stream, told(2, "s-1", "draining"));
+    program.wait_line("engine s-1 is Draining");
+    assert_eq!(count(&program, "feed lost"), 0);
+    assert!(feed.calls.try_recv().is_err(), "it was not called again");
+}
