Settings: a number of events that are not told is not gone on from; sites of other customers

Need: with known {"n":41,"events":[]} the feed was asked for what follows on 41, and the whole list, which is in the first event, never came (crates/settings/src/platform.rs). Change: without events nothing counts as known. tests/customers.rs reads sites with names that need quoting, are parts of each other or words of the settings, every effect and group, windows shorter than deadlines, limits at 0 and absent, and two configurations in turn; no fault was found there.

--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(bound(deserialize = "E: Deserialize<'de>"))]
 pub struct Known<E> {
-    /// The number of the last; absent: 0.
+    /// The number of the last; absent, or with no events told: 0.
     #[serde(default)]
     pub n: Whole,
     /// The events, in order.
@@ -80,7 +80,9 @@
 }
 
 fn known<'de, D: Deserializer<'de>, E: Deserialize<'de>>(d: D) -> Result<Known<E>, D::Error> {
-    Option::<Known<E>>::deserialize(d).map(|k| k.unwrap_or_else(Known::none))
+    // Guards against a number without events: asked for what follows on it, the feed would never tell the whole list.
+    let told = Option::<Known<E>>::deserialize(d)?;
+    Ok(told.filter(|k| !k.events.is_empty()).unwrap_or_else(Known::none))
 }
 
 /// A seed: a number, or up to 16 hex digits as text.
--- /dev/null
+++ b/crates/settings/tests/customers.rs
@@ -0,0 +1,99 @@
+//! Sites of other customers: whatever their names, effects and limits are, the settings mean what the page says, and
+//! nothing of one configuration is left in the next.
+
+use serde_json::{json, Value};
+use sprucelink_policy::interface::{DedupGroup, Effect, Micros};
+use sprucelink_settings::{pairs, Platform};
+
+fn read(settings: &Value) -> Platform<Value> {
+    let text = json!({"listen": "10.0.0.4:7001", "seed": "a", "settings": settings}).to_string();
+    Platform::parse(&text).unwrap_or_else(|e| panic!("{e}"))
+}
+
+/// A site whose names need quoting, are parts of each other, or are words of the settings themselves.
+fn odd() -> Value {
+    let class = |name: &str, effect: &str, scope: &str, window: f64| json!({"name": name, "effect": effect, "dedupScope": scope, "repeatWindow": window, "deadline": 3.0});
+    json!({
+        "profiles": [
+            class("rate", "read_like", "all", 0.0),
+            class("rate-2", "idempotency_key", "zone", 0.0),
+            class("ra\"te\\\n,=\u{e9}", "idempotency_key", "cell", 1.0),
+            class("all", "non_idempotent", "all", 5.0),
+            class("-", "idempotency_key", "all", 30.0),
+            class("true", "brand_new", "everywhere", 1.0),
+        ],
+        "customers": [{"name": "a"}, {"name": "ab", "quotaPerS": 0}, {"name": "a\"b", "quotaPerS": 0.5}],
+        "zones": ["z", "z1", "z\"1"],
+        "specifics": {"classThreads": [1], "loads": [false, true]},
+        "limits": {"maxAttempts": 2, "maxStreams": 1, "connIdle": 0, "connectTimeout": 0.1},
+        "invariants": {"ratioSpan": 0, "drainGrace": 0},
+    })
+}
+
+#[test]
+fn classes_mean_what_their_own_words_say() {
+    let told = read(&odd()).settings;
+    let set = told.settings();
+    let effects: Vec<Effect> = set.classes.iter().map(|c| c.effect).collect();
+    use Effect::{Keyed, Safe, Unsafe};
+    assert_eq!(effects, [Safe, Keyed, Keyed, Unsafe, Keyed, Unsafe], "what is not known is not repeated");
+    let groups: Vec<DedupGroup> = set.classes.iter().map(|c| c.group).collect();
+    use DedupGroup::{All, Cell, Zone};
+    assert_eq!(groups, [All, Zone, Cell, All, All, Cell], "what is not known is the narrowest");
+    let windows: Vec<i64> = set.classes.iter().map(|c| c.repeat_window.0).collect();
+    // Shorter than the deadline, none, longer: as told.
+    assert_eq!(windows, [0, 0, 1_000_000, 5_000_000, 30_000_000, 1_000_000]);
+    let names: Vec<&str> = told.profiles.iter().map(|p| p.name.0.as_str()).collect();
+    assert_eq!(names, ["rate", "rate-2", "ra\"te\\\n,=\u{e9}", "all", "-", "true"], "names are names");
+    assert!(!set.classes[0].load && set.classes[1].load && !set.classes[5].load);
+    assert!(set.classes.iter().all(|c| c.threads == 1.0));
+    let quotas: Vec<f64> = set.tenants.iter().map(|t| t.quota_per_s).collect();
+    assert_eq!(quotas, [f64::MAX, 0.0, 0.5]);
+    assert_eq!(told.zones.iter().map(|z| z.0.as_str()).collect::<Vec<_>>(), ["z", "z1", "z\"1"]);
+    // Limits at their ends are limits, and not absent ones.
+    assert_eq!((set.idle, set.drain_grace), (Micros(0), Micros(0)));
+    let ration = set.attempt_budget.expect("told");
+    assert_eq!((ration.span, ration.free, ration.share), (Micros(0), 0.0, 0.0));
+}
+
+/// A site that has none of what others have: no tenants, zones, limits or hints.
+#[test]
+fn a_site_may_lack_nearly_all() {
+    let set =
+        read(&json!({"profiles": [{"name": "only"}], "customers": [], "zones": []})).settings.settings();
+    assert!(set.tenants.is_empty() && set.attempt_budget.is_none() && set.zone.is_none());
+    assert_eq!((set.classes.len(), set.classes[0].effect, set.gateways), (1, Effect::Unsafe, 1));
+    assert_eq!((set.max_attempts, set.classes[0].repeat_window), (1, Micros(0)));
+    assert!(set.classes[0].zones.is_none() && set.classes[0].kinds.is_none());
+}
+
+/// Guards restarts, reloads and the simulator's many instances in one process.
+#[test]
+fn nothing_of_one_configuration_is_left_in_the_next() {
+    let (first, least) = (odd(), json!({}));
+    let (one, none) = (read(&first), read(&least));
+    for _ in 0..3 {
+        assert_eq!(read(&first), one);
+        assert_eq!(read(&least), none);
+        let wire = pairs::told(["customers.count=1", "customers.0.name=x", "siblings=3"].into_iter());
+        assert_eq!(wire.expect("read").settings().gateways, 3);
+        let wire = pairs::told(std::iter::empty()).expect("read");
+        assert_eq!((wire.settings(), wire.customers.len()), (none.settings.settings(), 0));
+    }
+}
+
+/// Guards a start with no list: a number without its events was gone on from, and the whole list, which is in the
+/// first event, never asked for.
+#[test]
+fn a_number_of_events_that_are_not_told_is_not_gone_on_from() {
+    let known = |text: &str| {
+        let text = format!(r#"{{"listen":"10.0.0.4:1","seed":"a","settings":{{}},"known":{text}}}"#);
+        let known = Platform::<Value>::parse(&text).unwrap_or_else(|e| panic!("{e}")).known;
+        (known.n.0, known.events.len())
+    };
+    assert_eq!(known(r#"{"n":41,"events":[]}"#), (None, 0));
+    assert_eq!(known(r#"{"n":41}"#), (None, 0));
+    assert_eq!(known(r#"{"n":41,"events":null}"#), (None, 0));
+    assert_eq!(known(r#"{"n":41,"events":[{}]}"#), (Some(41), 1));
+    assert_eq!(known(r#"{"events":[{},{}]}"#), (None, 2));
+}
