--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -106,7 +106,7 @@
         }
         let old = |m: &Member| self.engines.iter().any(|e| e.id == m.id && e.said.0 < n);
         let members: Vec<Member> = list.members.iter().filter(|m| old(m)).cloned().collect();
-        (!members.is_empty()).then(|| ListEvent { n, revision: list.revision, complete: false, members })
+        (!members.is_empty()).then_some(ListEvent { n, revision: list.revision, complete: false, members })
     }
 
     /// Names the engines that a whole list leaves out, as gone: what a list ends, it ends in one way.
