--- a/src/core/links.rs
+++ b/src/core/links.rs
@@ -165,6 +165,13 @@
         self.state.get() == State::Dialing
     }
 
+    /// Returns once it is closed here.
+    async fn closed(&self) {
+        while self.state.get() != State::Dead {
+            self.wake.notified().await;
+        }
+    }
+
     /// Whether nothing is out on it: what is on it has still to leave.
     fn rests(&self) -> bool {
         self.riders.borrow().values().all(|r| r.withdrawn || r.start >= self.written.get())
@@ -370,7 +377,12 @@
     if wait > Micros(0) {
         tokio::time::sleep(span(wait)).await;
     }
-    let why = match timeout(span(core.terms().dial), TcpStream::connect(link.address)).await {
+    // A dial that is not wanted any more gives its descriptor back at once.
+    let dialled = tokio::select! {
+        dialled = timeout(span(core.terms().dial), TcpStream::connect(link.address)) => dialled,
+        () = link.closed() => return core.on_link_down(&link, "", true),
+    };
+    let why = match dialled {
         Ok(Ok(stream)) if link.state.get() == State::Dialing => serve(&core, &link, stream).await,
         Ok(Ok(_)) => theirs("not wanted any more"),
         Ok(Err(e)) => theirs(format!("no connection: {e}")),
