Every client connection holds a bounded place; cancels and refusals keep theirs when all seats are taken

Cause, seen by a real limit on descriptors (tests/descriptors.rs against the program before): - src/front/mod.rs `connection`: `seats.take()` refused before a byte was read, so a CancelRequest was never heard with all seats taken; `part` kept a seat's connection in up to 1 s of flush outside any bound, and a TLS handshake went on for 10 s after its seat was given away. - src/front/seats.rs `take`: who was told to go was not counted any more, but stays for as long as a half message or a request takes: each newcomer's seat was one more than there are. - src/front/seats.rs: a crowd that connects and says nothing pushed served sessions out, for those who came within the last 50 ms may not go and the served could. - src/run/config.rs: a told limit under 96 counted as 96; the second front's sessions and the certificates' connections were outside the limit; the ACME questions (src/run/acme.rs) had no bound at all. - `listen`: a failed accept was logged 50 times a second, and nothing was given back for it.

Change: a connection holds one place from accept to close, a seat or a place in the lobby. The lobby reads the first packet of who finds no seat (a cancel is heard, a session gets a seat that becomes free, else 53300), and holds those that are ended with a last word. When it is full the parting go first, then who is there for longest; its last word is written in any case. The next connection is accepted only below the sum of the three bounds. Sessions go in this order: silent, those that never asked, the longest idle, half messages; the last two only for who has sent its start-up.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -8,16 +8,17 @@
 pub mod wire;
 
 use crate::core::facade::Asked;
-use crate::core::now;
 use crate::core::pool::Buf;
 use crate::core::requests::{Core, Request, Ticket, MOST_STATEMENT};
+use crate::core::{now, span};
 use crate::proto::fields::Fields;
 use crate::proto::pg::{self, Fault, Opening};
 use crate::proto::tables;
-use seats::{Seat, Seats};
+use seats::{Errand, Lobby, Seat, Seats, Standby, Stay};
 use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -32,13 +33,16 @@
 const OPENING: Duration = Duration::from_secs(2);
 /// For the TLS handshake, which takes some round trips and a signature.
 const HANDSHAKE: Duration = Duration::from_secs(10);
-/// Connections that are being ended with a last word at a time; more are closed at once.
-const MOST_PARTING: usize = 24;
+/// A newcomer waits so long for a seat of somebody who has asked nothing, before one goes who was served.
+const SEAT_WAIT: Micros = Micros(500_000);
 /// A last word that cannot be written by then is not.
 const LAST_WORD: Duration = Duration::from_secs(1);
 /// After an accept that failed for want of descriptors.
 const BREATH: Duration = Duration::from_millis(20);
 
+/// Accepts that fail are logged so often at most.
+const SAY_EVERY: Micros = Micros(5_000_000);
+
 /// What a front knows of a class.
 #[derive(Clone, Debug)]
 pub struct Class {
@@ -59,6 +63,10 @@
     pub tenants: Vec<String>,
     /// Sessions at a time.
     pub most_sessions: usize,
+    /// Sessions besides that were told to go and have something to end first, at a time.
+    pub most_leaving: usize,
+    /// Connections besides that have no seat: that are turned away, cancel a request, or are ended with a last word.
+    pub most_lobby: usize,
     /// The second front: extended queries, settings of a session, its own request ids.
     pub extended: bool,
     /// Sessions must use TLS.
@@ -77,7 +85,11 @@
     pub setup: Setup,
     sessions: RefCell<BTreeMap<u32, (u32, Rc<Notify>)>>,
     seats: Rc<Seats>,
-    parting: Cell<usize>,
+    lobby: Rc<Lobby>,
+    /// Connections whose descriptors are open.
+    accepted: Cell<usize>,
+    /// One of them has gone, or has come to the lobby, where it can be displaced.
+    moved: Notify,
     busy: Cell<usize>,
     closing: Cell<bool>,
     /// Connections are left in the listener's queue, for another process to take.
@@ -102,15 +114,39 @@
     }
 }
 
+/// A connection that was accepted: counted until its descriptor is free.
+struct Accepted(Rc<Front>);
+impl Accepted {
+    fn one(front: &Rc<Front>) -> Accepted {
+        front.accepted.set(front.accepted.get() + 1);
+        Accepted(Rc::clone(front))
+    }
+}
+impl Drop for Accepted {
+    fn drop(&mut self) {
+        self.0.accepted.set(self.0.accepted.get() - 1);
+        self.0.moved.notify_one();
+    }
+}
+
+impl Setup {
+    /// Descriptors that a front's connections hold at most. The next is accepted only below it.
+    pub fn most_connections(&self) -> usize {
+        self.most_sessions.saturating_add(self.most_leaving).saturating_add(self.most_lobby)
+    }
+}
+
 impl Front {
     /// A front on a core.
     pub fn new(core: Rc<Core>, setup: Setup) -> Rc<Front> {
         Rc::new(Front {
             core,
-            seats: Seats::new(setup.most_sessions, !setup.extended),
+            seats: Seats::new(setup.most_sessions, setup.most_leaving, !setup.extended),
+            lobby: Lobby::new(setup.most_lobby),
             setup,
             sessions: RefCell::default(),
-            parting: Cell::new(0),
+            accepted: Cell::new(0),
+            moved: Notify::new(),
             busy: Cell::new(0),
             closing: Cell::new(false),
             resting: Cell::new(false),
@@ -122,23 +158,46 @@
 
     /// Takes connections until the front is closed, and then those that are there already.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        let mut said = None;
         loop {
             let closed = self.close.notified();
+            // Guards the descriptors: with all of them out, somebody in the lobby goes before the next is accepted.
+            let room = self.accepted.get() < self.setup.most_connections();
+            if !room {
+                self.lobby.displace();
+            }
             tokio::select! {
                 biased;
-                taken = listener.accept(), if !self.resting.get() => match taken {
+                taken = listener.accept(), if room && !self.resting.get() => match taken {
                     Ok((stream, _)) => {
-                        drop(tokio::task::spawn_local(Rc::clone(&self).connection(stream)));
+                        let accepted = Accepted::one(&self);
+                        drop(tokio::task::spawn_local(Rc::clone(&self).connection(stream, accepted)));
+                        if self.accepted.get() >= self.setup.most_sessions {
+                            // Who has to go for it has its turn before the next is accepted.
+                            tokio::task::yield_now().await;
+                        }
                     }
+                    // It had gone before it was accepted: the next may do.
+                    Err(e) if of_the_client(&e) => {}
                     Err(e) => {
-                        warn!("accept failed: {e}");
+                        if said.is_none_or(|at| now() - at > SAY_EVERY) {
+                            said = Some(now());
+                            warn!("accept failed: {e}");
+                        }
                         if self.closing.get() {
                             return;
                         }
+                        // Those that were just accepted have a turn first.
                         tokio::time::sleep(BREATH).await;
+                        // Fewer descriptors than were told: what clients hold of them is all that can be given back.
+                        self.lobby.displace();
+                        if !self.seats.make_room(false) && self.seats.grace().is_none() {
+                            self.seats.make_room(true);
+                        }
                     }
                 },
-                () = std::future::ready(()), if self.closing.get() => return,
+                () = self.moved.notified(), if !room => {}
+                () = std::future::ready(()), if room && self.closing.get() => return,
                 () = closed => {}
             }
         }
@@ -179,29 +238,60 @@
         self.busy.get()
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, _accepted: Accepted) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
         let mut wire = Wire::new(stream, self.core.pool().clone());
-        let Some(seat) = self.seats.take() else {
-            let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.");
-            return self
-                .part(wire, Some(Fault { detail: Some("retry_after_ms=1000".into()), ..fault }))
-                .await;
-        };
-        match self.open(&mut wire, &seat, false).await {
-            Next::Session(start) => self.session(wire, start, seat).await,
+        // Guards cancels: they need no seat, and come when all are taken. What a newcomer wants is read first.
+        let stay = self.seats.take(false).map_or_else(|| self.enter(Errand::Coming), Stay::Seat);
+        match self.open(&mut wire, &stay, false).await {
+            Next::Session(start) => self.session(wire, start, stay).await,
             Next::Secure(acceptor) => {
-                let Ok(Ok(stream)) = timeout(HANDSHAKE, acceptor.accept(wire.stream)).await else { return };
+                let secured = tokio::select! {
+                    biased;
+                    secured = timeout(HANDSHAKE, acceptor.accept(wire.stream)) => secured,
+                    () = stay.leave() => return,
+                };
+                let Ok(Ok(stream)) = secured else { return };
                 let mut wire = Wire::new(stream, self.core.pool().clone());
-                match self.open(&mut wire, &seat, true).await {
-                    Next::Session(start) => self.session(wire, start, seat).await,
-                    Next::Part(fault) => self.part(wire, fault).await,
+                match self.open(&mut wire, &stay, true).await {
+                    Next::Session(start) => self.session(wire, start, stay).await,
+                    Next::Part(fault) => self.part(wire, fault, stay).await,
                     Next::Secure(_) => {}
                 }
             }
-            Next::Part(fault) => self.part(wire, fault).await,
+            Next::Part(fault) => self.part(wire, fault, stay).await,
+        }
+    }
+
+    /// A place in the lobby.
+    fn enter(&self, errand: Errand) -> Stay {
+        self.moved.notify_one();
+        Stay::Lobby(self.lobby.enter(errand))
+    }
+
+    /// A seat for who wants a session; `None` where there is none. A session that was served goes for it only when none
+    /// is there that has asked nothing, or it has waited for long enough.
+    async fn seat_of(&self, place: &Standby) -> Option<Seat> {
+        let until = now() + SEAT_WAIT;
+        loop {
+            let freed = self.seats.freed();
+            if let Some(seat) = self.seats.take(false) {
+                return Some(seat);
+            }
+            if place.told() {
+                return None;
+            }
+            let (grace, left) = (self.seats.grace(), until - now());
+            if left <= Micros(0) || grace.is_none() && !self.seats.is_crowded() {
+                return self.seats.take(true);
+            }
+            tokio::select! {
+                () = tokio::time::sleep(span(grace.map_or(left, |grace| grace.min(left)))) => {}
+                () = freed => {}
+                () = place.leave() => {}
+            }
         }
     }
 
@@ -209,42 +299,71 @@
         self: &Rc<Self>,
         mut wire: Wire<S>,
         start: session::Start,
-        seat: Seat,
+        stay: Stay,
     ) {
+        let seat = match stay {
+            Stay::Seat(seat) => seat,
+            Stay::Lobby(place) => match self.seat_of(&place).await {
+                Some(seat) => seat,
+                None => return self.part(wire, Some(too_many()), Stay::Lobby(place)).await,
+            },
+        };
         // An error here is one of the connection: nobody is left to tell.
         if let Ok(fault) = session::serve(Rc::clone(self), &mut wire, start, &seat).await {
-            drop(seat);
-            self.part(wire, fault).await;
+            self.part(wire, fault, Stay::Seat(seat)).await;
         }
     }
 
-    /// Ends a connection, with a last word if there is one.
-    async fn part<S: AsyncRead + AsyncWrite + Unpin>(&self, mut wire: Wire<S>, fault: Option<Fault>) {
+    /// Ends a connection, with a last word if there is one. A seat is free at once: what is left to do goes on in the
+    /// lobby, until it is displaced there.
+    async fn part<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        mut wire: Wire<S>,
+        fault: Option<Fault>,
+        stay: Stay,
+    ) {
         if let Some(fault) = fault {
             pg::error(wire.output(), &fault.fatal());
         }
-        let _parting = Counted::one(&self.parting);
-        let flushed = timeout(LAST_WORD, wire.flush()).await;
-        if matches!(flushed, Ok(Ok(()))) && self.parting.get() <= MOST_PARTING {
-            wire.part().await;
+        let place = match stay {
+            Stay::Lobby(place) => {
+                place.parts();
+                Stay::Lobby(place)
+            }
+            Stay::Seat(seat) => {
+                drop(seat);
+                self.enter(Errand::Parting)
+            }
+        };
+        let end = async {
+            if matches!(timeout(LAST_WORD, wire.flush()).await, Ok(Ok(()))) {
+                wire.part().await;
+            }
+        };
+        tokio::select! {
+            // The last word is tried once in any case, and most fit into the socket's buffer.
+            biased;
+            () = end => {}
+            () = place.leave() => {}
         }
     }
 
-    /// The packets before a session, for as long as they may take and the seat is theirs.
+    /// The packets before a session, for as long as they may take and the place is theirs.
     async fn open<S: AsyncRead + AsyncWrite + Unpin>(
         &self,
         wire: &mut Wire<S>,
-        seat: &Seat,
+        stay: &Stay,
         secure: bool,
     ) -> Next {
+        let turned_away = || stay.in_lobby().then(too_many);
         tokio::select! {
             biased;
             next = timeout(OPENING, self.opening(wire, secure)) => match next {
                 Ok(Ok(next)) => next,
                 Ok(Err(_)) => Next::Part(None),
-                Err(_) => Next::Part(Some(late("start-up packet", OPENING))),
+                Err(_) => Next::Part(turned_away().or_else(|| Some(late("start-up packet", OPENING)))),
             },
-            () = seat.leave() => Next::Part(None),
+            () = stay.leave() => Next::Part(turned_away()),
         }
     }
 
@@ -253,7 +372,7 @@
         &self,
         wire: &mut Wire<S>,
         secure: bool,
-    ) -> std::io::Result<Next> {
+    ) -> io::Result<Next> {
         loop {
             let opening = match pg::read_opening(wire.input()) {
                 Ok(Some((opening, len))) => {
@@ -379,6 +498,18 @@
     Part(Option<Fault>),
 }
 
+/// Whether a failed accept is the client's own doing: it had gone before it was accepted.
+fn of_the_client(e: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionAborted, ConnectionReset, Interrupted};
+    matches!(e.kind(), ConnectionAborted | ConnectionReset | Interrupted)
+}
+
+/// There is no seat, and nobody can go for it.
+fn too_many() -> Fault {
+    let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.");
+    Fault { detail: Some("retry_after_ms=1000".into()), ..fault }
+}
+
 /// What was begun and did not come whole in time.
 fn late(what: &str, within: Duration) -> Fault {
     Fault::new("08P01", format!("field {what} did not come whole within {} ms", within.as_millis()))
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -3,7 +3,7 @@
 use super::extended::{self, Names};
 use super::seats::Seat;
 use super::wire::Wire;
-use super::{answer, late, Counted, Front};
+use super::{answer, late, too_many, Counted, Front};
 use crate::core::pool::SIZE;
 use crate::core::requests::{Final, Ticket};
 use crate::proto::pg::{self, Fault, Message};
@@ -200,14 +200,15 @@
     /// Waits for more input.
     async fn more<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<Step> {
         wire.flush().await?;
-        self.seat.busy(false);
         if wire.input().is_empty() {
+            self.seat.busy(false);
             self.partial = None;
             // Its client may send the next request to another connection: nothing is open on this one.
             if self.seat.told() || std::mem::take(&mut self.answered) && self.front.leaving.get() {
                 return Ok(Step::End(None));
             }
         } else {
+            self.seat.begun();
             self.partial.get_or_insert_with(Instant::now);
         }
         let whole_by = self.partial.map(|since| since + WHOLE);
@@ -223,6 +224,8 @@
                 Ok(Step::End(self.front.setup.extended.then_some(fault)))
             }
             () = closed => Ok(Step::On),
+            // Guards the seats: half a message would keep one for seconds after its end was told.
+            () = self.seat.leave(), if whole_by.is_some() => Ok(Step::End(Some(too_many()))),
             () = self.seat.leave() => Ok(Step::On),
             // Guards the seats against messages that never end.
             () = sleep_until(whole_by.unwrap_or_else(Instant::now)), if whole_by.is_some() => {
@@ -277,7 +280,9 @@
         }
         // Guards the engines, and the answer: one request is one statement.
         tables::single(statement).map_err(|e| Fault::new("0A000", e.0))?;
-        self.front.take(&f, statement, wire.arrived(), self.names.statement_timeout).map(Some)
+        let ticket = self.front.take(&f, statement, wire.arrived(), self.names.statement_timeout)?;
+        self.seat.asked();
+        Ok(Some(ticket))
     }
 
     /// Waits for a request's final answer, its client's cancel or its client's end (`None`).
--- a/src/main.rs
+++ b/src/main.rs
@@ -23,11 +23,18 @@
 }
 
 fn read(files: &Files) -> Result<Start, String> {
-    let config = read_config(files)?;
-    let operator = files
-        .operator
-        .as_ref()
-        .map(|path| operator::parse(&text(path)?, &config.setup).map_err(|e| format!("{path}: {e}")));
+    let mut config = read_config(files)?;
+    let operator = files.operator.as_ref().map(|path| {
+        let read = operator::parse(&text(path)?, &config.setup).map_err(|e| format!("{path}: {e}"))?;
+        let (needs, sockets) = (read.descriptors(), config.sockets);
+        config.keep_back(needs).map_err(|least| {
+            format!(
+                "{path}: operator's file: max_sessions: the second front needs {needs} descriptors: limits.sockets is \
+                 {sockets}, and {least} would do"
+            )
+        })?;
+        Ok::<_, String>(read)
+    });
     let recorder = tools::recorder(files.capture.as_deref(), files.recorder.as_deref())?;
     let cold_start = files.cold_start.as_ref().map(|path| {
         let set = sprucelink_coldstart::settings::ColdStart::parse(&text(path)?);
--- a/src/run/acme.rs
+++ b/src/run/acme.rs
@@ -7,14 +7,14 @@
 };
 use serde_json::{json, Value};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, timeout};
 use tokio_rustls::rustls::pki_types::pem::PemObject;
 use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -28,6 +28,11 @@
 /// Longest question of the authority, and how long it may take to put it.
 const QUESTION: usize = 4096;
 const PUT: Duration = Duration::from_secs(5);
+/// Questions at a time: who has asked for longest goes for the next. An authority asks from a few places at once.
+const QUESTIONS: usize = 16;
+/// Descriptors that the certificates need at most: the listener, its questions and one just accepted, two connections to
+/// the authority and a file.
+pub const DESCRIPTORS: usize = 1 + QUESTIONS + 1 + 2 + 1;
 /// How long one order may take in all.
 const ORDER: Duration = Duration::from_secs(120);
 /// No file makes the rests shorter: an authority that refuses is not to be flooded.
@@ -245,11 +250,22 @@
 
 /// Answers the authority's questions, for good.
 async fn questions(listener: TcpListener, answers: Answers) {
+    let mut asked = VecDeque::new();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                asked.retain(|task: &JoinHandle<()>| !task.is_finished());
+                // Guards the descriptors: anybody may connect here, and say nothing.
+                let longest = if asked.len() >= QUESTIONS { asked.pop_front() } else { None };
+                if let Some(longest) = longest {
+                    longest.abort();
+                    // An error here is its end.
+                    let _ = longest.await;
+                }
                 let answers = Rc::clone(&answers);
-                spawn_local(async move { drop(timeout(PUT, question(stream, answers)).await) });
+                asked.push_back(spawn_local(
+                    async move { drop(timeout(PUT, question(stream, answers)).await) },
+                ));
             }
             Err(_) => sleep(Duration::from_millis(100)).await,
         }
--- a/src/run/admin.rs
+++ b/src/run/admin.rs
@@ -13,15 +13,18 @@
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
-/// Operators, checks and scrapers are a handful, and each seat is a descriptor that clients and engines go without.
-pub const LIMITS: Limits = Limits {
-    callers: 32,
-    call_due: Duration::from_secs(2),
-    answer_due: Duration::from_secs(2),
-    linger: Duration::from_millis(500),
-    accepts_per_second: 500,
-    accept_burst: 256,
-};
+/// What callers are held to, of a process that may hold so many descriptors. Operators, checks and scrapers are a
+/// handful, and each seat is a descriptor that clients and engines go without.
+pub fn limits(sockets: usize) -> Limits {
+    Limits {
+        callers: (sockets / 16).clamp(4, 32),
+        call_due: Duration::from_secs(2),
+        answer_due: Duration::from_secs(2),
+        linger: Duration::from_millis(500),
+        accepts_per_second: 500,
+        accept_burst: 256,
+    }
+}
 
 /// What a ban says of who wanted it.
 const BY_HAND: &str = "by the operators' address";
@@ -51,15 +54,15 @@
         self.ready.set(true);
     }
 
-    /// Listens for operators on an address.
+    /// Listens for operators on an address, and holds them to these limits.
     ///
     /// # Errors
     /// An address that cannot be listened on.
-    pub async fn open(self: &Rc<Self>, address: &str) -> Result<(), String> {
+    pub async fn open(self: &Rc<Self>, address: &str, limits: Limits) -> Result<(), String> {
         let failed = |e: std::io::Error| format!("operators: listen on {address}: {e}");
         let listener = TcpListener::bind(address).await.map_err(failed)?;
         let at = listener.local_addr().map_err(failed)?;
-        spawn_local(sprucelink_admin::serve(listener, Rc::clone(self), LIMITS));
+        spawn_local(sprucelink_admin::serve(listener, Rc::clone(self), limits));
         info!("operators on {at}");
         Ok(())
     }
--- a/src/run/operator.rs
+++ b/src/run/operator.rs
@@ -1,12 +1,16 @@
 //! The operator's file: it sets up the second front, which is off without it.
 
-use super::acme::Acme;
+use super::acme::{self, Acme};
 use crate::front::Setup;
 use serde_json::Value;
 use std::time::Duration;
 
-/// Sessions at a time where the file does not say.
+/// Sessions at a time where the file does not say: so many, or this part of the platform's where that is less.
 const SESSIONS: usize = 64;
+const SESSIONS_PART: usize = 4;
+/// Connections of the second front without a seat, and sessions told to go: only who has said nothing is.
+const LOBBY: usize = 8;
+const LEAVING: usize = 2;
 
 /// What the file says.
 #[derive(Debug)]
@@ -19,6 +23,13 @@
     pub acme: Option<Acme>,
 }
 
+impl Operator {
+    /// Descriptors that the second front holds at most: its listener, its connections, and what its certificates need.
+    pub fn descriptors(&self) -> usize {
+        1 + self.setup.most_connections() + self.acme.as_ref().map_or(0, |_| acme::DESCRIPTORS)
+    }
+}
+
 /// Names that the file may hold.
 const NAMES: [&str; 6] = ["listen", "max_sessions", "default_class", "default_tenant", "tls", "acme"];
 /// Names under `acme`.
@@ -44,7 +55,7 @@
     let default_class = name("default_class", &|s| platform.classes.iter().any(|c| c.name == s))?;
     let default_tenant = name("default_tenant", &|s| platform.tenants.iter().any(|t| t == s))?;
     let most_sessions = match &json["max_sessions"] {
-        Value::Null => SESSIONS,
+        Value::Null => SESSIONS.min(platform.most_sessions / SESSIONS_PART).max(1),
         n => match n.as_u64() {
             Some(n @ 1..=256) => n as usize,
             _ => return Err("operator's file: max_sessions: is no number from 1 to 256".into()),
@@ -63,6 +74,8 @@
     let setup = Setup {
         require_tls,
         most_sessions,
+        most_leaving: LEAVING,
+        most_lobby: LOBBY,
         extended: true,
         default_class,
         default_tenant,
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -102,18 +102,7 @@
 }
 
 async fn run(start: Start, files: Files, reread: Reread) -> Result<(), String> {
-    let Start { mut config, operators, inherited, operator, recorder, cold_start, membership, failover } =
-        start;
-    if operators.is_some() {
-        // Operators' descriptors are kept back from both sides, each giving its part.
-        let (kept, sessions, links) =
-            (admin::LIMITS.descriptors(), &mut config.setup.most_sessions, &mut config.terms.most_links);
-        let both = (*sessions + *links).max(1);
-        (*sessions, *links) = (
-            (*sessions).saturating_sub(kept * *sessions / both),
-            (*links).saturating_sub(kept * *links / both),
-        );
-    }
+    let Start { config, operators, inherited, operator, recorder, cold_start, membership, failover } = start;
     let (home, zones) = (config.settings.zone, config.names[0].clone());
     let cold_start = cold_start.filter(|c| c.enabled);
     // Before anything is awaited: a signal without its handler would end the program.
@@ -182,7 +171,7 @@
     let upgrade = shared.then(|| Upgrade::begin(Rc::clone(&core), &config.name, &config.listen, spans));
     let desk = Desk::new(Rc::clone(&core), upgrade.clone());
     if let Some(address) = operators {
-        desk.open(&address).await?;
+        desk.open(&address, admin::limits(config.sockets)).await?;
     }
     let mut fronts = vec![open("serving", &core, listener, config.setup)?];
     // Until it has come to serve, what comes is left to the process before.
--- /dev/null
+++ b/tests/descriptors.rs
@@ -0,0 +1,213 @@
+//! Descriptors under a real, low limit: idle clients may take all that clients may have, and the feed's call, links to
+//! engines, the operators' address, cancels and the refusal of newcomers keep theirs.
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use support::calls::*;
+use support::confined::{descriptors, Discovery, Door, Watched};
+use support::*;
+
+fn sql(req: u64, text: &str) -> String {
+    format!(
+        "/* kind=lane-rate,req={req:016x},timeout=60000,owner=sud,ms=1 */ SELECT {text} FROM sales_17.orders"
+    )
+}
+
+/// Connections that say nothing, that begin a start-up, that open a session and stay, and that begin a message: so many
+/// of each kind, in turns.
+fn flood(to: SocketAddr, each: usize) -> Vec<Raw> {
+    let half = query(&sql(1 << 40, "half"));
+    let says = [vec![], startup()[..9].to_vec(), startup(), [startup(), half[..20].to_vec()].concat()];
+    let mut all = Vec::new();
+    for bytes in (0..each).flat_map(|_| &says) {
+        let mut raw = Raw::open(to);
+        // One that was let go at once has what it wanted.
+        let _ = std::io::Write::write_all(&mut raw.stream, bytes);
+        all.push(raw);
+    }
+    all
+}
+
+/// Asks, and is served one row.
+fn is_served(raw: &mut Raw, req: u64, text: &str) {
+    let got = raw.ask(&sql(req, text));
+    assert!(kinds(&got).starts_with('T') && rows(&got).len() == 1, "request {req}: {:?}", error(&got));
+}
+
+/// Sessions, each with a request that its engine holds, until newcomers are refused: the refusal stands last.
+fn fill_with_busy(to: SocketAddr, most: usize) -> (Vec<(u64, Raw)>, [String; 4]) {
+    let mut busy = Vec::new();
+    for i in (0..most as u64).map(|i| 1_000 + i) {
+        let mut raw = Raw::open(to);
+        raw.send(&startup());
+        let first = raw.message().expect("a word");
+        if first.0 == b'E' {
+            assert!(raw.message().is_none(), "a refusal is the last word");
+            return (busy, error(&[first]));
+        }
+        let rest = raw.until_ready();
+        raw.key = rest.into_iter().find(|m| m.0 == b'K').expect("a key").1;
+        raw.send(&query(&sql(i, "hold")));
+        busy.push((i, raw));
+    }
+    panic!("{most} sessions, and nobody was refused");
+}
+
+/// The whole story at one limit, told to the program and set on its process, where so many sessions must have room.
+fn idle_clients_take_nobody_elses(limit: usize, sessions: usize) {
+    let cut = Arc::new(AtomicBool::new(false));
+    let once = Arc::clone(&cut);
+    let a = Engine::start(move |seen| match seen.parts[3].as_str() {
+        text if text.contains("hold") => Reply::Hold,
+        text if text.contains("cut") && !once.swap(true, Ordering::SeqCst) => Reply::Cut,
+        _ => Reply::Pages(vec!["a\tb\tc\n".into()]),
+    });
+    let b = Engine::echo();
+    let feed = Feed::start();
+    let door = Door::before(feed.address, Discovery::Down);
+    let config = confined::config(&[("s-1", a.address)], Some(door.address), limit, SETTINGS);
+    let mut program = confined::start(&config, Some(limit), &[]);
+    let (to, operators, process) = (program.platform, program.operators.expect("an address"), program.id());
+    let mut served = Raw::connect(to);
+    is_served(&mut served, 1, "a");
+    until(|| (door.calls() >= 2).then_some(()));
+    let before = descriptors(process);
+    let watched = Watched::process(process);
+
+    let mut idlers = flood(to, limit / 2);
+    is_served(&mut served, 2, "a");
+    // A break: what comes next needs a new link.
+    is_served(&mut served, 3, "cut");
+    assert!(cut.load(Ordering::SeqCst), "the old one broke");
+    assert_eq!(call(operators, "GET", "/admin/health", "").0, 200);
+    let called = door.calls();
+    until(|| (door.calls() > called).then_some(()));
+
+    // Requests take the seats of the idle ones, one after the other, until none is left.
+    let (mut busy, refusal) = fill_with_busy(to, limit);
+    assert_eq!((refusal[0].as_str(), refusal[2].as_str()), ("53300", "retry_after_ms=1000"), "{refusal:?}");
+    assert!(!refusal[3].is_empty());
+    assert!(busy.len() >= sessions, "{} had room", busy.len());
+    idlers.extend(flood(to, limit / 2));
+    assert_eq!(call(operators, "GET", "/admin/health", "").0, 200);
+    // All seats are taken, and newcomers who say nothing stand in the way: a cancel is heard.
+    let out = a.wait_for("do", 4).into_iter().find(|s| s.parts[3].contains("hold")).expect("one is held");
+    let out = u64::from_str_radix(&out.parts[1], 16).expect("an id");
+    let at = busy.iter().position(|b| b.0 == out).expect("its session");
+    let (_, mut one) = busy.swap_remove(at);
+    one.cancel(to);
+    assert_eq!(error(&one.until_ready())[0], "57014");
+    // The session is still there, and idle: it may have been let go for a newcomer since.
+    drop(one);
+
+    // Discovery returns, with an engine more and one less.
+    door.set(Discovery::Up);
+    feed.send(list(1, true, &[("s-1", a.address, "ready")]));
+    feed.send(list(2, false, &[("s-2", b.address, "ready"), ("s-1", a.address, "draining")]));
+    program.wait_line("engine s-2 is Ready");
+    program.wait_line("engine s-1 is Draining");
+    let mut newcomer = Raw::connect(to);
+    is_served(&mut newcomer, 4, "b");
+    // Beside those that its neighbour held, and that may go on there.
+    assert_eq!(b.seen("do").iter().filter(|s| s.parts[3].contains("SELECT b")).count(), 1);
+
+    // All go, and all is as before.
+    drop((idlers, busy, newcomer));
+    until(|| (descriptors(process) <= before + 3).then_some(()));
+    let most = watched.most();
+    let mut after: Vec<Raw> = (0..5).map(|_| Raw::connect(to)).collect();
+    for (i, raw) in after.iter_mut().enumerate() {
+        is_served(raw, 10 + i as u64, "c");
+    }
+    let starved = |l: &&String| l.contains("accept failed") || l.contains("open files");
+    assert_eq!(program.lines().iter().find(starved), None);
+    assert!(program.running() && most <= limit, "{most} of {limit}");
+    eprintln!("limit {limit}: {before} descriptors before, {most} at most");
+}
+
+#[test]
+fn idle_clients_take_nobody_elses_descriptors_at_the_least_limits() {
+    idle_clients_take_nobody_elses(64, 21);
+    idle_clients_take_nobody_elses(40, 5);
+}
+
+#[test]
+fn idle_clients_take_nobody_elses_descriptors_at_a_short_days_limit() {
+    idle_clients_take_nobody_elses(512, 170);
+}
+
+/// The bound is the program's own: here the process may hold far more than it was told.
+#[test]
+fn no_more_descriptors_are_held_than_were_told() {
+    let engine = Engine::echo();
+    let second = r#"{"listen":"127.0.0.1:0","max_sessions":16,"default_class":"lane-rate"}"#;
+    let file = scratch().join("operator.json");
+    std::fs::write(&file, second).expect("written");
+    let config = confined::config(&[("s-1", engine.address)], None, 128, SETTINGS);
+    let program = confined::start(&config, None, &["--operator", file.to_str().expect("text")]);
+    let (to, second) = (program.platform, program.second.expect("on"));
+    let operators = program.operators.expect("an address");
+    let watched = Watched::process(program.id());
+    let mut idlers = Vec::new();
+    for _ in 0..4 {
+        idlers.extend(flood(to, 32));
+        idlers.extend(flood(second, 32));
+        idlers.extend((0..32).map(|_| Raw::open(operators)));
+        let mut raw = Raw::connect(to);
+        is_served(&mut raw, idlers.len() as u64, "a");
+        assert_eq!(call(operators, "GET", "/admin/health", "").0, 200);
+    }
+    let most = watched.most();
+    assert!((64..=128).contains(&most), "{most} of 128");
+    eprintln!("{most} descriptors at most of 128 told");
+}
+
+/// A process that may hold fewer than it was told: accepting fails. It neither spins nor ends, and goes on as soon as
+/// there are descriptors again.
+#[test]
+fn an_accept_that_fails_for_want_of_descriptors_harms_nobody() {
+    let engine = Engine::echo();
+    let config = confined::config(&[("s-1", engine.address)], None, 1024, SETTINGS);
+    let mut program = confined::start(&config, Some(64), &[]);
+    let mut served = Raw::connect(program.platform);
+    is_served(&mut served, 1, "a");
+    let idlers: Vec<Raw> = (0..200).map(|_| Raw::open(program.platform)).collect();
+    program.wait_line("accept failed");
+    // The newcomers of some tens of failed accepts have their turn, and what they hold is given back.
+    std::thread::sleep(Duration::from_millis(500));
+    is_served(&mut served, 2, "a");
+    let mut newcomer = Raw::connect(program.platform);
+    is_served(&mut newcomer, 3, "a");
+    drop(idlers);
+    until(|| (descriptors(program.id()) < 40).then_some(()));
+    is_served(&mut Raw::connect(program.platform), 4, "a");
+    assert!(program.running());
+    // Some fifty fail a second, and one in five seconds is logged.
+    let lines = program.lines().iter().filter(|l| l.contains("accept failed")).count();
+    assert!((1..=15).contains(&lines), "{lines} lines");
+}
+
+/// Clients that go before they are accepted, or at once after, are none.
+#[test]
+fn connections_that_are_reset_at_once_harm_nobody() {
+    let engine = Engine::echo();
+    let config = confined::config(&[("s-1", engine.address)], None, 64, SETTINGS);
+    let program = confined::start(&config, Some(64), &[]);
+    let mut served = Raw::connect(program.platform);
+    for i in 0..400 {
+        let mut raw = Raw::open(program.platform);
+        // Closing over what the program may have said sends a reset, and half of them end before a word.
+        if i % 2 == 0 {
+            raw.send(&startup());
+        }
+        drop(raw);
+        if i % 20 == 0 {
+            is_served(&mut served, i + 1, "a");
+        }
+    }
+    until(|| (descriptors(program.id()) < 30).then_some(()));
+    is_served(&mut Raw::connect(program.platform), 9_999, "a");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod calls;
+pub mod confined;
 pub mod paced;
 
 use command_fds::{CommandFdExt, FdMapping};
