Tests: a cancel when all seats are taken, and operators' callers that go early

The cancel's test holds the only seat of the second front with an open request. The program before refuses the cancel's connection unread, and the request ends with 53400 where 57014 is due. The callers' test passes before and after: no fault was found there.

--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -211,3 +211,32 @@
     until(|| (descriptors(program.id()) < 30).then_some(()));
     is_served(&mut Raw::connect(program.platform), 9_999, "a");
 }
+
+/// Guards cancels: a front whose seats were all taken refused their connections before a byte was read. And who says
+/// nothing there is told why it must go.
+#[test]
+fn a_cancel_is_heard_and_a_refusal_read_when_all_seats_are_taken() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let file = scratch().join("operator.json");
+    std::fs::write(&file, r#"{"listen":"127.0.0.1:0","max_sessions":1,"default_class":"lane-rate"}"#)
+        .expect("written");
+    let config = confined::config(&[("s-1", engine.address)], None, 128, SETTINGS);
+    let program = confined::start(&config, Some(128), &["--operator", file.to_str().expect("text")]);
+    let second = program.second.expect("on");
+    let mut raw = Raw::connect(second);
+    raw.send(&query(&sql(1, "hold")));
+    engine.wait_for("do", 1);
+    let mut silent = Raw::open(second);
+    for _ in 0..3 {
+        let mut newcomer = Raw::open(second);
+        newcomer.send(&startup());
+        assert_eq!(error(&[newcomer.message().expect("a word")])[0], "53300");
+        assert!(newcomer.message().is_none());
+    }
+    raw.cancel(second);
+    assert_eq!(error(&raw.until_ready())[0], "57014");
+    assert_eq!(error(&[silent.message().expect("a word")])[0], "53300");
+    assert!(silent.message().is_none());
+    // The first session was served nothing, and it stays: where sessions hold something they are not ended.
+    assert_eq!(kinds(&raw.ask("")), "IZ");
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -130,3 +130,35 @@
     assert_eq!(call(at, "GET", "/admin/nothing", "").0, 404);
     assert_eq!(call(at, "POST", "/admin/health", "").0, 405);
 }
+
+/// Callers that go at once, in the middle of a call, or before their answer: no other call and no client pays for them,
+/// and none of them leaves a descriptor behind.
+#[test]
+fn callers_that_go_early_leave_nothing_behind() {
+    let engine = Engine::echo();
+    let mut program = Program::with_operators(&[("s-1", engine.address)], None, SETTINGS);
+    let at = program.operators.expect("an address");
+    let mut raw = Raw::connect(program.platform);
+    assert_eq!(rows(&raw.ask(&sql(1))).len(), 1);
+    let before = confined::descriptors(program.id());
+    let says: [&[u8]; 5] = [
+        b"",
+        b"GET /admin/st",
+        b"GET /admin/stats HTTP/1.1\r\nHost: wm\r\n\r\n",
+        b"POST /admin/cordon HTTP/1.1\r\nHost: wm\r\nContent-Length: 4096\r\n\r\n{",
+        &[0xff; 16 * 1024],
+    ];
+    for req in 2..=200 {
+        let mut caller = TcpStream::connect(at).expect("connected");
+        // It may have been closed for another by then.
+        let _ = caller.write_all(says[req as usize % says.len()]);
+        drop(caller);
+        if req % 20 == 0 {
+            assert_eq!(call(at, "GET", "/admin/health", "").0, 200);
+            assert_eq!(rows(&raw.ask(&sql(req))).len(), 1);
+        }
+    }
+    until(|| (confined::descriptors(program.id()) <= before + 1).then_some(()));
+    assert_eq!(call(at, "GET", "/admin/health", "").0, 200);
+    assert!(program.running());
+}
