A resting front displaces nobody from its lobby

While another process takes the connections, the listener's loop needs no room: it told one in the lobby to go at each turn with all places taken. Small: found by reading, no test shows it. The tests of upgrade, stopping, platform and descriptors were run with it: all passed.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -162,13 +162,14 @@
         loop {
             let closed = self.close.notified();
             // Guards the descriptors: with all of them out, somebody in the lobby goes before the next is accepted.
-            let room = self.accepted.get() < self.setup.most_connections();
+            let resting = self.resting.get();
+            let room = resting || self.accepted.get() < self.setup.most_connections();
             if !room {
                 self.lobby.displace();
             }
             tokio::select! {
                 biased;
-                taken = listener.accept(), if room && !self.resting.get() => match taken {
+                taken = listener.accept(), if room && !resting => match taken {
                     Ok((stream, _)) => {
                         let accepted = Accepted::one(&self);
                         drop(tokio::task::spawn_local(Rc::clone(&self).connection(stream, accepted)));
