--- a/src/core/requests/leaving_tests.rs
+++ b/src/core/requests/leaving_tests.rs
@@ -282,3 +282,30 @@
         panic!("no request came to that link");
     });
 }
+
+/// Guards the descriptors: a dial that was given up held its own until the dial's time-out.
+#[test]
+fn a_dial_that_is_given_up_ends_at_once() {
+    local(async {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let listener = socket.listen(0).expect("listening");
+        let address = listener.local_addr().expect("an address");
+        // Until one more does not come up: the queue is full then.
+        let mut filler = Vec::new();
+        while let Ok(Ok(one)) =
+            tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(address)).await
+        {
+            filler.push(one);
+            assert!(filler.len() < 16);
+        }
+        let (core, _engines) = core().await;
+        let nobody = Rc::new(Nobody(Pool::new(4), Terms { dial: Micros(600_000_000), ..*core.terms() }));
+        let link = Link::new(0, address);
+        let dial = tokio::task::spawn_local(links::run(nobody, Rc::clone(&link)));
+        tokio::task::yield_now().await;
+        assert!(!dial.is_finished());
+        link.close();
+        tokio::time::timeout(Duration::from_secs(60), dial).await.expect("it ends").expect("in order");
+    });
+}
