Front: reading never pauses while a request is open, so a client's end is always learnt

Session::wait (src/front/session.rs) learnt of its client's end by Wire::fill alone, and that read into one buffer of 64 KiB and then pended for good (read_into, src/core/pool.rs): an end behind more bytes than that was never seen, and the request was sent on when an engine came, its connection came up or its turn for a further attempt came. Seen on both fronts, plain and under TLS, with requests piled behind the open one. Beside it: - a CancelRequest woke only a session that already waited (Notify::notify_waiters): one that came while an answer of a batch was being written was lost on the rest of the batch; - one on a connection that found no seat was answered with 53300, unread; - requests in the buffer of a client whose end had come were taken, and given up only then; - beyond 24 connections that end at a time, each more was closed over its unread bytes, by a reset; - a plain stream takes a short read as the last and leaves an end that came with it to a flag of the system's. Ruled out: the core. Dropping the ticket withdraws what has not left and calls off what has, wherever it waits.

While a request is open the wire reads on. What comes is kept up to a bound (64 KiB on the platform's front, 1 MiB on the second, an eighth of the pool in all), and thrown away beyond it; nothing behind the first byte thrown away is kept, so no message is put together of parts. An overrun session answers its open request and those it holds whole and ends with 54000 (a limit of this program: the same will not help again), or 53200 where the share of all sessions was used up. What needs an engine is taken only after a look for the end. A CancelRequest leaves a flag that the session takes where it knows what is open; at rest with nothing unread it is for none. A connection without a seat is heard for 200 ms, 12 at a time. A session that ends beyond the 24 keeps its seat while it is drained. Sockets read until nothing is there. A handshake whose seat is wanted ends. Wire::room is make_room now.

--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -55,6 +55,10 @@
         let bytes = self.0.free.borrow_mut().pop().unwrap_or_else(|| Vec::with_capacity(SIZE));
         Buf { bytes, pool: Rc::clone(&self.0) }
     }
+    /// Buffers that may be out at a time.
+    pub fn most(&self) -> usize {
+        self.0.most
+    }
     /// Buffers that are out.
     pub fn out(&self) -> usize {
         self.0.out.get()
@@ -93,8 +97,11 @@
 }
 
 /// Reads what there is into a buffer that is taken from the pool only once there are bytes; 0 at the
-/// end of the stream. A full buffer reads nothing, for good. Guards the pool against connections that
-/// say nothing: hundreds of them would hold every buffer.
+/// end of the stream. Guards the pool against connections that say nothing: hundreds of them would hold
+/// every buffer.
+///
+/// # Errors
+/// Those of the stream; and a full buffer is one: who pauses there never learns of the stream's end.
 pub async fn read_into<S: AsyncRead + Unpin>(
     pool: &Pool,
     stream: &mut S,
@@ -103,7 +110,7 @@
     if let Some(buf) = held {
         let room = SIZE.saturating_sub(buf.len());
         if room == 0 {
-            std::future::pending::<()>().await;
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the buffer is full"));
         }
         return stream.read_buf(&mut (&mut **buf).limit(room)).await;
     }
--- a/src/front/answer.rs
+++ b/src/front/answer.rs
@@ -64,7 +64,7 @@
         if most > 0 && sent == u64::from(most) {
             return Ok((sent, Some(place)));
         }
-        wire.room(pg::data_row_size(line)).await?;
+        wire.make_room(pg::data_row_size(line)).await?;
         pg::data_row(wire.output(), line);
         (sent, place) = (sent + 1, next);
     }
--- a/src/front/extended.rs
+++ b/src/front/extended.rs
@@ -418,7 +418,13 @@
             }
             Sort::Request => {}
         }
+        let cancelled = self.cancel.take();
         let (result, place) = match std::mem::replace(&mut portal.stage, Stage::Done) {
+            // One that came earlier in the batch ends the batch here.
+            stage @ Stage::Suspended(..) if cancelled => {
+                portal.stage = stage;
+                return Ok(Err(answer::cancelled()));
+            }
             Stage::Suspended(result, place) => (result, place),
             Stage::Done => {
                 pg::command_complete(wire.output(), "SELECT 0");
@@ -434,7 +440,12 @@
                 // A client that says how long it waits counts from its sending; else the time
                 // runs from the start of this one, whatever stood before it in the batch.
                 let from = if f.timeout_ms.is_some() { wire.arrived() } else { now() };
-                let ticket = self.front.take(&f, &portal.statement, from, self.names.statement_timeout);
+                // Guards the rule on clients that have gone: what they left behind is not taken.
+                if wire.look().await? {
+                    return Ok(Ok(false));
+                }
+                let own = self.names.statement_timeout;
+                let ticket = self.front.take(&f, &portal.statement, from, own, cancelled);
                 let ticket = match ticket {
                     Ok(ticket) => ticket,
                     Err(fault) => return Ok(Err(fault)),
@@ -447,7 +458,7 @@
             }
         };
         let (n, left) = answer::rows(wire, &result, place, most).await?;
-        wire.room(64).await?;
+        wire.make_room(64).await?;
         match left {
             None => pg::command_complete(wire.output(), &format!("SELECT {n}")),
             Some(_) => pg::bare(wire.output(), pg::PORTAL_SUSPENDED),
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,6 +5,7 @@
 pub mod extended;
 pub mod seats;
 pub mod session;
+pub mod socket;
 pub mod wire;
 
 use crate::core::facade::Asked;
@@ -15,6 +16,8 @@
 use crate::proto::pg::{self, Fault, Opening};
 use crate::proto::tables;
 use seats::{Seat, Seats};
+use session::Cancel;
+use socket::Socket;
 use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -26,14 +29,28 @@
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
 use tracing::warn;
-use wire::Wire;
+use wire::{Ahead, Drain, Wire};
 
 /// A client that has not begun its session by then is let go: it is owed a word within 3 s.
 const OPENING: Duration = Duration::from_secs(2);
 /// For the TLS handshake, which takes some round trips and a signature.
 const HANDSHAKE: Duration = Duration::from_secs(10);
-/// Connections that are being ended with a last word at a time; more are closed at once.
+/// Connections at a time that are being ended with a last word and hold no seat any more. Beyond them a session keeps
+/// its seat until it has ended, in less time, and who has none is closed at once.
 const MOST_PARTING: usize = 24;
+/// How long such an end may take, and with nothing coming.
+const PARTING: Drain = Drain { whole: Duration::from_secs(4), quiet: Duration::from_millis(500) };
+/// The same where many end at a time: what crosses the close comes within 50 ms.
+const PARTING_MANY: Drain = Drain { whole: Duration::from_millis(200), quiet: Duration::from_millis(50) };
+/// Connections at a time that found no seat and are heard all the same, for a CancelRequest that they may bring.
+const MOST_UNSEATED: usize = 12;
+/// For so long.
+const UNSEATED: Duration = Duration::from_millis(200);
+/// Buffers that a session of the second front may read ahead of its open request, beyond one; its clients write
+/// whole batches before they read. The platform's write one query at a time, so one buffer is all they need.
+const AHEAD: usize = 15;
+/// The part of all buffers that sessions may read ahead into.
+const AHEAD_SHARE: usize = 8;
 /// A last word that cannot be written by then is not.
 const LAST_WORD: Duration = Duration::from_secs(1);
 /// After an accept that failed for want of descriptors.
@@ -75,9 +92,12 @@
     pub core: Rc<Core>,
     /// What it is set up with.
     pub setup: Setup,
-    sessions: RefCell<BTreeMap<u32, (u32, Rc<Notify>)>>,
+    sessions: RefCell<BTreeMap<u32, Rc<Cancel>>>,
     seats: Rc<Seats>,
+    ahead: Rc<Ahead>,
     parting: Cell<usize>,
+    /// Connections without a seat that are being heard.
+    unseated: Cell<usize>,
     busy: Cell<usize>,
     closing: Cell<bool>,
     /// Connections are left in the listener's queue, for another process to take.
@@ -105,8 +125,11 @@
 impl Front {
     /// A front on a core.
     pub fn new(core: Rc<Core>, setup: Setup) -> Rc<Front> {
+        let ahead = if setup.extended { AHEAD } else { 0 };
         Rc::new(Front {
+            ahead: Ahead::new(ahead, core.pool().most() / AHEAD_SHARE),
             core,
+            unseated: Cell::new(0),
             seats: Seats::new(setup.most_sessions, !setup.extended),
             setup,
             sessions: RefCell::default(),
@@ -179,29 +202,39 @@
         self.busy.get()
     }
 
+    /// Connections whose last word is written and that are being drained, so that none is closed over unread bytes.
+    /// The process's end cuts what is left of that.
+    pub fn parting(&self) -> usize {
+        self.parting.get()
+    }
+
     async fn connection(self: Rc<Self>, stream: TcpStream) {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
-        let mut wire = Wire::new(stream, self.core.pool().clone());
+        // An error here is the end of the connection: nobody is left to tell.
+        let Ok(socket) = Socket::new(stream) else { return };
+        let mut wire = self.wire(socket);
         let Some(seat) = self.seats.take() else {
+            let cancelled = self.hear_cancel(&mut wire).await;
             let fault = Fault::new("53300", "too many sessions").hint("Come back in 1000 ms.");
-            return self
-                .part(wire, Some(Fault { detail: Some("retry_after_ms=1000".into()), ..fault }))
-                .await;
+            let fault = Fault { detail: Some("retry_after_ms=1000".into()), ..fault };
+            return self.part(wire, (!cancelled).then_some(fault), None).await;
         };
         match self.open(&mut wire, &seat, false).await {
             Next::Session(start) => self.session(wire, start, seat).await,
             Next::Secure(acceptor) => {
-                let Ok(Ok(stream)) = timeout(HANDSHAKE, acceptor.accept(wire.stream)).await else { return };
-                let mut wire = Wire::new(stream, self.core.pool().clone());
+                // Nothing was asked yet, and there is no way to say a word.
+                let stream = tokio::select! {
+                    done = timeout(HANDSHAKE, acceptor.accept(wire.stream)) => done,
+                    () = seat.leave() => return,
+                };
+                let Ok(Ok(stream)) = stream else { return };
+                let mut wire = self.wire(stream);
                 match self.open(&mut wire, &seat, true).await {
                     Next::Session(start) => self.session(wire, start, seat).await,
-                    Next::Part(fault) => self.part(wire, fault).await,
+                    Next::Part(fault) => self.part(wire, fault, Some(seat)).await,
                     Next::Secure(_) => {}
                 }
             }
-            Next::Part(fault) => self.part(wire, fault).await,
+            Next::Part(fault) => self.part(wire, fault, Some(seat)).await,
         }
     }
 
@@ -213,20 +246,70 @@
     ) {
         // An error here is one of the connection: nobody is left to tell.
         if let Ok(fault) = session::serve(Rc::clone(self), &mut wire, start, &seat).await {
-            drop(seat);
-            self.part(wire, fault).await;
+            self.part(wire, fault, Some(seat)).await;
+        }
+    }
+
+    fn wire<S: AsyncRead + AsyncWrite + Unpin>(&self, stream: S) -> Wire<S> {
+        Wire::new(stream, self.core.pool().clone(), Rc::clone(&self.ahead))
+    }
+
+    /// Hears a connection that found no seat; whether it brought a CancelRequest. Whose request waits must be able to
+    /// call it off just when there is no seat left.
+    async fn hear_cancel<S: AsyncRead + AsyncWrite + Unpin>(&self, wire: &mut Wire<S>) -> bool {
+        if self.unseated.get() >= MOST_UNSEATED {
+            return false;
+        }
+        let _unseated = Counted::one(&self.unseated);
+        let packet = async {
+            loop {
+                match pg::read_opening(wire.input()) {
+                    Ok(Some((opening, len))) => {
+                        wire.consume(len);
+                        return Some(opening);
+                    }
+                    Ok(None) if wire.fill().await.is_ok_and(|n| n > 0) => {}
+                    _ => return None,
+                }
+            }
+        };
+        match timeout(UNSEATED, packet).await {
+            Ok(Some(Opening::Cancel { session, secret })) => {
+                self.cancel(session, secret);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// A CancelRequest came.
+    fn cancel(&self, session: u32, secret: u32) {
+        if let Some(cancel) = self.sessions.borrow().get(&session) {
+            cancel.ask(secret);
         }
     }
 
     /// Ends a connection, with a last word if there is one.
-    async fn part<S: AsyncRead + AsyncWrite + Unpin>(&self, mut wire: Wire<S>, fault: Option<Fault>) {
+    async fn part<S: AsyncRead + AsyncWrite + Unpin>(
+        &self,
+        mut wire: Wire<S>,
+        fault: Option<Fault>,
+        seat: Option<Seat>,
+    ) {
         if let Some(fault) = fault {
             pg::error(wire.output(), &fault.fatal());
         }
-        let _parting = Counted::one(&self.parting);
+        // Guards the descriptors: beyond so many, connections that end count among those that are there.
+        let (seat, counted) = match self.parting.get() < MOST_PARTING {
+            true => {
+                drop(seat);
+                (None, Some(Counted::one(&self.parting)))
+            }
+            false => (seat, None),
+        };
         let flushed = timeout(LAST_WORD, wire.flush()).await;
-        if matches!(flushed, Ok(Ok(()))) && self.parting.get() <= MOST_PARTING {
-            wire.part().await;
+        if matches!(flushed, Ok(Ok(()))) && (seat.is_some() || counted.is_some()) {
+            wire.part(if counted.is_some() { PARTING } else { PARTING_MANY }).await;
         }
     }
 
@@ -285,10 +368,7 @@
                     wire.flush().await?;
                 }
                 Opening::Cancel { session, secret } => {
-                    let sessions = self.sessions.borrow();
-                    if let Some((_, cancel)) = sessions.get(&session).filter(|s| s.0 == secret) {
-                        cancel.notify_waiters();
-                    }
+                    self.cancel(session, secret);
                     return Ok(Next::Part(None));
                 }
                 Opening::Startup { .. } if self.setup.require_tls && !secure => {
@@ -307,13 +387,15 @@
         }
     }
 
-    /// Makes a request of a statement and its fields and takes it into the core.
+    /// Makes a request of a statement and its fields and takes it into the core; not one that its client has
+    /// `cancelled` before it was.
     pub fn take(
         &self,
         f: &Fields,
         statement: &str,
         arrived: Micros,
         own_timeout: Option<u64>,
+        cancelled: bool,
     ) -> Result<Ticket, Fault> {
         let setup = &self.setup;
         let kind = f.kind.as_deref().or(setup.default_class.as_deref());
@@ -354,6 +436,10 @@
             cost_ms: f.ms,
             memory_mb: f.heap_mb,
         };
+        if cancelled {
+            self.core.figures().take(class).aborted();
+            return Err(answer::cancelled());
+        }
         let statement = self.keep(statement).inspect_err(|_| self.core.figures().take(class).declined())?;
         let request = Request { asked, class: of_class.name.clone(), once, statement };
         let ticket = self.core.take(request);
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -2,16 +2,21 @@
 
 use super::extended::{self, Names};
 use super::seats::Seat;
-use super::wire::Wire;
+use super::wire::{Overrun, Wire};
 use super::{answer, late, Counted, Front};
 use crate::core::pool::SIZE;
 use crate::core::requests::{Final, Ticket};
 use crate::proto::pg::{self, Fault, Message};
-use crate::proto::{fields, tables};
+use crate::proto::{
+    fields::{self, Fields},
+    tables,
+};
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::Notify;
+use tokio::task::coop::consume_budget;
 use tokio::time::{sleep_until, Duration, Instant};
 
 /// Room for a message that is not a row: an error, a description.
@@ -28,10 +33,55 @@
     pub parameters: Vec<(String, String)>,
 }
 
+/// What CancelRequests say to a session. One that comes while a request is open, or stands unread in the connection,
+/// calls that off; one that finds neither says nothing, to the next request neither.
+#[derive(Debug)]
+pub struct Cancel {
+    /// The key that a CancelRequest must carry beside the session's number.
+    secret: u32,
+    asked: Cell<bool>,
+    wake: Notify,
+}
+
+impl Cancel {
+    fn new(secret: u32) -> Rc<Cancel> {
+        Rc::new(Cancel { secret, asked: Cell::new(false), wake: Notify::new() })
+    }
+    /// A CancelRequest came with this key.
+    pub(super) fn ask(&self, secret: u32) {
+        if self.secret == secret {
+            self.asked.set(true);
+            self.wake.notify_one();
+        }
+    }
+    /// Returns when one has come that was not taken yet.
+    async fn asked(&self) {
+        while !self.asked.get() {
+            self.wake.notified().await;
+        }
+    }
+    /// Takes the one that has come, if there is one: it says nothing more.
+    pub(super) fn take(&self) -> bool {
+        self.asked.replace(false)
+    }
+}
+
+/// The end of a session whose client wrote more behind an open request than may be held. SQLSTATE 54000, a limit of
+/// this program, where it is the session's own bound: no repeat of the same helps. 53200, out of memory, where all
+/// sessions together hold too much: it may help later.
+fn overrun(over: Overrun, bound: usize) -> Fault {
+    let (code, which) = match over {
+        Overrun::Own => ("54000", format!("more than {bound} bytes")),
+        Overrun::All => ("53200", "more than there is room for in all sessions".to_owned()),
+    };
+    let what = format!("{which} came behind an open request: what came behind them was not read");
+    Fault::new(code, what).hint("Wait for answers before writing more, and connect again.")
+}
+
 /// What a session knows.
 pub struct Session<'a> {
     pub(super) front: Rc<Front>,
-    pub(super) cancel: Rc<Notify>,
+    pub(super) cancel: Rc<Cancel>,
     seat: &'a Seat,
     /// Since when a message is here in part only.
     partial: Option<Instant>,
@@ -43,6 +93,8 @@
     scratch: Vec<u8>,
     /// An answer has just been written.
     answered: bool,
+    /// Why it ends although its client is still there.
+    last_word: Option<Fault>,
 }
 
 /// What a message leaves to do.
@@ -78,8 +130,8 @@
     seat: &Seat,
 ) -> io::Result<Option<Fault>> {
     let (number, secret) = (front.core.draw() as u32 >> 1, front.core.draw() as u32);
-    let cancel = Rc::new(Notify::new());
-    front.sessions.borrow_mut().insert(number, (secret, Rc::clone(&cancel)));
+    let cancel = Cancel::new(secret);
+    front.sessions.borrow_mut().insert(number, Rc::clone(&cancel));
     let _listed = Listed(&front, number);
     let parameters = if front.setup.extended { &start.parameters[..] } else { &[] };
     let statement_timeout = match extended::start_timeout(parameters) {
@@ -117,8 +169,11 @@
         names,
         scratch: Vec::new(),
         answered: false,
+        last_word: None,
     };
     loop {
+        // Guards the others against a client that writes many short messages at once: none of them need wait.
+        consume_budget().await;
         match session.step(wire).await? {
             Step::On => {}
             Step::End(fault) => return Ok(fault),
@@ -143,7 +198,13 @@
             Ok(Some((_, len))) => (Err(Fault::new("0A000", "only simple queries are spoken here")), len),
             Ok(None) => {
                 self.scratch = out;
-                return self.more(wire).await;
+                if wire.gather() {
+                    return Ok(Step::On);
+                }
+                return match wire.overrun() {
+                    Some(over) => Ok(Step::End(Some(overrun(over, wire.bound())))),
+                    None => self.more(wire).await,
+                };
             }
             Err((_, Some(len))) if self.skipping => (Ok(Todo::Nothing), len),
             Err((e, Some(len))) => (Err(e.into()), len),
@@ -154,7 +215,7 @@
         let simple = wire.input()[0] == b'Q';
         wire.consume(len);
         if !out.is_empty() {
-            wire.room(out.len()).await?;
+            wire.make_room(out.len()).await?;
             wire.output().append(&mut out);
         }
         self.scratch = out;
@@ -165,8 +226,7 @@
             Ok(Todo::Nothing | Todo::Extended(extended::Todo::Done)) => Ok(true),
             Ok(Todo::Sync) => {
                 self.skipping = false;
-                pg::ready(wire.output());
-                wire.flush().await?;
+                self.ready(wire).await?;
                 Ok(true)
             }
             Ok(Todo::Flush) => {
@@ -180,23 +240,30 @@
             Err(fault) => Err(fault),
         };
         match done {
-            Ok(false) => return Ok(Step::End(None)),
+            Ok(false) => return Ok(Step::End(self.last_word.take())),
             Ok(true) => {}
             Err(fault) => {
-                wire.room(ERROR_ROOM).await?;
+                wire.make_room(ERROR_ROOM).await?;
                 pg::error(wire.output(), &fault);
                 // An error in a batch: what follows is passed over up to the next Sync.
                 self.skipping |= !simple;
             }
         }
         if simple && !self.skipping {
-            pg::ready(wire.output());
-            wire.flush().await?;
+            self.ready(wire).await?;
             self.answered = true;
         }
         Ok(Step::On)
     }
 
+    /// Writes all up to ReadyForQuery. A CancelRequest that came before its client had that is for what it ends.
+    async fn ready<S: AsyncRead + AsyncWrite + Unpin>(&self, wire: &mut Wire<S>) -> io::Result<()> {
+        pg::ready(wire.output());
+        wire.flush().await?;
+        self.cancel.take();
+        Ok(())
+    }
+
     /// Waits for more input.
     async fn more<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &mut Wire<S>) -> io::Result<Step> {
         wire.flush().await?;
@@ -224,6 +291,16 @@
             }
             () = closed => Ok(Step::On),
             () = self.seat.leave() => Ok(Step::On),
+            () = self.cancel.asked() => {
+                // Its request may stand unread, for it was written before: what is here is read first, and it stays.
+                // Where there is nothing it is for none, whatever is written after it.
+                consume_budget().await;
+                let before = wire.input().len();
+                if !wire.look().await? && wire.input().len() == before {
+                    self.cancel.take();
+                }
+                Ok(Step::On)
+            }
             // Guards the seats against messages that never end.
             () = sleep_until(whole_by.unwrap_or_else(Instant::now)), if whole_by.is_some() => {
                 Ok(Step::End(Some(late("length", WHOLE))))
@@ -237,31 +314,41 @@
         wire: &mut Wire<S>,
         text: &str,
     ) -> io::Result<Result<bool, Fault>> {
-        let ticket = match self.ask_simple(wire, text) {
-            Ok(Some(ticket)) => ticket,
+        let (f, statement) = match self.read_simple(wire, text) {
+            Ok(Some(read)) => read,
             Ok(None) => return Ok(Ok(true)),
             Err(fault) => return Ok(Err(fault)),
         };
+        // Guards the rule on clients that have gone: what they left behind is not taken.
+        if wire.look().await? {
+            return Ok(Ok(false));
+        }
+        let (own, cancelled) = (self.names.statement_timeout, self.cancel.take());
+        let ticket = match self.front.take(&f, statement, wire.arrived(), own, cancelled) {
+            Ok(ticket) => ticket,
+            Err(fault) => return Ok(Err(fault)),
+        };
         Ok(match self.wait(wire, ticket).await? {
             None => Ok(false),
             Some(Err(fault)) => Err(fault),
             Some(Ok(result)) => {
-                wire.room(ERROR_ROOM).await?;
+                wire.make_room(ERROR_ROOM).await?;
                 pg::row_description(wire.output(), answer::COLUMNS, &[]);
                 let (n, _) = answer::rows(wire, &result, (0, 0), 0).await?;
-                wire.room(ERROR_ROOM).await?;
+                wire.make_room(ERROR_ROOM).await?;
                 pg::command_complete(wire.output(), &format!("SELECT {n}"));
                 Ok(true)
             }
         })
     }
 
-    /// Takes the request of a simple query; `None` where it needed no engine and is answered.
-    fn ask_simple<S: AsyncRead + AsyncWrite + Unpin>(
+    /// Reads the request of a simple query: its fields and its statement; `None` where it needed no engine and is
+    /// answered.
+    fn read_simple<'t, S: AsyncRead + AsyncWrite + Unpin>(
         &mut self,
         wire: &mut Wire<S>,
-        text: &str,
-    ) -> Result<Option<Ticket>, Fault> {
+        text: &'t str,
+    ) -> Result<Option<(Fields, &'t str)>, Fault> {
         let (f, statement) = fields::split(text).map_err(Fault::from)?;
         if self.front.setup.extended && self.simple_here(wire.output(), statement)?.is_some() {
             return Ok(None);
@@ -277,10 +364,11 @@
         }
         // Guards the engines, and the answer: one request is one statement.
         tables::single(statement).map_err(|e| Fault::new("0A000", e.0))?;
-        self.front.take(&f, statement, wire.arrived(), self.names.statement_timeout).map(Some)
+        Ok(Some((f, statement)))
     }
 
-    /// Waits for a request's final answer, its client's cancel or its client's end (`None`).
+    /// Waits for a request's final answer, its client's cancel or its client's end (`None`). It reads on all the
+    /// while, for the end may stand behind anything; a client that floods is ended with a last word.
     pub(super) async fn wait<S: AsyncRead + AsyncWrite + Unpin>(
         &mut self,
         wire: &mut Wire<S>,
@@ -296,14 +384,21 @@
                     Final::Refused(cause, wait) => Err(answer::refused(cause, wait, extended)),
                     Final::Failed(cause, wait) => Err(answer::failed(cause, wait)),
                 })),
-                () = cancel.notified() => {
+                () = cancel.asked() => {
+                    cancel.take();
                     ticket.cancel();
                     return Ok(Some(Err(answer::cancelled())));
                 }
-                n = wire.fill() => {
+                n = wire.read_on() => {
                     if n? == 0 {
                         return Ok(None);
                     }
+                    if let Some(over) = wire.overrun().filter(|_| wire.floods()) {
+                        // Its client is there and hears it as its answer.
+                        ticket.cancel();
+                        self.last_word = Some(overrun(over, wire.bound()));
+                        return Ok(None);
+                    }
                 }
             }
         }
--- /dev/null
+++ b/tests/departures.rs
@@ -0,0 +1,577 @@
+//! Clients that go while their request waits: by a close, a reset or a CancelRequest, behind more bytes than the front
+//! holds, on both fronts, wherever the request waits. Nothing begins for them afterwards, and the others go on.
+#[path = "support/authority.rs"]
+mod authority;
+mod support;
+
+use authority::Authority;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use support::calls::figure;
+use support::*;
+use tokio_rustls::rustls::{self, pki_types::ServerName, ClientConnection, RootCertStore, StreamOwned};
+
+const OPERATOR: &str = r#"{"listen":"127.0.0.1:0","default_tenant":"sud"}"#;
+
+/// A front.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Side {
+    Platform,
+    Second,
+}
+const SIDES: [Side; 2] = [Side::Platform, Side::Second];
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Way {
+    Close,
+    Reset,
+    Cancel,
+}
+const WAYS: [Way; 3] = [Way::Close, Way::Reset, Way::Cancel];
+
+impl Side {
+    fn address(self, program: &Program) -> SocketAddr {
+        match self {
+            Side::Platform => program.platform,
+            Side::Second => program.second.expect("the second front is on"),
+        }
+    }
+    /// Bytes that a session may hold: what the last word names.
+    fn bound(self) -> usize {
+        match self {
+            Side::Platform => 64 << 10,
+            Side::Second => 1 << 20,
+        }
+    }
+    /// A request that selects `what`, with so many bytes of a name behind it.
+    fn request(self, req: u64, what: &str, padding: usize) -> Vec<u8> {
+        let sql = format!("SELECT {what} FROM sales_17.orders WHERE name = '{}'", "x".repeat(padding));
+        match self {
+            Side::Platform => {
+                query(&format!("/* kind=lane-rate,req={req:016x},timeout=20000,owner=sud,ms=5 */ {sql}"))
+            }
+            Side::Second => {
+                let sql = format!("/* kind=lane-rate,timeout=20000,ms=5 */ {sql}");
+                [parse("", &sql), bind("", "", &[]), execute("", 0), sync()].concat()
+            }
+        }
+    }
+    /// Whole messages beyond what a session may hold: requests, or such that ask for nothing.
+    fn pile(self, requests: bool) -> Vec<u8> {
+        let size = self.bound() + (200 << 10);
+        let mut pile = Vec::new();
+        let mut n = 1_000;
+        while pile.len() < size {
+            n += 1;
+            match (requests, self) {
+                (true, _) => pile.extend(self.request(n, "piled", 2_000)),
+                (false, Side::Platform) => pile.extend(query("")),
+                (false, Side::Second) => pile.extend(framed(b'H', b"")),
+            }
+        }
+        pile
+    }
+}
+
+fn program(engines: &[(&str, SocketAddr)], feed: Option<&Feed>, operator: &str) -> Program {
+    let vars = [("EDGE_OPERATOR", "127.0.0.1:0")];
+    Program::launch_in(&vars, None, engines, feed, Some(operator), (192, 1024), SETTINGS, &[])
+}
+
+fn figures(program: &Program, name: &str) -> u64 {
+    figure(program.operators.expect("an address"), name)
+}
+
+/// A session that writes no longer than a test can wait.
+fn session(program: &Program, side: Side) -> Raw {
+    let raw = Raw::connect(side.address(program));
+    raw.stream.set_write_timeout(Some(Duration::from_secs(20))).expect("set");
+    raw
+}
+
+/// Closes a connection by a reset.
+fn reset(stream: TcpStream) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+    stream.set_nonblocking(true).expect("set");
+    let _entered = runtime.enter();
+    let stream = tokio::net::TcpStream::from_std(stream).expect("registered");
+    stream.set_zero_linger().expect("set");
+    drop(stream);
+}
+
+/// Waits until the program has read all that was written to it: nothing is left in either end's queue.
+fn all_read(raw: &Raw) {
+    let (ours, theirs) = (raw.stream.local_addr(), raw.stream.peer_addr());
+    let ends = [ours.expect("an address").port(), theirs.expect("an address").port()];
+    let port = |field: &str| u16::from_str_radix(field.rsplit(':').next().expect("a port"), 16).expect("hex");
+    until(|| {
+        let table = std::fs::read_to_string("/proc/net/tcp").expect("read");
+        let lines = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+        let queues: Vec<String> = lines
+            .filter(|l| [[port(l[1]), port(l[2])], [port(l[2]), port(l[1])]].contains(&ends))
+            .map(|l| l[4].to_owned())
+            .collect();
+        (queues == ["00000000:00000000"; 2]).then_some(())
+    });
+}
+
+/// What the engine was asked to do, by what the statements select.
+fn asked(engine: &Engine) -> Vec<String> {
+    engine.seen("do").iter().map(|s| selected(s).to_owned()).collect()
+}
+
+fn selected(seen: &Seen) -> &str {
+    seen.parts[3].split(' ').nth(1).unwrap_or_default()
+}
+
+fn row(what: &str) -> Reply {
+    Reply::Pages(vec![format!("{what}\tb\tc\n")])
+}
+
+/// One that serves what was selected to every request.
+fn engine() -> Engine {
+    Engine::start(|seen| row(selected(seen)))
+}
+
+/// The client goes behind more than its session may hold. Returns once the manager is known to have seen it.
+fn go(program: &Program, side: Side, way: Way, mut raw: Raw) {
+    let gone = figures(program, "abandoned");
+    let sent = raw.stream.write_all(&side.pile(way != Way::Cancel));
+    assert!(sent.is_ok(), "{side:?} {way:?}: the front reads on: {sent:?}");
+    match way {
+        Way::Close => drop(raw),
+        Way::Reset => reset(raw.stream),
+        Way::Cancel => {
+            all_read(&raw);
+            raw.cancel(side.address(program));
+            let first = std::iter::from_fn(|| raw.message()).find(|m| m.0 == b'E').expect("an error");
+            assert_eq!(error(&[first])[0], "57014", "{side:?}");
+            let last = std::iter::from_fn(|| raw.message()).find(|m| m.0 == b'E').expect("a last word");
+            let [code, message, _, hint] = error(&[last]);
+            assert_eq!(code, "54000", "{side:?}: {message}");
+            assert!(message.contains(&side.bound().to_string()) && !hint.is_empty(), "{message}");
+            assert!(raw.message().is_none());
+            return;
+        }
+    }
+    until(|| (figures(program, "abandoned") == gone + 1).then_some(()));
+}
+
+/// Another client, whose session was open all the while, is served, and its request is the only one that left since.
+fn only_later(side: Side, way: Way, engine: &Engine, mut other: Raw, before: &[&str]) {
+    other.send(&side.request(7, "later", 1));
+    assert_eq!(rows(&other.until_ready()), ["later|b|c"], "{side:?} {way:?}");
+    assert_eq!(asked(engine), [before, &["later"]].concat(), "{side:?} {way:?}");
+}
+
+fn each(test: impl Fn(Side, Way)) {
+    SIDES.iter().for_each(|side| WAYS.iter().for_each(|way| test(*side, *way)));
+}
+
+/// The module holds the request back, for there is no engine yet.
+#[test]
+fn who_goes_while_the_module_waits_for_an_engine_has_nothing_sent() {
+    each(|side, way| {
+        let (engine, feed) = (engine(), Feed::start());
+        feed.send("{\"n\":1}");
+        let program = program(&[], Some(&feed), OPERATOR);
+        let (mut raw, other) = (session(&program, side), session(&program, side));
+        raw.send(&side.request(1, "gone", 1));
+        until(|| (figures(&program, "outstanding") == 1).then_some(()));
+        go(&program, side, way, raw);
+        feed.send(list(2, false, &[("s-1", engine.address, "ready")]));
+        program.wait_line("engine s-1 is Ready");
+        only_later(side, way, &engine, other, &[]);
+    });
+}
+
+/// The request waits on a link whose connection does not come up.
+#[test]
+fn who_goes_behind_a_dial_has_nothing_sent() {
+    each(|side, way| {
+        let late = Late::listen();
+        let program = program(&[("s-1", late.address)], None, OPERATOR);
+        let (mut raw, other) = (session(&program, side), session(&program, side));
+        raw.send(&side.request(1, "gone", 1));
+        until(|| (figures(&program, "outstanding") == 1).then_some(()));
+        go(&program, side, way, raw);
+        let engine = late.open(|seen| row(selected(seen)));
+        only_later(side, way, &engine, other, &[]);
+    });
+}
+
+/// The request waits between two attempts: its first was turned away, and no engine is left that takes it.
+#[test]
+fn who_goes_between_two_attempts_has_no_further_one() {
+    each(|side, way| {
+        let drained = Arc::new(AtomicBool::new(false));
+        let cue = Arc::clone(&drained);
+        // The marker, held until then, is answered right behind the word: who has it knows that the word was read.
+        let first = Engine::start(move |seen| {
+            if selected(seen) == "marker" {
+                return Reply::Hold;
+            }
+            until(|| cue.load(Ordering::SeqCst).then_some(()));
+            let marker = format!("{:016x}", 9);
+            let parts = |parts: &[&str]| {
+                let each: String = parts.iter().map(|p| format!("${}\r\n{p}\r\n", p.len())).collect();
+                format!("*{}\r\n{each}", parts.len())
+            };
+            let word = parts(&[&seen.parts[1], "overload", "-", ""]);
+            Reply::Raw(word + &parts(&[&marker, "served", "batches=1,cpu=5", "marker\tb\tc\n"]))
+        });
+        let (second, feed) = (engine(), Feed::start());
+        feed.send("{\"n\":1}");
+        let program = program(&[("s-1", first.address)], Some(&feed), OPERATOR);
+        let (mut raw, other) = (session(&program, side), session(&program, side));
+        let mut marker = session(&program, Side::Platform);
+        marker.send(&Side::Platform.request(9, "marker", 1));
+        first.wait_for("do", 1);
+        raw.send(&side.request(1, "gone", 1));
+        first.wait_for("do", 2);
+        feed.send(list(2, false, &[("s-1", first.address, "draining")]));
+        program.wait_line("engine s-1 is Draining");
+        drained.store(true, Ordering::SeqCst);
+        assert_eq!(rows(&marker.until_ready()), ["marker|b|c"]);
+        assert_eq!(figures(&program, "outstanding"), 1, "it waits for a further attempt");
+        go(&program, side, way, raw);
+        feed.send(list(3, false, &[("s-2", second.address, "ready")]));
+        program.wait_line("engine s-2 is Ready");
+        only_later(side, way, &second, other, &[]);
+        assert_eq!(asked(&first), ["marker", "gone"]);
+    });
+}
+
+/// The end of a client is seen in TLS too, with its closing word or without.
+#[test]
+fn who_goes_under_tls_is_seen_behind_anything() {
+    let engine =
+        Engine::start(|seen| if selected(seen) == "gone" { Reply::Hold } else { row(selected(seen)) });
+    // A port that was free a moment ago: the program must be told one before it starts.
+    let challenges = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let authority = Authority::start(Duration::from_secs(600), challenges);
+    let root = scratch().join("root.pem");
+    std::fs::write(&root, &authority.root).expect("written");
+    let operator = format!(
+        r#"{{"listen":"127.0.0.1:0","tls":"required","default_tenant":"sud","acme":{{
+            "directory":"{}","trust_root":"{}","names":["{NAME}"],
+            "challenge_listen":"{challenges}","renew_before_s":1,"retry_s":[0.1,0.4]}}}}"#,
+        authority.directory,
+        root.display()
+    );
+    let program = program(&[("s-1", engine.address)], None, &operator);
+    program.wait_line("certificate renewed");
+    for (n, way) in [(1, Way::Close), (2, Way::Reset)] {
+        let mut tls = secure(&program, &authority);
+        tls.write_all(&Side::Second.request(1, "gone", 1)).expect("written");
+        engine.wait_for("do", n);
+        tls.write_all(&Side::Second.pile(true)).expect("the front reads on");
+        match way {
+            Way::Reset => reset(tls.into_parts().1),
+            _ => drop(tls),
+        }
+        engine.wait_for("undo", n);
+        until(|| (figures(&program, "abandoned") == n as u64).then_some(()));
+    }
+    assert_eq!(asked(&engine), ["gone", "gone"]);
+}
+
+const NAME: &str = "pg.fret-atlas.test";
+
+fn secure(program: &Program, authority: &Authority) -> StreamOwned<ClientConnection, TcpStream> {
+    let mut raw = Raw::open(program.second.expect("on"));
+    raw.stream.set_write_timeout(Some(Duration::from_secs(20))).expect("set");
+    raw.send(&[&8u32.to_be_bytes()[..], &80_877_103u32.to_be_bytes()].concat());
+    let mut word = [0];
+    raw.stream.read_exact(&mut word).expect("an answer");
+    assert_eq!(word, *b"S", "TLS is offered");
+    let mut roots = RootCertStore::empty();
+    roots.add(authority.root_der.clone()).expect("a root");
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .expect("versions")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let name = ServerName::try_from(NAME).expect("a name");
+    let session = ClientConnection::new(Arc::new(config), name).expect("a session");
+    let mut tls = StreamOwned::new(session, raw.stream);
+    tls.write_all(&startup()).expect("the certificate holds");
+    let mut head = [0; 5];
+    while head[0] != b'Z' {
+        tls.read_exact(&mut head).expect("a message");
+        let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+        tls.read_exact(&mut body).expect("its body");
+    }
+    tls
+}
+
+/// What a session holds whole is answered, in order; what was cut is never read as a message, and the last word names
+/// the bound.
+#[test]
+fn an_overrun_session_answers_what_it_holds_whole_and_ends_with_a_word() {
+    for side in SIDES {
+        let release = Arc::new(AtomicBool::new(false));
+        let go = Arc::clone(&release);
+        let engine = Engine::start(move |seen| {
+            until(|| go.load(Ordering::SeqCst).then_some(()));
+            row(selected(seen))
+        });
+        let program = program(&[("s-1", engine.address)], None, OPERATOR);
+        let mut raw = session(&program, side);
+        // Of unlike lengths, so that the cut falls into the middle of one.
+        let all: Vec<Vec<u8>> =
+            (0..200).map(|n| side.request(n, &format!("n{n}"), 9_000 + 37 * n as usize)).collect();
+        raw.send(&all[0]);
+        engine.wait_for("do", 1);
+        let sent = raw.stream.write_all(&all[1..].concat());
+        assert!(sent.is_ok(), "{side:?}: the front reads on: {sent:?}");
+        all_read(&raw);
+        release.store(true, Ordering::SeqCst);
+        let got: Vec<Message> = std::iter::from_fn(|| raw.message()).collect();
+        let served = rows(&got);
+        assert_eq!(served, (0..served.len()).map(|n| format!("n{n}|b|c")).collect::<Vec<_>>(), "{side:?}");
+        let bytes = |n: usize| all[1..=n].iter().map(Vec::len).sum::<usize>();
+        assert!(bytes(served.len() - 1) <= side.bound(), "{side:?}: {} served", served.len());
+        assert!(bytes(served.len()) > side.bound(), "{side:?}: {} served", served.len());
+        let [code, message, ..] = error(&got);
+        assert_eq!(code, "54000", "{side:?}: {message}");
+        assert!(message.contains(&side.bound().to_string()), "{message}");
+        assert_eq!(asked(&engine).len(), served.len(), "nothing else was asked for");
+    }
+}
+
+/// What all sessions read ahead has a bound too: a sixteenth of so little memory. Who finds it used up is told so, and
+/// what an ended session held is free again.
+#[test]
+fn all_sessions_together_hold_a_bound() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let vars = [("EDGE_OPERATOR", "127.0.0.1:0")];
+    let listed = [("s-1", engine.address)];
+    let program = Program::launch_in(&vars, None, &listed, None, Some(OPERATOR), (16, 1024), SETTINGS, &[]);
+    let to = Side::Second.address(&program);
+    let begin = |n: usize| {
+        let mut raw = session(&program, Side::Second);
+        raw.send(&Side::Second.request(n as u64, "gone", 1));
+        engine.wait_for("do", n);
+        raw.send(&Side::Second.pile(false));
+        all_read(&raw);
+        raw
+    };
+    let end = |mut raw: Raw| {
+        raw.cancel(to);
+        let all: Vec<Message> = std::iter::from_fn(|| raw.message()).collect();
+        let errors = all.into_iter().filter(|m| m.0 == b'E');
+        errors.map(|m| error(&[m])[0].clone()).collect::<Vec<_>>()
+    };
+    let (first, second) = (begin(1), begin(2));
+    assert_eq!(end(second), ["57014", "53200"]);
+    assert_eq!(end(first), ["57014", "54000"]);
+    assert_eq!(end(begin(3)), ["57014", "54000"]);
+}
+
+/// Resident memory in bytes.
+fn resident(program: &Program) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).expect("read");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).expect("a line");
+    line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") << 10
+}
+
+/// Clients that write without end behind an open request: they hold no more than their bound, the others are served
+/// meanwhile, and in the end the flood costs its sender the request and the session.
+#[test]
+fn floods_hold_a_bound_and_end() {
+    const FLOOD: usize = 40 << 20;
+    let engine =
+        Engine::start(|seen| if selected(seen) == "gone" { Reply::Hold } else { row(selected(seen)) });
+    let program = program(&[("s-1", engine.address)], None, OPERATOR);
+    let mut other = session(&program, Side::Platform);
+    let before = resident(&program);
+    let (done, most) = (AtomicBool::new(false), std::sync::atomic::AtomicUsize::new(0));
+    thread::scope(|scope| {
+        let floods: Vec<_> = (0..8u64)
+            .map(|n| {
+                let (program, side) = (&program, SIDES[n as usize % 2]);
+                scope.spawn(move || {
+                    let mut raw = session(program, side);
+                    raw.send(&side.request(100 + n, "gone", 1));
+                    let piece = side.pile(false);
+                    let mut sent = 0;
+                    while sent < FLOOD && raw.stream.write_all(&piece).is_ok() {
+                        sent += piece.len();
+                    }
+                    // The front hears more than it throws away behind a request: it reads on for its last word.
+                    let last = std::iter::from_fn(|| raw.message()).find(|m| m.0 == b'E');
+                    error(&[last.expect("a last word")])[0].clone()
+                })
+            })
+            .collect();
+        let watch = scope.spawn(|| {
+            while !done.load(Ordering::SeqCst) {
+                most.fetch_max(resident(&program), Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(1));
+            }
+        });
+        for n in 0..60 {
+            other.send(&Side::Platform.request(n, "later", 1));
+            assert_eq!(rows(&other.until_ready()), ["later|b|c"]);
+        }
+        let words: Vec<String> = floods.into_iter().map(|f| f.join().expect("it ended")).collect();
+        done.store(true, Ordering::SeqCst);
+        watch.join().expect("watched");
+        assert_eq!(words, ["54000"; 8]);
+    });
+    engine.wait_for("undo", 8);
+    let grown = most.load(Ordering::SeqCst).saturating_sub(before);
+    eprintln!("resident memory grew by {} KiB at most", grown >> 10);
+    // Four sessions of the second front hold a mebibyte each, four of the platform's 64 KiB; 128 MiB came in at least.
+    assert!(grown < 24 << 20, "{grown} bytes more at most");
+}
+
+/// A CancelRequest that came between two requests is for none: the next one is served.
+#[test]
+fn a_cancel_between_two_requests_is_not_for_the_next() {
+    let engine = engine();
+    let program = program(&[("s-1", engine.address)], None, OPERATOR);
+    for side in SIDES {
+        let mut raw = session(&program, side);
+        for n in 0..20 {
+            heard(&raw, side.address(&program));
+            raw.send(&side.request(n, "later", 1));
+            assert_eq!(rows(&raw.until_ready()), ["later|b|c"], "{side:?}");
+        }
+    }
+}
+
+/// Sends a CancelRequest and waits until the program has read it.
+fn heard(raw: &Raw, to: SocketAddr) {
+    let mut other = Raw::open(to);
+    other.send(&[&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &raw.key].concat());
+    assert!(other.message().is_none(), "no word is owed");
+}
+
+/// A CancelRequest whose session has no turn to wait for it: it writes an answer that its client does not take. It calls
+/// the batch off, for that is what is open: the next Execute fails and what follows is passed over, up to Sync.
+#[test]
+fn a_cancel_while_an_answer_is_written_is_not_lost_on_the_batch() {
+    let page = || "x\ty\tz\n".repeat(950);
+    let engine = Engine::start(move |_| Reply::Pages((0..8).map(|_| page()).collect()));
+    let program = program(&[("s-1", engine.address)], None, OPERATOR);
+    let mut raw = session(&program, Side::Second);
+    let sql = "/* kind=lane-rate,timeout=20000,ms=5 */ SELECT a FROM sales_17.orders";
+    let batch = 400;
+    raw.send(&parse("", sql));
+    raw.send(&[bind("", "", &[]), execute("", 0)].concat().repeat(batch));
+    raw.send(&sync());
+    // More than the system holds for a client that does not read: stuck once no further request follows for long. A
+    // cancel that comes before is heard by the open request, which shows nothing but does no harm.
+    let mut last = 0;
+    until(|| {
+        thread::sleep(Duration::from_millis(300));
+        let now = engine.seen("do").len();
+        (std::mem::replace(&mut last, now) == now && now > 0).then_some(())
+    });
+    heard(&raw, Side::Second.address(&program));
+    let got = raw.until_ready();
+    let [code, message, ..] = error(&got);
+    assert_eq!((code.as_str(), message.as_str()), ("57014", "canceled at the client's request"));
+    let served = kinds(&got).matches('C').count();
+    assert!(served < batch, "{served} served");
+    let begun = engine.seen("do").len();
+    assert!(begun <= served + 1, "{begun} begun, {served} served, one of them called off");
+    assert_eq!(kinds(&raw.ask("")), "IZ", "the session goes on");
+}
+
+/// A CancelRequest needs no seat: whose request waits may call it off while nobody else comes in.
+#[test]
+fn a_cancel_is_heard_when_all_seats_are_taken() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let operator = r#"{"listen":"127.0.0.1:0","max_sessions":1,"default_tenant":"sud"}"#;
+    let program = program(&[("s-1", engine.address)], None, operator);
+    let to = Side::Second.address(&program);
+    let mut raw = session(&program, Side::Second);
+    raw.send(&Side::Second.request(1, "gone", 1));
+    engine.wait_for("do", 1);
+    let mut turned_away = Raw::open(to);
+    turned_away.send(&startup());
+    assert_eq!(error(&[turned_away.message().expect("a word")])[0], "53300");
+    heard(&raw, to);
+    assert_eq!(error(&raw.until_ready())[0], "57014");
+    engine.wait_for("undo", 1);
+}
+
+fn signal(program: &Program, name: &str) {
+    let id = program.id().to_string();
+    assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+}
+
+/// Requests whose CancelRequest came before the program had a turn to read either: each is called off.
+#[test]
+fn a_cancel_right_behind_its_request_is_not_lost() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let program = program(&[("s-1", engine.address)], None, OPERATOR);
+    for side in SIDES {
+        let mut all: Vec<(Raw, Raw)> =
+            (0..16).map(|_| (session(&program, side), Raw::open(side.address(&program)))).collect();
+        signal(&program, "-STOP");
+        for (n, (raw, other)) in all.iter_mut().enumerate() {
+            raw.send(&side.request(n as u64, "gone", 1));
+            other.send(&[&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &raw.key].concat());
+        }
+        signal(&program, "-CONT");
+        for (raw, _) in &mut all {
+            assert_eq!(error(&raw.until_ready())[1], "canceled at the client's request", "{side:?}");
+        }
+    }
+}
+
+/// What a client left behind that has gone is not taken: its end stands right behind its requests, and all came while
+/// the program had no turn.
+#[test]
+fn what_a_client_left_behind_is_not_taken() {
+    let engine = engine();
+    let program = program(&[("s-1", engine.address)], None, OPERATOR);
+    for side in SIDES {
+        let mut left: Vec<Raw> = (0..8).map(|_| session(&program, side)).collect();
+        let mut other = session(&program, side);
+        signal(&program, "-STOP");
+        for raw in &mut left {
+            raw.send(&[query(""), side.request(1, "gone", 1), side.request(2, "gone", 1)].concat());
+        }
+        // Shut, not closed: a close with an answer unread would send a reset, which is seen by itself.
+        left.iter().for_each(|raw| raw.stream.shutdown(std::net::Shutdown::Write).expect("shut"));
+        signal(&program, "-CONT");
+        for raw in &mut left {
+            assert_eq!(kinds(&raw.until_ready()), "IZ", "what needs no engine is answered");
+            let rest: Vec<Message> = std::iter::from_fn(|| raw.message()).collect();
+            // On the second front what is no request yet is taken: Parse and Bind.
+            assert_eq!(kinds(&rest), if side == Side::Second { "12" } else { "" }, "{side:?}: it has gone");
+        }
+        other.send(&side.request(7, "later", 1));
+        assert_eq!(rows(&other.until_ready()), ["later|b|c"]);
+    }
+    assert_eq!(asked(&engine), ["later"; 2]);
+    assert_eq!(figures(&program, "abandoned"), 0, "none of them was taken");
+}
+
+/// However many sessions end at a time, no close goes over unread bytes: a reset may overtake the last word.
+#[test]
+fn many_that_end_at_a_time_all_read_their_last_word_and_a_clean_end() {
+    let program = Program::start(&[], None, None);
+    let mut all: Vec<Raw> = (0..100).map(|_| Raw::connect(program.platform)).collect();
+    signal(&program, "-STOP");
+    let bad = [&[b'Q', 0xff, 0xff, 0xff, 0xff][..], &vec![b'x'; 90_000]].concat();
+    all.iter_mut().for_each(|raw| raw.send(&bad));
+    signal(&program, "-CONT");
+    for (n, raw) in all.iter_mut().enumerate() {
+        assert_eq!(error(&[raw.message().expect("a last word")])[0], "08P01", "session {n}");
+        let end = raw.stream.read(&mut [0]).map_err(|e| e.kind());
+        assert!(matches!(end, Ok(0)), "session {n}: {end:?}, {:?} is a reset", ErrorKind::ConnectionReset);
+    }
+}
