Front: it reads on while an answer is written, and all there is before a request is taken

While an answer waited for its client nothing was read, so an end that came then stood unseen behind whatever the client had piled up; the next Execute of the batch was taken behind a look at 64 KiB alone (Wire::look before Front::take), and its attempt left before the rest was read.

Wire::flush reads on, within the same bounds, where its write has to wait; an end does not cut the answer short, for the client may have shut its writing side alone. Before a request is taken the wire catches up with all that is there (Wire::catch_up), in turns of 128 KiB; a flood is ended there too. An SSLRequest whose answer is behind bytes that came meanwhile ends the connection: they would be taken for ones sent under encryption.

--- a/src/front/extended.rs
+++ b/src/front/extended.rs
@@ -440,9 +440,8 @@
                 // A client that says how long it waits counts from its sending; else the time
                 // runs from the start of this one, whatever stood before it in the batch.
                 let from = if f.timeout_ms.is_some() { wire.arrived() } else { now() };
-                // Guards the rule on clients that have gone: what they left behind is not taken.
-                if wire.look().await? {
-                    return Ok(Ok(false));
+                if wire.catch_up().await? {
+                    return Ok(Ok(self.left(wire)));
                 }
                 let own = self.names.statement_timeout;
                 let ticket = self.front.take(&f, &portal.statement, from, own, cancelled);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -361,6 +361,9 @@
                     }
                     wire.output().push(b'S');
                     wire.flush().await?;
+                    if !wire.input().is_empty() {
+                        return Ok(Next::Part(None));
+                    }
                     return Ok(acceptor.map_or(Next::Part(None), Next::Secure));
                 }
                 Opening::Ssl | Opening::Gssenc => {
--- a/src/front/session.rs
+++ b/src/front/session.rs
@@ -319,12 +319,12 @@
             Ok(None) => return Ok(Ok(true)),
             Err(fault) => return Ok(Err(fault)),
         };
-        // Guards the rule on clients that have gone: what they left behind is not taken.
-        if wire.look().await? {
-            return Ok(Ok(false));
+        let arrived = wire.arrived();
+        if wire.catch_up().await? {
+            return Ok(Ok(self.left(wire)));
         }
         let (own, cancelled) = (self.names.statement_timeout, self.cancel.take());
-        let ticket = match self.front.take(&f, statement, wire.arrived(), own, cancelled) {
+        let ticket = match self.front.take(&f, statement, arrived, own, cancelled) {
             Ok(ticket) => ticket,
             Err(fault) => return Ok(Err(fault)),
         };
@@ -367,6 +367,13 @@
         Ok(Some((f, statement)))
     }
 
+    /// Guards the rule on clients that have gone: what they left behind is not taken, and nothing of a flood either,
+    /// whose sender is told so. False, for the session ends.
+    pub(super) fn left<S: AsyncRead + AsyncWrite + Unpin>(&mut self, wire: &Wire<S>) -> bool {
+        self.last_word = wire.overrun().filter(|_| wire.floods()).map(|over| overrun(over, wire.bound()));
+        false
+    }
+
     /// Waits for a request's final answer, its client's cancel or its client's end (`None`). It reads on all the
     /// while, for the end may stand behind anything; a client that floods is ended with a last word.
     pub(super) async fn wait<S: AsyncRead + AsyncWrite + Unpin>(
@@ -393,10 +400,10 @@
                     if n? == 0 {
                         return Ok(None);
                     }
-                    if let Some(over) = wire.overrun().filter(|_| wire.floods()) {
+                    if wire.floods() {
                         // Its client is there and hears it as its answer.
                         ticket.cancel();
-                        self.last_word = Some(overrun(over, wire.bound()));
+                        self.left(wire);
                         return Ok(None);
                     }
                 }
--- a/src/front/wire.rs
+++ b/src/front/wire.rs
@@ -1,8 +1,8 @@
 //! A client's connection with its buffers, which it holds only while there are bytes in them.
 //!
-//! Reading never pauses while a request is open: the client's end may stand behind what it still sent. So what is
-//! read ahead is kept up to a bound, and beyond that thrown away, only to learn of the end; the session is then
-//! overrun, and ends behind what it holds whole.
+//! Reading never pauses while a request is open or an answer is written: the client's end may stand behind what it
+//! still sent. So what is read ahead is kept up to a bound, and beyond that thrown away, only to learn of the end; the
+//! session is then overrun, and ends behind what it holds whole.
 
 use crate::core::now;
 use crate::core::pool::{Buf, Pool, SIZE};
@@ -16,8 +16,8 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
-use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::task::{coop::consume_budget, yield_now};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// A client that takes none of what it is sent for so long is let go: its answer holds memory.
 const STUCK: Duration = Duration::from_secs(10);
@@ -200,6 +200,22 @@
         self.turn().await;
         poll_fn(|cx| self.poll_read(cx, PIECE)).await
     }
+    /// Reads on to the last byte that is there, as while a request is open; whether the stream has ended, or floods.
+    ///
+    /// # Errors
+    /// Those of the connection, which has ended then.
+    pub async fn catch_up(&mut self) -> io::Result<bool> {
+        while !self.ended && !self.floods() {
+            self.turn().await;
+            // Guards against a task out of budget, to which every stream says that nothing is there.
+            consume_budget().await;
+            match poll_fn(|cx| Poll::Ready(self.poll_read(cx, PIECE))).await {
+                Poll::Ready(read) => drop(read?),
+                Poll::Pending => return Ok(false),
+            }
+        }
+        Ok(true)
+    }
     /// Whether the stream is known to have ended: reads what is there already and fits the input, without waiting.
     ///
     /// # Errors
@@ -282,18 +298,35 @@
     pub fn output(&mut self) -> &mut Vec<u8> {
         self.output.get_or_insert_with(|| self.pool.must())
     }
-    /// Writes all that is to be written.
+    /// Writes all that is to be written, and reads on where that has to wait: a client that has gone meanwhile must
+    /// not have its next request taken.
+    ///
+    /// # Errors
+    /// Those of the connection; and a client that takes nothing for [`STUCK`].
     pub async fn flush(&mut self) -> io::Result<()> {
         let Some(output) = self.output.take() else { return Ok(()) };
-        let mut rest = &output[..];
+        let (mut rest, mut by) = (&output[..], Instant::now() + STUCK);
         while !rest.is_empty() {
-            match timeout(STUCK, self.stream.write(rest)).await?? {
-                0 => return Err(io::ErrorKind::WriteZero.into()),
-                n => rest = &rest[n..],
+            self.turn().await;
+            match timeout_at(by, poll_fn(|cx| self.poll_write(cx, rest))).await?? {
+                Some(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Some(n) => (rest, by) = (&rest[n..], Instant::now() + STUCK),
+                None => {}
             }
         }
         timeout(STUCK, self.stream.flush()).await?
     }
+    /// Writes some, or reads what is there where nothing can be written.
+    fn poll_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<Option<usize>>> {
+        if let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(cx, bytes) {
+            return Poll::Ready(written.map(Some));
+        }
+        if self.ended || self.floods() {
+            return Poll::Pending;
+        }
+        ready!(self.poll_read(cx, PIECE))?;
+        Poll::Ready(Ok(None))
+    }
     /// Makes room for so many bytes more, by writing if need be.
     pub async fn make_room(&mut self, n: usize) -> io::Result<()> {
         if self.output.as_ref().is_none_or(|buf| buf.has_room(n)) {
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -105,7 +105,8 @@
     drop(stream);
 }
 
-/// Waits until the program has read all that was written to it: nothing is left in either end's queue.
+/// Waits until the program has read all that was written to it, an end too: nothing is left in the queue of what the
+/// one end has sent, nor in that of what the other has got.
 fn all_read(raw: &Raw) {
     let (ours, theirs) = (raw.stream.local_addr(), raw.stream.peer_addr());
     let ends = [ours.expect("an address").port(), theirs.expect("an address").port()];
@@ -113,11 +114,16 @@
     until(|| {
         let table = std::fs::read_to_string("/proc/net/tcp").expect("read");
         let lines = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
-        let queues: Vec<String> = lines
-            .filter(|l| [[port(l[1]), port(l[2])], [port(l[2]), port(l[1])]].contains(&ends))
-            .map(|l| l[4].to_owned())
-            .collect();
-        (queues == ["00000000:00000000"; 2]).then_some(())
+        let (mut sent, mut got) = (None, None);
+        for line in lines {
+            let queues = line[4].split_once(':').expect("two queues");
+            match [port(line[1]), port(line[2])] {
+                pair if pair == ends => sent = Some(queues.0 == "00000000"),
+                [theirs, ours] if [ours, theirs] == ends => got = Some(queues.1 == "00000000"),
+                _ => {}
+            }
+        }
+        (sent == Some(true) && got == Some(true)).then_some(())
     });
 }
 
@@ -469,14 +475,8 @@
     raw.send(&parse("", sql));
     raw.send(&[bind("", "", &[]), execute("", 0)].concat().repeat(batch));
     raw.send(&sync());
-    // More than the system holds for a client that does not read: stuck once no further request follows for long. A
-    // cancel that comes before is heard by the open request, which shows nothing but does no harm.
-    let mut last = 0;
-    until(|| {
-        thread::sleep(Duration::from_millis(300));
-        let now = engine.seen("do").len();
-        (std::mem::replace(&mut last, now) == now && now > 0).then_some(())
-    });
+    // A cancel that comes before is heard by the open request, which shows nothing but does no harm.
+    stuck(&engine);
     heard(&raw, Side::Second.address(&program));
     let got = raw.until_ready();
     let [code, message, ..] = error(&got);
@@ -488,6 +488,42 @@
     assert_eq!(kinds(&raw.ask("")), "IZ", "the session goes on");
 }
 
+/// A client's end that comes while an answer is written which it does not take: once it has taken it, nothing more of
+/// its batch begins, however much stands before the end.
+#[test]
+fn who_goes_while_an_answer_is_written_has_nothing_more_begun() {
+    let page = || "x\ty\tz\n".repeat(950);
+    let engine = Engine::start(move |_| Reply::Pages((0..8).map(|_| page()).collect()));
+    let program = program(&[("s-1", engine.address)], None, OPERATOR);
+    let mut raw = session(&program, Side::Second);
+    let sql = "/* kind=lane-rate,timeout=30000,ms=5 */ SELECT a FROM sales_17.orders";
+    raw.send(&parse("", sql));
+    raw.send(&[bind("", "", &[]), execute("", 0)].concat().repeat(400));
+    stuck(&engine);
+    let pile: Vec<u8> = (0..400).flat_map(|n| Side::Second.request(n, "piled", 2_000)).collect();
+    assert!((600 << 10..1 << 20).contains(&pile.len()), "within the bound: {}", pile.len());
+    raw.send(&pile);
+    // Shut, not closed: a close with an answer unread would send a reset, which is seen by itself.
+    raw.stream.shutdown(std::net::Shutdown::Write).expect("shut");
+    all_read(&raw);
+    let begun = engine.seen("do").len();
+    let got: Vec<Message> = std::iter::from_fn(|| raw.message()).collect();
+    assert_eq!(kinds(&got).matches('E').count(), 0);
+    assert!(begun < 400, "{begun} begun");
+    assert_eq!(engine.seen("do").len(), begun, "nothing began once its end was read");
+}
+
+/// Waits until no request has followed for long: more than the system holds for a client that does not read was answered
+/// then.
+fn stuck(engine: &Engine) {
+    let mut last = 0;
+    until(|| {
+        thread::sleep(Duration::from_millis(300));
+        let now = engine.seen("do").len();
+        (std::mem::replace(&mut last, now) == now && now > 0).then_some(())
+    });
+}
+
 /// A CancelRequest needs no seat: whose request waits may call it off while nobody else comes in.
 #[test]
 fn a_cancel_is_heard_when_all_seats_are_taken() {
