--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,6 +5,7 @@
 pub mod extended;
 pub mod seats;
 pub mod session;
+pub mod socket;
 pub mod wire;
 
 use crate::core::facade::Asked;
@@ -15,6 +16,8 @@
 use crate::proto::pg::{self, Fault, Opening};
 use crate::proto::tables;
 use seats::{Errand, Lobby, Seat, Seats, Standby, Stay};
+use session::Cancel;
+use socket::Socket;
 use sprucelink_policy::interface::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,7 +30,7 @@
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
 use tracing::warn;
-use wire::Wire;
+use wire::{Ahead, Drain, Wire};
 
 /// A client that has not begun its session by then is let go: it is owed a word within 3 s.
 const OPENING: Duration = Duration::from_secs(2);
@@ -35,6 +38,15 @@
 const HANDSHAKE: Duration = Duration::from_secs(10);
 /// A newcomer waits so long for a seat of somebody who has asked nothing, before one goes who was served.
 const SEAT_WAIT: Micros = Micros(500_000);
+/// How long the end of a connection with a last word may take, and with nothing coming.
+const PARTING: Drain = Drain { whole: Duration::from_secs(4), quiet: Duration::from_millis(500) };
+/// The same where many end at a time: what crosses the close comes within 50 ms.
+const PARTING_MANY: Drain = Drain { whole: Duration::from_millis(200), quiet: Duration::from_millis(50) };
+/// Buffers that a session of the second front may read ahead of its open request, beyond one; its clients write
+/// whole batches before they read. The platform's write one query at a time, so one buffer is all they need.
+const AHEAD: usize = 15;
+/// The part of all buffers that sessions may read ahead into.
+const AHEAD_SHARE: usize = 8;
 /// A last word that cannot be written by then is not.
 const LAST_WORD: Duration = Duration::from_secs(1);
 /// After an accept that failed for want of descriptors.
@@ -83,9 +95,10 @@
     pub core: Rc<Core>,
     /// What it is set up with.
     pub setup: Setup,
-    sessions: RefCell<BTreeMap<u32, (u32, Rc<Notify>)>>,
+    sessions: RefCell<BTreeMap<u32, Rc<Cancel>>>,
     seats: Rc<Seats>,
     lobby: Rc<Lobby>,
+    ahead: Rc<Ahead>,
     /// Connections whose descriptors are open.
     accepted: Cell<usize>,
     /// One of them has gone, or has come to the lobby, where it can be displaced.
@@ -141,7 +154,9 @@
 impl Front {
     /// A front on a core.
     pub fn new(core: Rc<Core>, setup: Setup) -> Rc<Front> {
+        let ahead = if setup.extended { AHEAD } else { 0 };
         Rc::new(Front {
+            ahead: Ahead::new(ahead, core.pool().most() / AHEAD_SHARE),
             core,
             seats: Seats::new(setup.most_sessions, setup.most_leaving, !setup.extended),
             lobby: Lobby::new(setup.most_lobby),
@@ -249,10 +264,9 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream, _accepted: Accepted) {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
-        let mut wire = Wire::new(stream, self.core.pool().clone());
+        // An error here is the end of the connection: nobody is left to tell.
+        let Ok(socket) = Socket::new(stream) else { return };
+        let mut wire = self.wire(socket);
         // Guards cancels: they need no seat, and come when all are taken. What a newcomer wants is read first.
         let stay = self.seats.take(false).map_or_else(|| self.enter(Errand::Coming), Stay::Seat);
         match self.open(&mut wire, &stay, false).await {
@@ -264,7 +278,7 @@
                     () = stay.leave() => return,
                 };
                 let Ok(Ok(stream)) = secured else { return };
-                let mut wire = Wire::new(stream, self.core.pool().clone());
+                let mut wire = self.wire(stream);
                 match self.open(&mut wire, &stay, true).await {
                     Next::Session(start) => self.session(wire, start, stay).await,
                     Next::Part(fault) => self.part(wire, fault, stay).await,
@@ -324,8 +338,19 @@
         }
     }
 
-    /// Ends a connection, with a last word if there is one. A seat is free at once: what is left to do goes on in the
-    /// lobby, until it is displaced there.
+    fn wire<S: AsyncRead + AsyncWrite + Unpin>(&self, stream: S) -> Wire<S> {
+        Wire::new(stream, self.core.pool().clone(), Rc::clone(&self.ahead))
+    }
+
+    /// A CancelRequest came.
+    fn cancel(&self, session: u32, secret: u32) {
+        if let Some(cancel) = self.sessions.borrow().get(&session) {
+            cancel.ask(secret);
+        }
+    }
+
+    /// Ends a connection, with a last word if there is one. A seat is free at once where the lobby has room: what is left
+    /// to do goes on there, until it is displaced. Else it keeps its seat, and has less time.
     async fn part<S: AsyncRead + AsyncWrite + Unpin>(
         &self,
         mut wire: Wire<S>,
@@ -336,30 +361,32 @@
             pg::error(wire.output(), &fault.fatal());
         }
         let _parting = Counted::one(&self.parting);
-        let end = async {
-            if matches!(timeout(LAST_WORD, wire.flush()).await, Ok(Ok(()))) {
-                wire.part().await;
-            }
-        };
-        if self.closing.get() {
+        let (place, within) = match stay {
             // No newcomer needs its descriptor any more.
-            return end.await;
-        }
-        let place = match stay {
+            stay if self.closing.get() => (stay, PARTING),
             Stay::Lobby(place) => {
                 place.parts();
-                Stay::Lobby(place)
+                (Stay::Lobby(place), PARTING)
             }
-            Stay::Seat(seat) => {
+            Stay::Seat(seat) if self.lobby.has_room() => {
                 drop(seat);
-                self.enter(Errand::Parting)
+                (self.enter(Errand::Parting), PARTING)
             }
+            seat => (seat, PARTING_MANY),
         };
-        tokio::select! {
-            // The last word is tried once in any case, and most fit into the socket's buffer.
-            biased;
-            () = end => {}
-            () = place.leave() => {}
+        let end = async {
+            if matches!(timeout(LAST_WORD, wire.flush()).await, Ok(Ok(()))) {
+                wire.part(within).await;
+            }
+        };
+        match place {
+            Stay::Lobby(place) => tokio::select! {
+                // The last word is tried once in any case, and most fit into the socket's buffer.
+                biased;
+                () = end => {}
+                () = place.leave() => {}
+            },
+            Stay::Seat(_seat) => end.await,
         }
     }
 
@@ -412,6 +439,9 @@
                     }
                     wire.output().push(b'S');
                     wire.flush().await?;
+                    if !wire.input().is_empty() {
+                        return Ok(Next::Part(None));
+                    }
                     return Ok(acceptor.map_or(Next::Part(None), Next::Secure));
                 }
                 Opening::Ssl | Opening::Gssenc => {
@@ -419,10 +449,7 @@
                     wire.flush().await?;
                 }
                 Opening::Cancel { session, secret } => {
-                    let sessions = self.sessions.borrow();
-                    if let Some((_, cancel)) = sessions.get(&session).filter(|s| s.0 == secret) {
-                        cancel.notify_waiters();
-                    }
+                    self.cancel(session, secret);
                     return Ok(Next::Part(None));
                 }
                 Opening::Startup { .. } if self.setup.require_tls && !secure => {
@@ -441,13 +468,15 @@
         }
     }
 
-    /// Makes a request of a statement and its fields and takes it into the core.
+    /// Makes a request of a statement and its fields and takes it into the core; not one that its client has
+    /// `cancelled` before it was.
     pub fn take(
         &self,
         f: &Fields,
         statement: &str,
         arrived: Micros,
         own_timeout: Option<u64>,
+        cancelled: bool,
     ) -> Result<Ticket, Fault> {
         let setup = &self.setup;
         let kind = f.kind.as_deref().or(setup.default_class.as_deref());
@@ -488,6 +517,10 @@
             cost_ms: f.ms,
             memory_mb: f.heap_mb,
         };
+        if cancelled {
+            self.core.figures().take(class).aborted();
+            return Err(answer::cancelled());
+        }
         let statement = self.keep(statement).inspect_err(|_| self.core.figures().take(class).declined())?;
         let request = Request { asked, class: of_class.name.clone(), once, statement };
         let ticket = self.core.take(request);
--- a/src/front/seats.rs
+++ b/src/front/seats.rs
@@ -270,6 +270,11 @@
         Standby { lobby: Rc::clone(self), number, guest }
     }
 
+    /// Whether one more can come without another's going.
+    pub fn has_room(&self) -> bool {
+        self.places.borrow().len() < self.most
+    }
+
     /// Tells the one to go that can best; false where nobody is.
     pub fn displace(&self) -> bool {
         let mut places = self.places.borrow_mut();
