The decision module's own record stands with the other records, in state.rs

It is moved there word for word with its fields seen in the crate, and is still `sprucelink_policy::brain::Brain`; nothing else changes, so the order in which it is serialized stays.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -6,9 +6,8 @@
 //! final answer.
 
 use crate::interface::*;
+pub use crate::state::Brain;
 use crate::state::*;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 pub mod view;
 
@@ -153,50 +152,6 @@
 /// Rest of an engine that turned a query away as full.
 const FULL_REST: Micros = Micros(100_000);
 
-/// The decision module of one gateway.
-#[derive(Clone, Default, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Brain {
-    set: Settings,
-    rng: Seeded,
-    now: Micros,
-    born: Micros,
-    /// By level: work held in the line; own threads in flight there and above, smoothed.
-    held: [f64; LEVELS],
-    above: [f64; LEVELS],
-    outcomes: u32,
-    armed: bool,
-    seq: u64,
-    next_tolls: Micros,
-    ask_again: Option<Micros>,
-    engines: Vec<Engine>,
-    zones: BTreeMap<u32, ZoneBook>,
-    /// Own threads in flight; told cores of the engines that take work.
-    own: f64,
-    cores: f64,
-    /// Threads a core of other gateways, by reports of late, and when the last came.
-    fleet: f64,
-    fleet_heard: Micros,
-    /// Threads and queries that ran, each times how long: a report counts queries, of whatever threads.
-    thread_time: f64,
-    query_time: f64,
-    /// Logarithm of the middle engine's slowness.
-    middle: f64,
-    classes: Vec<ClassBook>,
-    requests: BTreeMap<RequestId, Request>,
-    /// Admitted, not sent: by level from the top, then in turn.
-    line: BTreeMap<(usize, u64), RequestId>,
-    keys: BTreeMap<String, KeyLine>,
-    /// Probes that arrivals so far allow.
-    probe_credit: f64,
-    tenants: Vec<Bucket>,
-    taken: Window,
-    extra: Window,
-    /// Reasons are told, too; nothing hangs on it.
-    #[serde(skip)]
-    listened: bool,
-}
-
 impl Brain {
     /// A gateway that starts now and knows its settings only.
     pub fn new(set: Settings, seed: u64, now: Micros) -> Brain {
--- a/crates/policy/src/brain/view.rs
+++ b/crates/policy/src/brain/view.rs
@@ -2,6 +2,7 @@
 //! decides, and nothing here is reached while nobody listens.
 
 use super::*;
+use serde::Serialize;
 
 /// What is believed of an engine.
 #[derive(Clone, Debug, PartialEq, Serialize)]
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -2,7 +2,51 @@
 
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The decision module of one gateway.
+#[derive(Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Brain {
+    pub(crate) set: Settings,
+    pub(crate) rng: Seeded,
+    pub(crate) now: Micros,
+    pub(crate) born: Micros,
+    /// By level: work held in the line; own threads in flight there and above, smoothed.
+    pub(crate) held: [f64; 4],
+    pub(crate) above: [f64; 4],
+    pub(crate) outcomes: u32,
+    pub(crate) armed: bool,
+    pub(crate) seq: u64,
+    pub(crate) next_tolls: Micros,
+    pub(crate) ask_again: Option<Micros>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) zones: BTreeMap<u32, ZoneBook>,
+    /// Own threads in flight; told cores of the engines that take work.
+    pub(crate) own: f64,
+    pub(crate) cores: f64,
+    /// Threads a core of other gateways, by reports of late, and when the last came.
+    pub(crate) fleet: f64,
+    pub(crate) fleet_heard: Micros,
+    /// Threads and queries that ran, each times how long: a report counts queries, of whatever threads.
+    pub(crate) thread_time: f64,
+    pub(crate) query_time: f64,
+    /// Logarithm of the middle engine's slowness.
+    pub(crate) middle: f64,
+    pub(crate) classes: Vec<ClassBook>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    /// Admitted, not sent: by level from the top, then in turn.
+    pub(crate) line: BTreeMap<(usize, u64), RequestId>,
+    pub(crate) keys: BTreeMap<String, KeyLine>,
+    /// Probes that arrivals so far allow.
+    pub(crate) probe_credit: f64,
+    pub(crate) tenants: Vec<Bucket>,
+    pub(crate) taken: Window,
+    pub(crate) extra: Window,
+    /// Reasons are told, too; nothing hangs on it.
+    #[serde(skip)]
+    pub(crate) listened: bool,
+}
 
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default)]
