Cold engines bear the sum of a whole fleet at N + 2 root N + 2, also during upgrades

The operators count anything beyond 2 root N + 2 over a budget of N requests of mean work as too much, with twenty or thirty processes too. crates/policy/tests/cold_fleet.rs held N + 3 root N + 3 for three states at 3, 60 and 300 managers. It holds the stricter sum now at 3, 20, 30, 60 and 300, settled, newly started, mixed (seven in ten killed), half told late (not knowing the engine, or knowing it from before a restart and refused meanwhile), and in an upgrade modelled on src/run/upgrade.rs: the second process counts whole, the first a half from when it hears of it, and whole again a cold span after the second died. The check that it does not idle (over 0.3 of N) stays as it was for the states that it had, and holds for the new ones but the restart: managers refused for a second expect long waits and let little in, warm engine or cold (0.22 of N for 20 managers, without this change as well). Told late, the mean counts from when all are told.

Causes, in brain.rs: - `charge`: a process that just started has no estimates and charges a class a quarter of its wanted time on all threads (reports: 1.1 thread-seconds of 4.1), then the mean of one or two, which for skewed work is mostly too low. It now counts in two estimates of the whole of it, until it is as old as an engine is cold. - `gate_engine`: lots for heavy work (0.6 of the budget, whatever their weight, up to a quarter of it) came on top of a part that light work fills, about 1.0 N in the mean with deviations of 1.3 root N from heavy work alone. Ruled out: settled and told late alone (worst 0.67 and 0.70 of the bound, before and after).

Now `lots` derives it from settings and managers told: with a part less than some query, each manager draws for one query a span; the mean of the Poisson sum of all lots lies four deviations below N + 2 root N + 2, counted in the least class; the mix of light and heavy is bounded by the logarithm of their ratio; and 1.5 parts may be spent at once, which is what a forgotten life or a second process adds. The constants 0.6 and a quarter are gone. What is drawn for only if less than half of the budget would be used is not drawn for: heavy reports of many managers wait until the engine is warm.

Measured: the policy tests pass (cold_fleet 39 s in a debug build on a busy machine; worst 0.95 of the bound, 3 managers in an upgrade).

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -82,10 +82,12 @@
 const WARM_GROUPS: usize = 4;
 /// Share of the told cores that counts as capacity in the cold budget: slow machines, cores never all busy.
 const COLD_CAPACITY: f64 = 0.56;
-/// Share of the cold budget used by draw: several may draw well at once.
-const COLD_CHANCE: f64 = 0.6;
-/// What is drawn for may take one part in so many of all gateways' budget: of heavier work two make a jam.
-const COLD_PARTS: f64 = 4.0;
+/// Parts of the cold budget that may be spent at once: sends a restart forgot, two processes in an upgrade.
+const COLD_OVERLAP: f64 = 1.5;
+/// Estimates that the first guess of a class's charge weighs as much as.
+const FIRST_CHARGES: f64 = 2.0;
+/// Deviations that the sum of all gateways' lots may lie over its mean before a cold engine has too much.
+const COLD_DEVIATIONS: f64 = 4.0;
 /// An engine this many times slower than the middle one gets a trickle only; believed after so many outcomes.
 const CRAWL: f64 = 3.5;
 /// Share of failed attempts that costs an engine its trust: what fails at once looks idle and draws all.
@@ -874,7 +876,12 @@
     /// Work charged to the cold budget: its class's mean. Were small ones charged as such, each of many
     /// gateways would find one that its lot lets in, and all together would fill the engine.
     fn charge(&self, class: usize) -> f64 {
-        self.classes[class].mean * self.classes[class].bias.max(1.0)
+        let (book, c) = (&self.classes[class], &self.set.classes[class]);
+        // Few estimates tell little of a class, most often too little: a gateway that just started counts in
+        // some of all of the wanted time on all threads.
+        let first = if self.now - self.born < self.set.cold_for { FIRST_CHARGES } else { 0.0 };
+        let (samples, most) = (f64::from(book.samples.max(1)), c.aim.secs() * c.threads);
+        (book.mean * samples + most * first) / (samples + first) * book.bias.max(1.0)
     }
 
     /// This gateway's even part of what a cold engine may be sent in one span.
@@ -887,11 +894,31 @@
         share * e.cores * COLD_CAPACITY * newborn / f64::from(self.set.gateways)
     }
 
+    /// Where this gateway's part of the cold budget is less than some query, each draws whether it may send
+    /// one in a span: the heaviest drawn for, and chance times charge. `None` where the part holds even that.
+    fn lots(&self, e: &Engine) -> Option<(f64, f64)> {
+        let charges = || (0..self.classes.len()).map(|c| self.charge(c));
+        let (least, part) = (charges().fold(f64::MAX, f64::min), self.cold_budget(e));
+        let all = part * f64::from(self.set.gateways) * COLD_OVERLAP;
+        // What the engine bears: N queries, and by chance 2 root N + 2 more, of the least work for caution.
+        let bears = all + 2.0 * (all * least).sqrt() + 2.0 * least;
+        // Lots of one charge make a Poisson sum, of square deviation mean times charge; the mean is to lie so
+        // many deviations below. Who may send heavy work may send lighter instead: the logarithm bounds what
+        // all mixes of light and heavy add. What would leave half of it unused is not drawn for.
+        let mean = |charge: f64| {
+            let deviation = COLD_DEVIATIONS * charge.sqrt();
+            let root = ((deviation * deviation + 4.0 * bears).sqrt() - deviation) / 2.0;
+            (root * root).min(all) / (1.0 + (charge / least).ln())
+        };
+        let heaviest = charges().filter(|c| 2.0 * mean(*c) >= all).fold(least, f64::max);
+        (part < heaviest).then(|| (heaviest, mean(heaviest) / COLD_OVERLAP / f64::from(self.set.gateways)))
+    }
+
     /// Share of the gateways that the draw lets send to an engine: those who may are to find it free.
     fn let_in(&self, e: &Engine) -> f64 {
+        let lots = if self.warmth(e) < 1.0 { self.lots(e) } else { None };
         let least = || (0..self.classes.len()).map(|c| self.charge(c)).fold(f64::MAX, f64::min);
-        let share = if self.warmth(e) < 1.0 { COLD_CHANCE * self.cold_budget(e) / least() } else { 1.0 };
-        share.min(1.0)
+        lots.map_or(1.0, |(_, share)| (share / least()).min(1.0))
     }
 
     /// Drains, placement, repeats of keyed requests, and the cold budget.
@@ -915,12 +942,11 @@
         if self.warmth(e) >= 1.0 {
             return true;
         }
-        let (budget, charge) = (self.cold_budget(e), self.charge(r.class));
-        let spent = e.spent(self.now, self.set.fall_span);
+        let (charge, spent) = (self.charge(r.class), e.spent(self.now, self.set.fall_span));
         // Departure: where an even part is less than one query, each gateway draws whether it may send one
         // in this span, so that all together keep to the budget without leaving the engine idle.
-        let light = charge * COLD_PARTS <= budget * f64::from(self.set.gateways);
-        spent + charge <= budget || light && spent <= 0.0 && e.lot * charge < COLD_CHANCE * budget
+        let drawn = |(most, share)| charge <= most && spent <= 0.0 && e.lot * charge < share;
+        self.lots(e).map_or(spent + charge <= self.cold_budget(e), drawn)
     }
 
     /// The only way out to an engine. False where a rule forbids it.
--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -1,7 +1,8 @@
-//! A cold engine against a whole fleet: what N gateways that were all told of its start send it in the time that the
-//! settings name, counted in requests of mean work, as the operators count it.
+//! A cold engine against a whole fleet: what all processes of all managers together send it in the time that the
+//! settings name, counted in requests of mean work, as the operators count it. Beyond a budget of N of them only
+//! 2 root N + 2 is chance.
 //!
-//! The engine is the only one listed and tells in each answer that it is idle, and every gateway has requests of every
+//! The engine is the only one listed and tells in each answer that it is idle, and every process has requests of every
 //! class waiting at all times: nothing but the cold budget holds anybody back. So the sums are the most that a day can
 //! bring, whatever the load and the draw.
 mod common;
@@ -87,55 +88,105 @@
     }
 }
 
-/// What the fleet has seen before the engine starts.
+/// What the fleet has seen before the engine starts, and what befalls it then.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Before {
-    /// Every gateway has served for minutes.
-    Served,
+enum State {
+    /// Every manager has served for minutes, and is told at once.
+    Settled,
     /// All start with the engine, and know nothing but the settings.
-    Nothing,
-    /// Every gateway has served for minutes, and seven in ten are killed and start anew a second after the engine's
+    NewlyStarted,
+    /// Every manager has served for minutes, and seven in ten are killed and start anew a second after the engine's
     /// start: what they sent is forgotten, and the engine still has it.
-    Killed,
+    Mixed,
+    /// As settled, but every other manager is told between half a second and three after the start, each at its own
+    /// moment; before that it does not know the engine.
+    ToldLate,
+    /// The same, but all know the engine from before, warm, and were refused while it was down for a second: those
+    /// told late go by that alone until they are.
+    ToldLateOfARestart,
+    /// As settled, and within the first second each manager starts a second process, which knows of no other and goes
+    /// by the managers told (`src/run/upgrade.rs`, `turn`). Up to half a second later the first is told that parts are
+    /// halved, and goes on with the sessions it has. Four seconds in, half of the second processes die; what the first
+    /// is told then comes a cold span later (`part` there).
+    Upgrade,
 }
 
-struct Gateway {
+const STATES: [State; 6] = [
+    State::Settled,
+    State::NewlyStarted,
+    State::Mixed,
+    State::ToldLate,
+    State::ToldLateOfARestart,
+    State::Upgrade,
+];
+
+/// Latest moment at which a manager is told late, after the start.
+const LATEST: Micros = Micros(3_000_000);
+/// How long an engine that is restarted refuses connections.
+const DOWN_FOR: Micros = Micros(1_000_000);
+
+/// What befalls one process, at its time.
+#[derive(Clone, Copy)]
+enum Act {
+    /// It is told of the engine's start.
+    Told,
+    /// It is killed, and starts anew.
+    Restart,
+    /// It starts; until now it was not there.
+    Start,
+    /// It dies for good.
+    Die,
+    /// It is told among how many processes the cold budget is parted.
+    Parts(u32),
+}
+
+struct Process {
     brain: Brain,
     dice: Dice,
+    lives: bool,
     next: u64,
     class_of: Vec<usize>,
     cost_of: Vec<f64>,
-    out: VecDeque<(Micros, RequestId, u32)>,
+    out: VecDeque<(Micros, RequestId, u32, Outcome)>,
     waiting: usize,
+    acts: VecDeque<(Micros, Act)>,
 }
 
-impl Gateway {
-    fn new(set: &Settings, seed: u64, now: Micros) -> Gateway {
+/// The engine under test; another stands in for the warm ones before it.
+const COLD: EngineId = EngineId(1);
+
+impl Process {
+    fn new(set: &Settings, seed: u64, now: Micros) -> Process {
         let brain = Brain::new(set.clone(), seed, now);
         let (next, class_of, cost_of, out) = (0, Vec::new(), Vec::new(), VecDeque::new());
-        Gateway { brain, dice: Dice(seed ^ 0x5151), next, class_of, cost_of, out, waiting: 0 }
+        let (dice, lives, acts) = (Dice(seed ^ 0x5151), true, VecDeque::new());
+        Process { brain, dice, lives, next, class_of, cost_of, out, waiting: 0, acts }
     }
 
-    /// Takes an event; the classes of what goes out.
-    fn give(&mut self, now: Micros, event: Event) -> Vec<usize> {
-        let (mut out, mut went) = (Vec::new(), Vec::new());
+    /// Takes an event; adds the classes of what goes out to the cold engine. An engine that is down refuses.
+    fn give(&mut self, now: Micros, event: Event, down: bool, went: &mut Vec<usize>) {
+        let mut out = Vec::new();
         self.brain.handle(now, event, &mut out);
         for action in out {
             match action {
-                Action::Send { id, .. } => {
-                    went.push(self.class_of[id.0 as usize]);
-                    self.out.push_back((now + ANSWERED_IN, id, 0));
+                Action::Send { id, engine, .. } => {
+                    let refused = down && engine == COLD;
+                    if engine == COLD && !refused {
+                        went.push(self.class_of[id.0 as usize]);
+                    }
+                    let attempt = self.brain.out(id).expect("it was just sent").0;
+                    let outcome = if refused { Outcome::DialFailed } else { Outcome::Delivered };
+                    self.out.push_back((now + ANSWERED_IN, id, attempt, outcome));
                     self.waiting -= 1;
                 }
                 Action::Refuse { .. } | Action::Fail { .. } => self.waiting -= 1,
                 _ => {}
             }
         }
-        went
     }
 
     /// One request of a class drawn; `low` is what estimates say of the work that it takes.
-    fn arrive(&mut self, now: Micros, low: f64) -> Vec<usize> {
+    fn arrive(&mut self, now: Micros, low: f64, down: bool, went: &mut Vec<usize>) {
         let class = self.dice.class();
         let cost = self.dice.work(&KINDS[class]);
         let id = RequestId(self.next);
@@ -143,175 +194,254 @@
         self.class_of.push(class);
         self.cost_of.push(cost);
         self.waiting += 1;
-        self.give(
-            now,
-            Event::Arrived(Arrival {
-                id,
-                class: ClassId(class),
-                tenant: 0,
-                tables: id.0 % 7,
-                time_left: Micros::from_secs(25.0),
-                cost: Some(cost * low),
-                memory_mb: None,
-                key: None,
-            }),
-        )
+        let arrival = Arrival {
+            id,
+            class: ClassId(class),
+            tenant: 0,
+            tables: id.0 % 7,
+            time_left: Micros::from_secs(25.0),
+            cost: Some(cost * low),
+            memory_mb: None,
+            key: None,
+        };
+        self.give(now, Event::Arrived(arrival), down, went);
     }
 
     /// Answers what is due, from an engine that is idle.
-    fn answers(&mut self, now: Micros) -> Vec<usize> {
-        let mut went = Vec::new();
-        while let Some((_, id, attempt)) = self.out.front().copied().filter(|o| o.0 <= now) {
+    fn answers(&mut self, now: Micros, down: bool, went: &mut Vec<usize>) {
+        while let Some((_, id, attempt, outcome)) = self.out.front().copied().filter(|o| o.0 <= now) {
             self.out.pop_front();
             let work = self.cost_of[id.0 as usize];
-            went.extend(self.give(
-                now,
-                Event::Ended {
-                    id,
-                    attempt,
-                    outcome: Outcome::Delivered,
-                    latency: ANSWERED_IN,
-                    complete: true,
-                    bill: Some(Bill { work, memory_mb: 0.0 }),
-                    report: Report { in_hand: Some(0.0), ..Report::default() },
-                },
-            ));
+            let delivered = outcome == Outcome::Delivered;
+            // What was refused waits again, or is answered at once.
+            self.waiting += usize::from(!delivered);
+            let event = Event::Ended {
+                id,
+                attempt,
+                outcome,
+                latency: ANSWERED_IN,
+                complete: delivered,
+                bill: delivered.then_some(Bill { work, memory_mb: 0.0 }),
+                report: Report { in_hand: delivered.then_some(0.0), ..Report::default() },
+            };
+            self.give(now, event, down, went);
+        }
+    }
+
+    /// One look at all: answers that are due, new requests until something of every class waits, the module's timer.
+    fn look(&mut self, now: Micros, low: f64, down: bool, went: &mut Vec<usize>) {
+        self.answers(now, down, went);
+        // A process that knows no engine for them refuses at once; it is not asked for ever.
+        for _ in self.waiting..12 {
+            self.arrive(now, low, down, went);
         }
-        went
+        self.give(now, Event::Timer { token: 0 }, down, went);
     }
 }
 
 /// What the fleet did to the engine, over all spans that end before it must be warm.
 struct Sums {
-    /// The most in one span against what it bears then, N + 3 root N + 3; under 1 where the rule is kept.
+    /// The most in one span against what it bears then, N + 2 root N + 2; at most 1 where the rule is kept.
     worst: f64,
-    /// That most, and N then, in requests of mean work.
+    /// That most, N then, in requests of mean work, and when the span began, in seconds after the start.
     most: f64,
     n: f64,
-    /// The mean of all spans against N.
+    at: f64,
+    /// The mean of all spans against N, from when all are told.
     mean: f64,
 }
 
-/// Plays `secs` from the engine's start, of which every gateway is told at once.
-fn play(gateways: u32, before: Before, low: f64, secs: f64) -> Sums {
+/// What befalls manager `i`: acts of its first process and of its second, if it gets one.
+fn fate(
+    state: State,
+    i: usize,
+    gateways: u32,
+    since: Micros,
+    dice: &mut Dice,
+) -> [VecDeque<(Micros, Act)>; 2] {
+    let mut after = |least: f64, most: f64| since + Micros::from_secs(least + (most - least) * dice.unit());
+    let told = (since, Act::Told);
+    let (first, second) = match state {
+        State::Settled | State::NewlyStarted => (vec![told], vec![]),
+        State::Mixed if i % 10 < 7 => (vec![told, (since + Micros(1_000_000), Act::Restart)], vec![]),
+        State::Mixed => (vec![told], vec![]),
+        State::ToldLate | State::ToldLateOfARestart if i % 2 == 1 => {
+            (vec![(after(0.5, LATEST.secs()), Act::Told)], vec![])
+        }
+        State::ToldLate | State::ToldLateOfARestart => (vec![told], vec![]),
+        State::Upgrade => {
+            let (start, seen) = (after(0.0, 1.0), after(0.1, 0.5) - since);
+            let (mut first, mut second) =
+                (vec![told, (start + seen, Act::Parts(2 * gateways))], vec![(start, Act::Start)]);
+            if i % 2 == 1 {
+                let dies = since + Micros(4_000_000);
+                second.push((dies, Act::Die));
+                first.push((dies + seen + Micros(2_000_000), Act::Parts(gateways)));
+            }
+            (first, second)
+        }
+    };
+    [first.into(), second.into()]
+}
+
+/// Plays `secs` from the engine's start.
+fn play(gateways: u32, state: State, low: f64, secs: f64, seed: u64) -> Sums {
     let set = settings(gateways);
-    let mut all: Vec<Gateway> = (0..gateways).map(|i| Gateway::new(&set, 77 + u64::from(i), START)).collect();
-    let warm = EngineEntry {
-        engine: EngineId(0),
+    let seed = seed << 32;
+    let mut all: Vec<Process> =
+        (0..gateways).map(|i| Process::new(&set, seed + 77 + u64::from(i), START)).collect();
+    let entry = |engine: EngineId, since: Option<Micros>| EngineEntry {
+        engine,
         zone: 0,
         kind: 0,
         cell: 0,
         state: EngineState::Ready,
-        since: None,
+        since,
     };
+    let restarted = state == State::ToldLateOfARestart;
     let mut now = START;
-    if before != Before::Nothing {
+    let mut unseen = Vec::new();
+    if state != State::NewlyStarted {
+        let before = entry(if restarted { COLD } else { EngineId(0) }, None);
         for g in &mut all {
-            g.give(now, Event::List { kind: ListKind::Whole, entries: vec![warm] });
+            let list = Event::List { kind: ListKind::Whole, entries: vec![before] };
+            g.give(now, list, false, &mut unseen);
         }
         // Some hundred requests each, on an engine that is warm.
         for _ in 0..150 {
             now = now + TICK;
             for g in &mut all {
-                g.answers(now);
-                g.arrive(now, low);
-                g.give(now, Event::Timer { token: 0 });
+                g.answers(now, false, &mut unseen);
+                g.arrive(now, low, false, &mut unseen);
+                g.give(now, Event::Timer { token: 0 }, false, &mut unseen);
             }
         }
+        let starts = now + DOWN_FOR;
+        while restarted && now < starts {
+            now = now + TICK;
+            all.iter_mut().for_each(|g| g.look(now, low, true, &mut unseen));
+        }
     }
     let since = now;
-    let cold = EngineEntry { engine: EngineId(1), since: Some(since), ..warm };
-    let kind = if before == Before::Nothing { ListKind::Remembered } else { ListKind::Whole };
-    let mut killed = (before == Before::Killed).then_some(since + Micros(1_000_000));
+    let mut dice = Dice(seed ^ 0xfa7e);
+    for i in 0..all.len() {
+        let [first, second] = fate(state, i, gateways, since, &mut dice);
+        all[i].acts = first;
+        if !second.is_empty() {
+            let mut p = Process::new(&set, seed + 9_000 + i as u64, now);
+            (p.lives, p.acts) = (false, second);
+            all.push(p);
+        }
+    }
     let mean_work =
         KINDS.iter().map(|k| k.share * k.mean).sum::<f64>() / KINDS.iter().map(|k| k.share).sum::<f64>();
-    let mut sends: Vec<(Micros, f64)> = Vec::new();
-    let mut note = |now: Micros, went: Vec<usize>| {
-        sends.extend(went.iter().map(|c| (now, KINDS[*c].mean / mean_work)));
-    };
-    for g in &mut all {
-        let went = g.give(now, Event::List { kind, entries: vec![cold] });
-        note(now, went);
-    }
+    // Work that went out in each look, in requests of mean work.
+    let mut sends: Vec<f64> = Vec::new();
     while now < since + Micros::from_secs(secs) {
-        if killed.take_if(|at| now >= *at).is_some() {
-            for (i, g) in all.iter_mut().enumerate().filter(|(i, _)| i % 10 < 7) {
-                *g = Gateway::new(&set, 7_000 + i as u64, now);
-                let went = g.give(now, Event::List { kind: ListKind::Remembered, entries: vec![cold] });
-                note(now, went);
+        let mut went = Vec::new();
+        for (i, p) in all.iter_mut().enumerate() {
+            while let Some((_, act)) = p.acts.front().copied().filter(|a| a.0 <= now) {
+                p.acts.pop_front();
+                let list = |kind| Event::List { kind, entries: vec![entry(COLD, Some(since))] };
+                let kind = if state == State::NewlyStarted { ListKind::Remembered } else { ListKind::Whole };
+                match act {
+                    Act::Told => p.give(now, list(kind), false, &mut went),
+                    Act::Restart | Act::Start => {
+                        let acts = std::mem::take(&mut p.acts);
+                        *p = Process { acts, ..Process::new(&set, seed + 7_000 + i as u64, now) };
+                        p.give(now, list(ListKind::Remembered), false, &mut went);
+                    }
+                    Act::Die => p.lives = false,
+                    Act::Parts(n) => p.give(now, Event::Fleet { gateways: n, spare: 0.0 }, false, &mut went),
+                }
             }
-        }
-        for g in &mut all {
-            let answered = g.answers(now);
-            note(now, answered);
-            // Something of every class waits at all times.
-            while g.waiting < 12 {
-                let went = g.arrive(now, low);
-                note(now, went);
+            if p.lives {
+                p.look(now, low, false, &mut went);
             }
-            let went = g.give(now, Event::Timer { token: 0 });
-            note(now, went);
         }
+        sends.push(went.iter().map(|c| KINDS[*c].mean / mean_work).sum());
         now = now + TICK;
     }
     let bears = |at: Micros| {
-        let warmth =
-            set.start_share + (1.0 - set.start_share) * ((at - since).secs() / set.cold_for.secs()).min(1.0);
+        let warmth = set.start_share + (1.0 - set.start_share) * (at.secs() / set.cold_for.secs()).min(1.0);
         set.fall_multiple * warmth * CORES * CAPACITY * set.fall_span.secs() / mean_work
     };
-    let (mut sums, mut spans) = (Sums { worst: 0.0, most: 0.0, n: 0.0, mean: 0.0 }, 0.0);
-    let mut from = since;
-    while from + set.fall_span <= now {
-        let until = from + set.fall_span;
-        let sum: f64 = sends.iter().filter(|s| s.0 >= from && s.0 < until).map(|s| s.1).sum();
+    let looks = (set.fall_span.0 / TICK.0) as usize;
+    let late = matches!(state, State::ToldLate | State::ToldLateOfARestart);
+    let all_told = if late { LATEST } else { Micros(0) };
+    let (mut sums, mut spans) = (Sums { worst: 0.0, most: 0.0, n: 0.0, at: 0.0, mean: 0.0 }, 0.0);
+    for (i, span) in sends.windows(looks).enumerate() {
+        let (from, sum) = (Micros(i as i64 * TICK.0), span.iter().sum::<f64>());
         // What it bears at the span's begin: the least of it.
         let n = bears(from);
-        let against = sum / (n + 3.0 * n.sqrt() + 3.0);
+        let against = sum / (n + 2.0 * n.sqrt() + 2.0);
         if against > sums.worst {
-            (sums.worst, sums.most, sums.n) = (against, sum, n);
+            (sums.worst, sums.most, sums.n, sums.at) = (against, sum, n, from.secs());
+        }
+        if from >= all_told {
+            sums.mean += sum / n;
+            spans += 1.0;
         }
-        sums.mean += sum / n;
-        spans += 1.0;
-        from = from + TICK;
     }
     sums.mean /= spans;
     sums
 }
 
-/// Plays it for a fleet in all three states, with estimates that are so much of the work they stand for.
-fn fleet(gateways: u32, low: f64, secs: f64) -> [Sums; 3] {
-    [Before::Served, Before::Nothing, Before::Killed].map(|before| {
-        let s = play(gateways, before, low, secs);
-        println!(
-            "{before:?}, {gateways} gateways, estimates of {low}: at most {:.1} requests of mean work in one span where \
-             N was {:.1}, {:.2} of what it bears; {:.2} of N in the mean",
-            s.most, s.n, s.worst, s.mean
-        );
-        s
-    })
+/// Plays it for a fleet in one state, with estimates that are so much of the work they stand for.
+fn fleet(gateways: u32, state: State, low: f64, secs: f64, seed: u64) -> Sums {
+    let s = play(gateways, state, low, secs, seed);
+    println!(
+        "{state:?}, {gateways} managers, estimates of {low}, seed {seed}: at most {:.1} requests of mean work in one \
+         span, where N was {:.1}, {:.1} s after the start, {:.2} of what it bears; {:.2} of N in the mean",
+        s.most, s.n, s.at, s.worst, s.mean
+    );
+    s
 }
 
-/// The rule's own bound, with estimates as they are meant, and the engine must not idle either.
-fn holds(gateways: u32, secs: f64) {
-    for s in fleet(gateways, 1.0, secs) {
-        assert!(s.worst < 1.0, "{:.1} requests of mean work where N was {:.1}", s.most, s.n);
-        assert!(s.mean > 0.3, "it idles: {:.2} of N in the mean", s.mean);
+/// The operators' bound, in all states, with estimates as they are meant; and the engine must not idle either.
+fn holds(gateways: u32, secs: f64, seeds: u64) {
+    let mut broken = Vec::new();
+    for state in STATES {
+        for seed in 0..seeds {
+            let s = fleet(gateways, state, 1.0, secs, seed);
+            if s.worst > 1.0 {
+                broken.push(format!(
+                    "{state:?}, seed {seed}: {:.1} requests of mean work where N was {:.1}",
+                    s.most, s.n
+                ));
+            }
+            // Refused for a second, managers expect long waits and let little in for a while, warm engine or cold.
+            if s.mean <= 0.3 && state != State::ToldLateOfARestart {
+                broken.push(format!("{state:?}, seed {seed}: it idles, {:.2} of N in the mean", s.mean));
+            }
+        }
     }
+    assert!(broken.is_empty(), "{gateways} managers: {broken:#?}");
+}
+
+#[test]
+fn three_managers_together_do_not_push_a_cold_engine_over() {
+    holds(3, 15.0, 10);
 }
 
 #[test]
-fn three_gateways_together_do_not_push_a_cold_engine_over() {
-    holds(3, 15.0);
+fn twenty_managers_together_do_not_push_a_cold_engine_over() {
+    holds(20, 15.0, 3);
 }
 
 #[test]
-fn sixty_gateways_together_do_not_push_a_cold_engine_over() {
-    holds(60, 8.0);
+fn thirty_managers_together_do_not_push_a_cold_engine_over() {
+    holds(30, 15.0, 3);
 }
 
 #[test]
-fn three_hundred_gateways_together_do_not_push_a_cold_engine_over() {
-    holds(300, 4.0);
+fn sixty_managers_together_do_not_push_a_cold_engine_over() {
+    holds(60, 8.0, 1);
+}
+
+#[test]
+fn three_hundred_managers_together_do_not_push_a_cold_engine_over() {
+    holds(300, 5.5, 1);
 }
 
 /// Not a claim but a measure, by hand: how far estimates may lie too low, by every class alike, before the sum is too
@@ -321,7 +451,9 @@
 fn how_low_estimates_may_lie() {
     for gateways in [3, 60, 300] {
         for low in [1.0, 0.8, 0.7, 0.6, 0.5] {
-            fleet(gateways, low, 15.0);
+            for state in STATES {
+                fleet(gateways, state, low, 15.0, 0);
+            }
         }
     }
 }
