--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -6,9 +6,8 @@
 //! final answer.
 
 use crate::interface::*;
+pub use crate::state::Brain;
 use crate::state::*;
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 pub mod view;
 
@@ -83,10 +82,12 @@
 const WARM_GROUPS: usize = 4;
 /// Share of the told cores that counts as capacity in the cold budget: slow machines, cores never all busy.
 const COLD_CAPACITY: f64 = 0.56;
-/// Share of the cold budget used by draw: several may draw well at once.
-const COLD_CHANCE: f64 = 0.6;
-/// What is drawn for may take one part in so many of all gateways' budget: of heavier work two make a jam.
-const COLD_PARTS: f64 = 4.0;
+/// Parts of the cold budget that may be spent at once: sends a restart forgot, two processes in an upgrade.
+const COLD_OVERLAP: f64 = 1.5;
+/// Estimates that the first guess of a class's charge weighs as much as.
+const FIRST_CHARGES: f64 = 2.0;
+/// Deviations that the sum of all gateways' lots may lie over its mean before a cold engine has too much.
+const COLD_DEVIATIONS: f64 = 4.0;
 /// An engine this many times slower than the middle one gets a trickle only; believed after so many outcomes.
 const CRAWL: f64 = 3.5;
 /// Share of failed attempts that costs an engine its trust: what fails at once looks idle and draws all.
@@ -153,50 +154,6 @@
 /// Rest of an engine that turned a query away as full.
 const FULL_REST: Micros = Micros(100_000);
 
-/// The decision module of one gateway.
-#[derive(Clone, Default, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Brain {
-    set: Settings,
-    rng: Seeded,
-    now: Micros,
-    born: Micros,
-    /// By level: work held in the line; own threads in flight there and above, smoothed.
-    held: [f64; LEVELS],
-    above: [f64; LEVELS],
-    outcomes: u32,
-    armed: bool,
-    seq: u64,
-    next_tolls: Micros,
-    ask_again: Option<Micros>,
-    engines: Vec<Engine>,
-    zones: BTreeMap<u32, ZoneBook>,
-    /// Own threads in flight; told cores of the engines that take work.
-    own: f64,
-    cores: f64,
-    /// Threads a core of other gateways, by reports of late, and when the last came.
-    fleet: f64,
-    fleet_heard: Micros,
-    /// Threads and queries that ran, each times how long: a report counts queries, of whatever threads.
-    thread_time: f64,
-    query_time: f64,
-    /// Logarithm of the middle engine's slowness.
-    middle: f64,
-    classes: Vec<ClassBook>,
-    requests: BTreeMap<RequestId, Request>,
-    /// Admitted, not sent: by level from the top, then in turn.
-    line: BTreeMap<(usize, u64), RequestId>,
-    keys: BTreeMap<String, KeyLine>,
-    /// Probes that arrivals so far allow.
-    probe_credit: f64,
-    tenants: Vec<Bucket>,
-    taken: Window,
-    extra: Window,
-    /// Reasons are told, too; nothing hangs on it.
-    #[serde(skip)]
-    listened: bool,
-}
-
 impl Brain {
     /// A gateway that starts now and knows its settings only.
     pub fn new(set: Settings, seed: u64, now: Micros) -> Brain {
@@ -220,11 +177,6 @@
         }
     }
 
-    /// The toll of a class at a level, in worth, for a query of mean cost; `None` for an unknown one.
-    pub fn price(&self, class: ClassId, level: Level) -> Option<f64> {
-        Some(self.classes.get(class.0)?.levels.get(usize::from(level.0))?.price)
-    }
-
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -719,7 +671,7 @@
                 if let Some(b) = bill.filter(|_| cost > 0.0) {
                     book.bias += BIAS_STEP * ((b.work / cost).min(BIAS_MOST) - book.bias);
                     let need = memory.map(|m| b.memory_mb / m);
-                    need.filter(|n| *n > 0.0).into_iter().for_each(|n| book.learn_need(n.ln(), NEED_SPAN));
+                    need.filter(|n| *n > 0.0).into_iter().for_each(|n| learn_need(book, n.ln()));
                 }
                 // The lower quarter of the ratios: what a query takes when little stands in its way.
                 let seen = latency.secs() * threads / cost.max(1e-6);
@@ -919,7 +871,12 @@
     /// Work charged to the cold budget: its class's mean. Were small ones charged as such, each of many
     /// gateways would find one that its lot lets in, and all together would fill the engine.
     fn charge(&self, class: usize) -> f64 {
-        self.classes[class].mean * self.classes[class].bias.max(1.0)
+        let (book, c) = (&self.classes[class], &self.set.classes[class]);
+        // Few estimates tell little of a class, most often too little: a gateway that just started counts in
+        // some of all of the wanted time on all threads.
+        let first = if self.now - self.born < self.set.cold_for { FIRST_CHARGES } else { 0.0 };
+        let (samples, most) = (f64::from(book.samples.max(1)), c.aim.secs() * c.threads);
+        (book.mean * samples + most * first) / (samples + first) * book.bias.max(1.0)
     }
 
     /// This gateway's even part of what a cold engine may be sent in one span.
@@ -932,11 +889,31 @@
         share * e.cores * COLD_CAPACITY * newborn / f64::from(self.set.gateways)
     }
 
+    /// Where this gateway's part of the cold budget is less than some query, each draws whether it may send
+    /// one in a span: the heaviest drawn for, and chance times charge. `None` where the part holds even that.
+    fn lots(&self, e: &Engine) -> Option<(f64, f64)> {
+        let charges = || (0..self.classes.len()).map(|c| self.charge(c));
+        let (least, part) = (charges().fold(f64::MAX, f64::min), self.cold_budget(e));
+        let all = part * f64::from(self.set.gateways) * COLD_OVERLAP;
+        // What the engine bears: N queries, and by chance 2 root N + 2 more, of the least work for caution.
+        let bears = all + 2.0 * (all * least).sqrt() + 2.0 * least;
+        // Lots of one charge make a Poisson sum, of square deviation mean times charge; the mean is to lie so
+        // many deviations below. Who may send heavy work may send lighter instead: the logarithm bounds what
+        // all mixes of light and heavy add. What would leave half of it unused is not drawn for.
+        let mean = |charge: f64| {
+            let deviation = COLD_DEVIATIONS * charge.sqrt();
+            let root = ((deviation * deviation + 4.0 * bears).sqrt() - deviation) / 2.0;
+            (root * root).min(all) / (1.0 + (charge / least).ln())
+        };
+        let heaviest = charges().filter(|c| 2.0 * mean(*c) >= all).fold(least, f64::max);
+        (part < heaviest).then(|| (heaviest, mean(heaviest) / COLD_OVERLAP / f64::from(self.set.gateways)))
+    }
+
     /// Share of the gateways that the draw lets send to an engine: those who may are to find it free.
     fn let_in(&self, e: &Engine) -> f64 {
+        let lots = if self.warmth(e) < 1.0 { self.lots(e) } else { None };
         let least = || (0..self.classes.len()).map(|c| self.charge(c)).fold(f64::MAX, f64::min);
-        let share = if self.warmth(e) < 1.0 { COLD_CHANCE * self.cold_budget(e) / least() } else { 1.0 };
-        share.min(1.0)
+        lots.map_or(1.0, |(_, share)| (share / least()).min(1.0))
     }
 
     /// Drains, placement, repeats of keyed requests, and the cold budget.
@@ -960,12 +937,11 @@
         if self.warmth(e) >= 1.0 {
             return true;
         }
-        let (budget, charge) = (self.cold_budget(e), self.charge(r.class));
-        let spent = e.spent(self.now, self.set.fall_span);
+        let (charge, spent) = (self.charge(r.class), e.spent(self.now, self.set.fall_span));
         // Departure: where an even part is less than one query, each gateway draws whether it may send one
         // in this span, so that all together keep to the budget without leaving the engine idle.
-        let light = charge * COLD_PARTS <= budget * f64::from(self.set.gateways);
-        spent + charge <= budget || light && spent <= 0.0 && e.lot * charge < COLD_CHANCE * budget
+        let drawn = |(most, share)| charge <= most && spent <= 0.0 && e.lot * charge < share;
+        self.lots(e).map_or(spent + charge <= self.cold_budget(e), drawn)
     }
 
     /// The only way out to an engine. False where a rule forbids it.
@@ -1045,6 +1021,22 @@
     }
 }
 
+impl ZoneBook {
+    /// An engine there said something.
+    fn word(&mut self, now: Micros) {
+        self.heard = now;
+        self.cut = false;
+        self.mute.clear();
+    }
+    /// An attempt there met silence; it counts where nobody there has spoken since it left.
+    fn missed(&mut self, a: &Attempt, enough: usize) {
+        if a.sent > self.heard {
+            self.mute.insert(a.engine.0);
+            self.cut |= self.mute.len() >= enough;
+        }
+    }
+}
+
 /// A request's place in the line: higher levels first, then in turn.
 fn place(r: &Request) -> (usize, u64) {
     (LEVELS - r.level, r.seq)
@@ -1065,3 +1057,11 @@
     let weight = (1.0 / f64::from(e.slow_samples)).max(STEP);
     e.slow += weight * (ratio.clamp(SLOW_BOUNDS[0], SLOW_BOUNDS[1]).ln() - e.slow);
 }
+
+/// Counts the logarithm of told memory over the estimate.
+fn learn_need(book: &mut ClassBook, need: f64) {
+    book.told = (book.told + 1).min(NEED_SPAN);
+    let (weight, off) = (1.0 / f64::from(book.told + 1), need - book.need);
+    book.need += weight * off;
+    book.need_scatter += weight * ((1.0 - weight) * off * off - book.need_scatter);
+}
