--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -148,7 +148,9 @@
     class_of: Vec<usize>,
     cost_of: Vec<f64>,
     out: VecDeque<(Micros, RequestId, u32, Outcome)>,
+    /// Requests that were never sent, and of each whether it is one.
     waiting: usize,
+    untried: Vec<bool>,
     acts: VecDeque<(Micros, Act)>,
 }
 
@@ -160,7 +162,7 @@
         let brain = Brain::new(set.clone(), seed, now);
         let (next, class_of, cost_of, out) = (0, Vec::new(), Vec::new(), VecDeque::new());
         let (dice, lives, acts) = (Dice(seed ^ 0x5151), true, VecDeque::new());
-        Process { brain, dice, lives, next, class_of, cost_of, out, waiting: 0, acts }
+        Process { brain, dice, lives, next, class_of, cost_of, out, waiting: 0, untried: Vec::new(), acts }
     }
 
     /// Takes an event; adds the classes of what goes out to the cold engine. An engine that is down refuses.
@@ -177,14 +179,20 @@
                     let attempt = self.brain.out(id).expect("it was just sent").0;
                     let outcome = if refused { Outcome::DialFailed } else { Outcome::Delivered };
                     self.out.push_back((now + ANSWERED_IN, id, attempt, outcome));
-                    self.waiting -= 1;
+                    self.tried(id);
                 }
-                Action::Refuse { .. } | Action::Fail { .. } => self.waiting -= 1,
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => self.tried(id),
                 _ => {}
             }
         }
     }
 
+    /// A request waits for its first attempt no more. What was refused waits for leave to be tried again: it is not
+    /// counted, so that new ones come.
+    fn tried(&mut self, id: RequestId) {
+        self.waiting -= usize::from(std::mem::take(&mut self.untried[id.0 as usize]));
+    }
+
     /// One request of a class drawn; `low` is what estimates say of the work that it takes.
     fn arrive(&mut self, now: Micros, low: f64, down: bool, went: &mut Vec<usize>) {
         let class = self.dice.class();
@@ -194,6 +202,7 @@
         self.class_of.push(class);
         self.cost_of.push(cost);
         self.waiting += 1;
+        self.untried.push(true);
         let arrival = Arrival {
             id,
             class: ClassId(class),
@@ -213,8 +222,6 @@
             self.out.pop_front();
             let work = self.cost_of[id.0 as usize];
             let delivered = outcome == Outcome::Delivered;
-            // What was refused waits again, or is answered at once.
-            self.waiting += usize::from(!delivered);
             let event = Event::Ended {
                 id,
                 attempt,
@@ -410,8 +417,7 @@
                     s.most, s.n
                 ));
             }
-            // Refused for a second, managers expect long waits and let little in for a while, warm engine or cold.
-            if s.mean <= 0.3 && state != State::ToldLateOfARestart {
+            if s.mean <= 0.3 {
                 broken.push(format!("{state:?}, seed {seed}: it idles, {:.2} of N in the mean", s.mean));
             }
         }
