--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -1,8 +1,53 @@
-//! What the decision module keeps of engines, classes and requests. Nothing here decides.
+//! What the decision module keeps of engines, classes and requests. Nothing here decides, but for what counts sends,
+//! tokens and seeded numbers: `crates/policy/tests/policy_size.rs` lists it, and lets it neither grow nor change.
 
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The decision module of one gateway.
+#[derive(Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Brain {
+    pub(crate) set: Settings,
+    pub(crate) rng: Seeded,
+    pub(crate) now: Micros,
+    pub(crate) born: Micros,
+    /// By level: work held in the line; own threads in flight there and above, smoothed.
+    pub(crate) held: [f64; 4],
+    pub(crate) above: [f64; 4],
+    pub(crate) outcomes: u32,
+    pub(crate) armed: bool,
+    pub(crate) seq: u64,
+    pub(crate) next_tolls: Micros,
+    pub(crate) ask_again: Option<Micros>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) zones: BTreeMap<u32, ZoneBook>,
+    /// Own threads in flight; told cores of the engines that take work.
+    pub(crate) own: f64,
+    pub(crate) cores: f64,
+    /// Threads a core of other gateways, by reports of late, and when the last came.
+    pub(crate) fleet: f64,
+    pub(crate) fleet_heard: Micros,
+    /// Threads and queries that ran, each times how long: a report counts queries, of whatever threads.
+    pub(crate) thread_time: f64,
+    pub(crate) query_time: f64,
+    /// Logarithm of the middle engine's slowness.
+    pub(crate) middle: f64,
+    pub(crate) classes: Vec<ClassBook>,
+    pub(crate) requests: BTreeMap<RequestId, Request>,
+    /// Admitted, not sent: by level from the top, then in turn.
+    pub(crate) line: BTreeMap<(usize, u64), RequestId>,
+    pub(crate) keys: BTreeMap<String, KeyLine>,
+    /// Probes that arrivals so far allow.
+    pub(crate) probe_credit: f64,
+    pub(crate) tenants: Vec<Bucket>,
+    pub(crate) taken: Window,
+    pub(crate) extra: Window,
+    /// Reasons are told, too; nothing hangs on it.
+    #[serde(skip)]
+    pub(crate) listened: bool,
+}
 
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -35,16 +80,6 @@
     pub(crate) grant: f64,
 }
 
-impl ClassBook {
-    /// Counts the logarithm of told memory over the estimate, the last `span` of them.
-    pub(crate) fn learn_need(&mut self, need: f64, span: u32) {
-        self.told = (self.told + 1).min(span);
-        let (weight, off) = (1.0 / f64::from(self.told + 1), need - self.need);
-        self.need += weight * off;
-        self.need_scatter += weight * ((1.0 - weight) * off * off - self.need_scatter);
-    }
-}
-
 #[derive(Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct Engine {
@@ -177,22 +212,6 @@
     }
 }
 
-impl ZoneBook {
-    /// An engine there said something.
-    pub(crate) fn word(&mut self, now: Micros) {
-        self.heard = now;
-        self.cut = false;
-        self.mute.clear();
-    }
-    /// An attempt there met silence; it counts where nobody there has spoken since it left.
-    pub(crate) fn missed(&mut self, a: &Attempt, enough: usize) {
-        if a.sent > self.heard {
-            self.mute.insert(a.engine.0);
-            self.cut |= self.mute.len() >= enough;
-        }
-    }
-}
-
 impl Attempt {
     pub(crate) fn new(engine: EngineId, number: u32, now: Micros, expected: f64, overdue: f64) -> Attempt {
         Attempt { engine, number, sent: now, heard: now, expected, cancelled: false, overdue }
