Cold engines: light queries by parts and heavy ones by draw, both within one budget

Change: a part that holds every query is spent as before; where light ones fit a part, three quarters of it are theirs and queries over that are drawn for with 0.35 of it, one a span and no other with it; where none fits all are drawn for, with 0.7 of it. A newborn's first guess weighs as one estimate. So parts and lots are no longer on top of each other, which was the fault.

--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -82,12 +82,15 @@
 const WARM_GROUPS: usize = 4;
 /// Share of the told cores that counts as capacity in the cold budget: slow machines, cores never all busy.
 const COLD_CAPACITY: f64 = 0.56;
-/// Parts of the cold budget that may be spent at once: sends a restart forgot, two processes in an upgrade.
-const COLD_OVERLAP: f64 = 1.5;
 /// Estimates that the first guess of a class's charge weighs as much as.
-const FIRST_CHARGES: f64 = 2.0;
-/// Deviations that the sum of all gateways' lots may lie over its mean before a cold engine has too much.
-const COLD_DEVIATIONS: f64 = 4.0;
+const FIRST_CHARGES: f64 = 1.0;
+/// Share of the cold budget used by draw, where no query fits a part: several may draw well at once.
+const COLD_CHANCE: f64 = 0.7;
+/// Shares of it for light queries that fit a part, and for heavy ones by draw: who sends one sends no more.
+const COLD_LIGHT: f64 = 0.75;
+const COLD_HEAVY: f64 = 0.35;
+/// What is drawn for may take one part in so many of all gateways' budget: of heavier work two make a jam.
+const COLD_PARTS: f64 = 4.0;
 /// An engine this many times slower than the middle one gets a trickle only; believed after so many outcomes.
 const CRAWL: f64 = 3.5;
 /// Share of failed attempts that costs an engine its trust: what fails at once looks idle and draws all.
@@ -889,31 +892,26 @@
         share * e.cores * COLD_CAPACITY * newborn / f64::from(self.set.gateways)
     }
 
-    /// Where this gateway's part of the cold budget is less than some query, each draws whether it may send
-    /// one in a span: the heaviest drawn for, and chance times charge. `None` where the part holds even that.
-    fn lots(&self, e: &Engine) -> Option<(f64, f64)> {
-        let charges = || (0..self.classes.len()).map(|c| self.charge(c));
-        let (least, part) = (charges().fold(f64::MAX, f64::min), self.cold_budget(e));
-        let all = part * f64::from(self.set.gateways) * COLD_OVERLAP;
-        // What the engine bears: N queries, and by chance 2 root N + 2 more, of the least work for caution.
-        let bears = all + 2.0 * (all * least).sqrt() + 2.0 * least;
-        // Lots of one charge make a Poisson sum, of square deviation mean times charge; the mean is to lie so
-        // many deviations below. Who may send heavy work may send lighter instead: the logarithm bounds what
-        // all mixes of light and heavy add. What would leave half of it unused is not drawn for.
-        let mean = |charge: f64| {
-            let deviation = COLD_DEVIATIONS * charge.sqrt();
-            let root = ((deviation * deviation + 4.0 * bears).sqrt() - deviation) / 2.0;
-            (root * root).min(all) / (1.0 + (charge / least).ln())
-        };
-        let heaviest = charges().filter(|c| 2.0 * mean(*c) >= all).fold(least, f64::max);
-        (part < heaviest).then(|| (heaviest, mean(heaviest) / COLD_OVERLAP / f64::from(self.set.gateways)))
+    /// What this gateway may send of its part of the cold budget as it likes, and what it draws for: a query
+    /// over the former, one a span if the draw lets it. Where no query fits all are drawn for.
+    fn cold_parts(&self, e: &Engine) -> (f64, f64) {
+        let least = (0..self.classes.len()).map(|c| self.charge(c)).fold(f64::MAX, f64::min);
+        let part = self.cold_budget(e);
+        let most = (0..self.classes.len()).map(|c| self.charge(c)).fold(0.0, f64::max);
+        match part {
+            _ if most <= part => (part, 0.0),
+            _ if least <= COLD_LIGHT * part => (COLD_LIGHT * part, COLD_HEAVY * part),
+            _ => (0.0, COLD_CHANCE * part),
+        }
     }
 
     /// Share of the gateways that the draw lets send to an engine: those who may are to find it free.
     fn let_in(&self, e: &Engine) -> f64 {
-        let lots = if self.warmth(e) < 1.0 { self.lots(e) } else { None };
         let least = || (0..self.classes.len()).map(|c| self.charge(c)).fold(f64::MAX, f64::min);
-        lots.map_or(1.0, |(_, share)| (share / least()).min(1.0))
+        match self.cold_parts(e) {
+            (fits, drawn) if self.warmth(e) < 1.0 && fits <= 0.0 => (drawn / least()).min(1.0),
+            _ => 1.0,
+        }
     }
 
     /// Drains, placement, repeats of keyed requests, and the cold budget.
@@ -940,8 +938,9 @@
         let (charge, spent) = (self.charge(r.class), e.spent(self.now, self.set.fall_span));
         // Departure: where an even part is less than one query, each gateway draws whether it may send one
         // in this span, so that all together keep to the budget without leaving the engine idle.
-        let drawn = |(most, share)| charge <= most && spent <= 0.0 && e.lot * charge < share;
-        self.lots(e).map_or(spent + charge <= self.cold_budget(e), drawn)
+        let (fits, drawn) = self.cold_parts(e);
+        let light = charge * COLD_PARTS <= self.cold_budget(e) * f64::from(self.set.gateways);
+        spent + charge <= fits || light && spent <= 0.0 && e.lot * charge < drawn
     }
 
     /// The only way out to an engine. False where a rule forbids it.
