--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -29,9 +29,8 @@
     pub(super) told: Option<Member>,
     /// The list held has it ready, and nobody has taken it out: attempts may leave for it.
     pub(super) ready: bool,
-    /// The number of the event that said so, and the highest revision of the list told with this place in the table; that
-    /// outlives the engine.
-    said: (u64, u64),
+    /// The number of the event that said so.
+    said: u64,
 }
 
 impl Engine {
@@ -92,7 +91,7 @@
             self.last_event = n;
             return Some(list.clone());
         }
-        let held = self.engines.iter().map(|e| e.said.1).max().unwrap_or(0);
+        let held = self.revision;
         if list.revision > held {
             let revision = list.revision;
             warn!(
@@ -102,11 +101,11 @@
                 held,
                 "list {n} comes after {last}, but {revision} is a new revision: numbers begin anew"
             );
-            self.engines.iter_mut().for_each(|e| e.said.0 = 0);
+            self.engines.iter_mut().for_each(|e| e.said = 0);
             self.last_event = n;
             return Some(list.clone());
         }
-        let old = |m: &Member| self.engines.iter().any(|e| e.id == m.id && e.said.0 < n);
+        let old = |m: &Member| self.engines.iter().any(|e| e.id == m.id && e.said < n);
         let members: Vec<Member> = list.members.iter().filter(|m| old(m)).cloned().collect();
         (!members.is_empty()).then_some(ListEvent { n, revision: list.revision, complete: false, members })
     }
@@ -125,13 +124,11 @@
 
     /// Notes which event spoke last of the engines that a list names, and its revision also where it names none.
     fn note_said(&mut self, list: &ListEvent) {
-        if let Some(first) = self.engines.first_mut() {
-            first.said.1 = first.said.1.max(list.revision);
-        }
+        self.revision = self.revision.max(list.revision);
         for member in &list.members {
             let engine = self.facade.engine(&member.id);
             if let Some(e) = self.engines.get_mut(engine) {
-                e.said = (list.n, list.revision.max(e.said.1));
+                e.said = list.n;
             }
         }
     }
@@ -234,7 +231,7 @@
         for i in 0..self.engines.len() {
             let engine = &mut self.engines[i];
             if engine.links.is_empty() && engine.gone.is_some_and(|t| at - t > self.keep) {
-                *engine = Engine { said: (0, engine.said.1), ..Engine::default() };
+                *engine = Engine::default();
                 self.facade.forget(i);
             }
         }
--- a/src/core/facade.rs
+++ b/src/core/facade.rs
@@ -56,7 +56,22 @@
 impl End {
     /// Whether it is proven that no engine ran any of it.
     pub fn never_ran(self) -> bool {
-        matches!(self, End::Overload | End::Unreachable | End::NotRun)
+        Outcome::from(self).never_ran()
+    }
+}
+
+impl From<End> for Outcome {
+    fn from(end: End) -> Outcome {
+        match end {
+            End::Served => Outcome::Delivered,
+            End::Crashed => Outcome::Error,
+            End::Overload => Outcome::Shed,
+            End::Expired => Outcome::Expired,
+            End::Unreachable => Outcome::DialFailed,
+            End::Broken => Outcome::Dropped,
+            End::Undone | End::Cut => Outcome::Revoked,
+            End::NotRun => Outcome::Unused,
+        }
     }
 }
 
@@ -258,16 +273,7 @@
             News::Ended { id: (id, attempt), end, latency, complete, bill, stats } => Event::Ended {
                 id: RequestId(id),
                 attempt,
-                outcome: match end {
-                    End::Served => Outcome::Delivered,
-                    End::Crashed => Outcome::Error,
-                    End::Overload => Outcome::Shed,
-                    End::Expired => Outcome::Expired,
-                    End::Unreachable => Outcome::DialFailed,
-                    End::Broken => Outcome::Dropped,
-                    End::Undone | End::Cut => Outcome::Revoked,
-                    End::NotRun => Outcome::Unused,
-                },
+                outcome: end.into(),
                 latency,
                 complete,
                 bill: bill.map(|(ms, mb)| Bill { work: ms / 1e3, memory_mb: mb }),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -120,6 +120,8 @@
     pub(super) gate: Gate,
     pub(super) engines: Vec<Engine>,
     pub(super) last_event: u64,
+    /// The highest revision of the list that was told; it outlives the engines that it named.
+    pub(super) revision: u64,
     /// An engine is remembered for so long after it has gone: no request is open for longer.
     pub(super) keep: Micros,
     pub(super) past: Past,
@@ -213,6 +215,7 @@
             gate,
             engines: Vec::new(),
             last_event: 0,
+            revision: 0,
             keep,
             past: Past::default(),
             seed,
--- a/src/core/requests/leaving_tests.rs
+++ b/src/core/requests/leaving_tests.rs
@@ -15,6 +15,10 @@
     Member { id: id.into(), address, zone: String::new(), kind: String::new(), cell: 0, phase, up_since_ms }
 }
 
+/// Request 1 is served: one page of one row.
+const SERVED: &[u8] =
+    b"*4\r\n$16\r\n0000000000000001\r\n$6\r\nserved\r\n$9\r\nbatches=1\r\n$6\r\na\tb\tc\n\r\n";
+
 /// Waits for something to hold; the tasks of the core run meanwhile.
 async fn until(mut holds: impl FnMut() -> bool) {
     for _ in 0..20_000 {
@@ -164,9 +168,7 @@
                 break;
             }
         }
-        let answer =
-            b"*4\r\n$16\r\n0000000000000001\r\n$6\r\nserved\r\n$9\r\nbatches=1\r\n$6\r\na\tb\tc\n\r\n";
-        peer.write_all(answer).await.expect("written");
+        peer.write_all(SERVED).await.expect("written");
         assert!(matches!(ticket.wait().await, Final::Served(ResultSet { .. })));
     });
 }
@@ -255,14 +257,12 @@
         let mut first = core.take(request(&core, 1)).expect("taken");
         let link = link_of(&core, 1).expect("out");
         let (mut peer, _) = listeners[link.engine].accept().await.expect("the link");
-        let answer =
-            b"*4\r\n$16\r\n0000000000000001\r\n$6\r\nserved\r\n$9\r\nbatches=1\r\n$6\r\na\tb\tc\n\r\n";
         // All of it is read: closed over unread bytes, its end would be a reset, which the next write meets.
         let mut got = Vec::new();
         while resp::read_array(&got, usize::MAX).expect("a command").is_none() {
             assert!(peer.read_buf(&mut got).await.expect("read") > 0);
         }
-        peer.write_all(answer).await.expect("written");
+        peer.write_all(SERVED).await.expect("written");
         assert!(matches!(first.wait().await, Final::Served(_)));
         // Requests until one is on that link: the module draws engines by chance.
         let mut tickets = Vec::new();
--- a/src/run/serve.rs
+++ b/src/run/serve.rs
@@ -24,8 +24,8 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{oneshot, watch};
-use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::sync::watch;
+use tokio::task::{spawn_blocking, spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 use tracing::{info, warn};
 
@@ -86,15 +86,9 @@
 async fn reload(mut hup: Signal, files: Files, reread: Reread, feed: watch::Sender<Option<String>>) {
     while hup.recv().await.is_some() {
         let files = files.clone();
-        let (tell, read) = oneshot::channel();
-        // Off the serving path: a slow file system must not hold up requests. Nor the end, which would wait for a
-        // thread of the runtime's.
-        let reader = std::thread::Builder::new().name("reload".into());
-        let reader = reader.spawn(move || drop(tell.send(reread(&files))));
-        let read = match reader {
-            Ok(_) => read.await.unwrap_or_else(|_| Err("the reader failed".into())),
-            Err(e) => Err(format!("no reader: {e}")),
-        };
+        // Off the serving path: a slow file system must not hold up requests.
+        let read = spawn_blocking(move || reread(&files)).await;
+        let read = read.unwrap_or_else(|_| Err("the reader failed".into()));
         let address = read.and_then(|c| c.feed.ok_or_else(|| "configuration: feed: missing".into()));
         match address.and_then(named) {
             Ok(address) => {
--- a/tests/certificates.rs
+++ b/tests/certificates.rs
@@ -3,17 +3,13 @@
 mod authority;
 mod support;
 
-use authority::Authority;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use authority::{until_ready, Authority, Tls};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 use support::*;
-use tokio_rustls::rustls::pki_types::ServerName;
-use tokio_rustls::rustls::{self, ClientConnection, RootCertStore, StreamOwned};
 
 const NAME: &str = "pg.fret-atlas.test";
-type Tls = StreamOwned<ClientConnection, TcpStream>;
 
 /// A port that was free a moment ago: the program must be told one before it starts.
 fn free_port() -> SocketAddr {
@@ -35,40 +31,8 @@
     Program::start(&[], None, Some(&operator))
 }
 
-/// Opens TLS as a PostgreSQL client does, and trusts the authority's root only.
 fn secure(program: &Program, authority: &Authority) -> Tls {
-    let mut raw = Raw::open(program.second.expect("on"));
-    raw.send(&[&8u32.to_be_bytes()[..], &80_877_103u32.to_be_bytes()].concat());
-    let mut word = [0];
-    raw.stream.read_exact(&mut word).expect("an answer");
-    assert_eq!(word, *b"S", "TLS is offered");
-    let mut roots = RootCertStore::empty();
-    roots.add(authority.root_der.clone()).expect("a root");
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let config = rustls::ClientConfig::builder_with_provider(provider)
-        .with_safe_default_protocol_versions()
-        .expect("versions")
-        .with_root_certificates(roots)
-        .with_no_client_auth();
-    let name = ServerName::try_from(NAME).expect("a name");
-    let session = ClientConnection::new(Arc::new(config), name).expect("a session");
-    let mut tls = StreamOwned::new(session, raw.stream);
-    tls.write_all(&startup()).expect("the certificate holds");
-    until_ready(&mut tls);
-    tls
-}
-
-/// Reads up to ReadyForQuery: the types of the messages.
-fn until_ready(tls: &mut Tls) -> String {
-    let mut kinds = String::new();
-    while !kinds.ends_with('Z') {
-        let mut head = [0; 5];
-        tls.read_exact(&mut head).expect("a message");
-        let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
-        tls.read_exact(&mut body).expect("its body");
-        kinds.push(char::from(head[0]));
-    }
-    kinds
+    authority.secure(Raw::open(program.second.expect("on")).stream, NAME, &startup())
 }
 
 fn ask(tls: &mut Tls) -> String {
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -4,7 +4,7 @@
 mod authority;
 mod support;
 
-use authority::Authority;
+use authority::{Authority, Tls};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
@@ -14,7 +14,6 @@
 use std::time::Duration;
 use support::calls::figure;
 use support::*;
-use tokio_rustls::rustls::{self, pki_types::ServerName, ClientConnection, RootCertStore, StreamOwned};
 
 const OPERATOR: &str = r#"{"listen":"127.0.0.1:0","default_tenant":"sud"}"#;
 
@@ -304,32 +303,10 @@
 
 const NAME: &str = "pg.fret-atlas.test";
 
-fn secure(program: &Program, authority: &Authority) -> StreamOwned<ClientConnection, TcpStream> {
-    let mut raw = Raw::open(program.second.expect("on"));
-    raw.stream.set_write_timeout(Some(Duration::from_secs(20))).expect("set");
-    raw.send(&[&8u32.to_be_bytes()[..], &80_877_103u32.to_be_bytes()].concat());
-    let mut word = [0];
-    raw.stream.read_exact(&mut word).expect("an answer");
-    assert_eq!(word, *b"S", "TLS is offered");
-    let mut roots = RootCertStore::empty();
-    roots.add(authority.root_der.clone()).expect("a root");
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let config = rustls::ClientConfig::builder_with_provider(provider)
-        .with_safe_default_protocol_versions()
-        .expect("versions")
-        .with_root_certificates(roots)
-        .with_no_client_auth();
-    let name = ServerName::try_from(NAME).expect("a name");
-    let session = ClientConnection::new(Arc::new(config), name).expect("a session");
-    let mut tls = StreamOwned::new(session, raw.stream);
-    tls.write_all(&startup()).expect("the certificate holds");
-    let mut head = [0; 5];
-    while head[0] != b'Z' {
-        tls.read_exact(&mut head).expect("a message");
-        let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
-        tls.read_exact(&mut body).expect("its body");
-    }
-    tls
+fn secure(program: &Program, authority: &Authority) -> Tls {
+    let stream = Raw::open(program.second.expect("on")).stream;
+    stream.set_write_timeout(Some(Duration::from_secs(20))).expect("set");
+    authority.secure(stream, NAME, &startup())
 }
 
 /// What a session holds whole is answered, in order; what was cut is never read as a message, and the last word names
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -46,20 +46,22 @@
     is_ready(&confined::config(&[("s-1", engine.address)], Some(refusing()), 1024, SETTINGS));
 }
 
-#[test]
-fn a_start_is_ready_while_the_feed_never_answers() {
+/// With a feed that takes calls and does no more than this.
+fn is_ready_behind(discovery: Discovery) {
     let engine = Engine::echo();
-    let door = Door::before(refusing(), Discovery::Silent);
+    let door = Door::before(refusing(), discovery);
     is_ready(&confined::config(&[("s-1", engine.address)], Some(door.address), 1024, SETTINGS));
     until(|| (door.calls() >= 1).then_some(()));
 }
 
+#[test]
+fn a_start_is_ready_while_the_feed_never_answers() {
+    is_ready_behind(Discovery::Silent);
+}
+
 #[test]
 fn a_start_is_ready_while_the_feed_is_silent_behind_its_head() {
-    let engine = Engine::echo();
-    let door = Door::before(refusing(), Discovery::HeadOnly);
-    is_ready(&confined::config(&[("s-1", engine.address)], Some(door.address), 1024, SETTINGS));
-    until(|| (door.calls() >= 1).then_some(()));
+    is_ready_behind(Discovery::HeadOnly);
 }
 
 /// Connections to these engines wait in the network, and never come up.
--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -131,16 +131,22 @@
     rows(&got).len()
 }
 
-/// A session whose request is out when the program stops listening gets its answer whole, and an end behind it; who asks
-/// again on it crosses the close, which the platform mends by itself.
-#[test]
-fn a_session_ends_behind_its_last_answer() {
+/// A program that was told to stop while a request of 1.5 s is out, and that request's client.
+fn stopped_with_one_out() -> (Paced, Program, Raw) {
     let engine = Paced::start();
-    let mut program = Program::start(&[("s-1", engine.address)], None, None);
+    let program = Program::start(&[("s-1", engine.address)], None, None);
     let mut raw = Raw::connect(program.platform);
     raw.send(&query(&sql(1, 1_500)));
     until(|| (engine.in_hand() == 1).then_some(()));
     program.terminate();
+    (engine, program, raw)
+}
+
+/// A session whose request is out when the program stops listening gets its answer whole, and an end behind it; who asks
+/// again on it crosses the close, which the platform mends by itself.
+#[test]
+fn a_session_ends_behind_its_last_answer() {
+    let (engine, mut program, mut raw) = stopped_with_one_out();
     assert_eq!(rows(&raw.until_ready()).len(), 1);
     // An error here says that the close came first.
     let _ = raw.stream.write_all(&query(&sql(2, 1)));
@@ -207,31 +213,11 @@
     assert_eq!(program.lines().iter().filter(|l| l.contains("stopping: 1 open")).count(), 1);
 }
 
-/// The configuration's file has become one that is never read to its end: the reading goes on on its own thread, and the
-/// process ends all the same.
-#[test]
-fn a_configuration_that_is_never_read_whole_does_not_hold_the_end_up() {
-    let mut program = Program::start(&[], None, None);
-    program.replace_config_by_pipe();
-    signal(&program, "-HUP");
-    let mut raw = Raw::connect(program.platform);
-    // Served meanwhile, and the reading is under way by then or begins during the stop.
-    raw.send(&query(""));
-    assert_eq!(kinds(&raw.until_ready()), "IZ");
-    program.terminate();
-    assert_eq!(program.ended(), Some(0));
-}
-
 /// A client that has not read its last answer yet and goes on writing: closed over what it writes, its connection would
 /// be reset, and the answer go with it.
 #[test]
 fn the_last_answer_outlives_what_its_client_still_writes() {
-    let engine = Paced::start();
-    let mut program = Program::start(&[("s-1", engine.address)], None, None);
-    let mut raw = Raw::connect(program.platform);
-    raw.send(&query(&sql(1, 1_500)));
-    until(|| (engine.in_hand() == 1).then_some(()));
-    program.terminate();
+    let (engine, mut program, mut raw) = stopped_with_one_out();
     // All of it is here, unread.
     let mut seen = [0; 4096];
     until(|| {
--- a/tests/support/authority.rs
+++ b/tests/support/authority.rs
@@ -13,8 +13,49 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
-use tokio_rustls::rustls::pki_types::{CertificateDer, PrivatePkcs8KeyDer};
-use tokio_rustls::rustls::{self, ServerConnection, StreamOwned};
+use tokio_rustls::rustls::pki_types::{CertificateDer, PrivatePkcs8KeyDer, ServerName};
+use tokio_rustls::rustls::{self, ClientConnection, RootCertStore, ServerConnection, StreamOwned};
+
+/// A client's connection under TLS.
+pub type Tls = StreamOwned<ClientConnection, TcpStream>;
+
+/// Reads up to ReadyForQuery: the types of the messages.
+pub fn until_ready(tls: &mut Tls) -> String {
+    let mut kinds = String::new();
+    while !kinds.ends_with('Z') {
+        let mut head = [0; 5];
+        tls.read_exact(&mut head).expect("a message");
+        let mut body = vec![0; u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize - 4];
+        tls.read_exact(&mut body).expect("its body");
+        kinds.push(char::from(head[0]));
+    }
+    kinds
+}
+
+impl Authority {
+    /// Opens TLS as a PostgreSQL client does, trusts this authority's root only, and sends `startup`; up to
+    /// ReadyForQuery.
+    pub fn secure(&self, mut stream: TcpStream, name: &'static str, startup: &[u8]) -> Tls {
+        stream.write_all(&[&8u32.to_be_bytes()[..], &80_877_103u32.to_be_bytes()].concat()).expect("written");
+        let mut word = [0];
+        stream.read_exact(&mut word).expect("an answer");
+        assert_eq!(word, *b"S", "TLS is offered");
+        let mut roots = RootCertStore::empty();
+        roots.add(self.root_der.clone()).expect("a root");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = rustls::ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .expect("versions")
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        let name = ServerName::try_from(name).expect("a name");
+        let session = ClientConnection::new(Arc::new(config), name).expect("a session");
+        let mut tls = StreamOwned::new(session, stream);
+        tls.write_all(startup).expect("the certificate holds");
+        until_ready(&mut tls);
+        tls
+    }
+}
 
 #[derive(Default)]
 struct State {
--- a/tests/support/confined.rs
+++ b/tests/support/confined.rs
@@ -32,20 +32,7 @@
     command.arg("-c").arg(format!("{limit}exec \"$0\" \"$@\"")).arg(program());
     command.arg("serve").arg("--config").arg(dir.join("config.json")).args(more);
     command.env_remove("EDGE_FD").env("EDGE_OPERATOR", "127.0.0.1:0");
-    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("started");
-    let lines: Arc<Mutex<Vec<String>>> = Arc::default();
-    let (out, err) = (child.stdout.take().expect("its output"), child.stderr.take().expect("its errors"));
-    let both: [Box<dyn Read + Send>; 2] = [Box::new(out), Box::new(err)];
-    for from in both {
-        let log = Arc::clone(&lines);
-        thread::spawn(move || {
-            for line in BufReader::new(from).lines().map_while(Result::ok) {
-                log.lock().expect("unpoisoned").push(line);
-            }
-        });
-    }
-    let any = "127.0.0.1:0".parse().expect("an address");
-    let mut program = Program { child, lines, platform: any, second: None, operators: None, dir };
+    let mut program = Program::spawn(command, dir);
     let at = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
     program.platform = at(program.wait_line("serving on "));
     program.operators = Some(at(program.wait_line("operators on ")));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -402,6 +402,22 @@
             std::fs::write(dir.join("operator.json"), text).expect("written");
             command.arg("--operator").arg(dir.join("operator.json"));
         }
+        let mut program = Program::spawn(command, dir);
+        let at = |line: String| {
+            let json: Option<serde_json::Value> =
+                serde_json::from_str(&line).ok().filter(serde_json::Value::is_object);
+            let line = json.map_or(line, |j| j["message"].as_str().unwrap_or_default().to_owned());
+            line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+        };
+        program.platform = at(program.wait_line("serving on "));
+        let called = vars.iter().any(|v| v.0 == "EDGE_OPERATOR");
+        program.operators = called.then(|| at(program.wait_line("operators on ")));
+        program.second = operator.map(|_| at(program.wait_line("second front on ")));
+        program
+    }
+
+    /// Starts a command and keeps its log lines; its addresses are not known yet.
+    fn spawn(mut command: Command, dir: std::path::PathBuf) -> Program {
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().expect("started");
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
         let (out, err) = (child.stdout.take().expect("its output"), child.stderr.take().expect("its errors"));
@@ -415,18 +431,7 @@
             });
         }
         let any = "127.0.0.1:0".parse().expect("an address");
-        let mut program = Program { child, lines, platform: any, second: None, operators: None, dir };
-        let at = |line: String| {
-            let json: Option<serde_json::Value> =
-                serde_json::from_str(&line).ok().filter(serde_json::Value::is_object);
-            let line = json.map_or(line, |j| j["message"].as_str().unwrap_or_default().to_owned());
-            line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
-        };
-        program.platform = at(program.wait_line("serving on "));
-        let called = vars.iter().any(|v| v.0 == "EDGE_OPERATOR");
-        program.operators = called.then(|| at(program.wait_line("operators on ")));
-        program.second = operator.map(|_| at(program.wait_line("second front on ")));
-        program
+        Program { child, lines, platform: any, second: None, operators: None, dir }
     }
 
     /// Waits for a log line that holds a text.
@@ -449,13 +454,6 @@
         self.signal("-HUP");
     }
 
-    /// Puts a named pipe in the configuration's place, which nobody writes to.
-    pub fn replace_config_by_pipe(&self) {
-        let path = self.dir.join("config.json");
-        std::fs::remove_file(&path).expect("removed");
-        assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
-    }
-
     /// The configuration's text, with its feed at another address.
     pub fn config_with_feed(&self, at: SocketAddr) -> String {
         let text = std::fs::read_to_string(self.dir.join("config.json")).expect("read");
--- a/tests/watches.rs
+++ b/tests/watches.rs
@@ -215,6 +215,15 @@
     assert_eq!(feed.call().0, 4);
 }
 
+/// Answers so many calls alike, each of which goes on from the first event.
+fn ask_anew(feed: &Watched, answer: &str, calls: usize) {
+    for _ in 0..calls {
+        let (asked, stream) = feed.answer(answer);
+        assert_eq!(asked, 1);
+        drop(stream);
+    }
+}
+
 /// Guards the rule on drains: one number that no feed counts up to let all that came after pass.
 #[test]
 fn a_number_that_no_feed_counts_to_passes_nothing_over() {
@@ -226,11 +235,7 @@
         u64::MAX,
         told(2, "s-1", "draining")
     );
-    for _ in 0..4 {
-        let (asked, stream) = feed.answer(&both);
-        assert_eq!(asked, 1);
-        drop(stream);
-    }
+    ask_anew(&feed, &both, 4);
     program.wait_line("engine s-1 is Draining");
     assert_eq!(feed.call().0, 2);
 }
@@ -245,11 +250,7 @@
     let program = start(&feed);
     let bad = format!("data: {{\n\n{}{}", sent(2, "{"), told(3, "s-1", "draining"));
     // Three calls for each that are given up, and one more that reads them.
-    for _ in 0..7 {
-        let (asked, stream) = feed.answer(&bad);
-        assert_eq!(asked, 1);
-        drop(stream);
-    }
+    ask_anew(&feed, &bad, 7);
     program.wait_line("engine s-1 is Draining");
     assert_eq!(feed.call().0, 3);
 }
@@ -421,6 +422,8 @@
     let mut program = Program::start(&[("s-1", nowhere())], None, None);
     let held = Held::hold(&program);
     let reader = held.reader();
+    // Served meanwhile.
+    assert_eq!(kinds(&Raw::connect(program.platform).ask("")), "IZ");
     program.terminate();
     assert_eq!(program.ended(), Some(0));
     drop(reader);
