Invariants are checked at run time; ends and rejections are counted by reason

Attempts, responses and sessions are counted by reason (edge.attempts.*, edge.responses.*, edge.sessions.ended.*), with a debug line each. Nothing that is decided changes.

--- a/src/core/api.rs
+++ b/src/core/api.rs
@@ -7,6 +7,7 @@
 use super::engine_connection::{ConnectionLimits, EngineConnection};
 use super::engine_table::EngineCounts;
 use super::gossip_facts::GossipWindows;
+use super::invariants::Invariant;
 use super::request::{RejectReason, Request, Response};
 use super::zone_routing::{Observer, ZoneRouting};
 use crate::proto::engine_answer::EngineAnswerError;
@@ -87,7 +88,7 @@
     /// A core that knows no engine yet.
     pub fn new(config: CoreConfig) -> Rc<Core> {
         let CoreConfig { settings, seed, zones, kinds, limits, pool, metrics } = config;
-        let coordinator = Coordinator::new(CoordinatorConfig { settings, seed, zones, kinds });
+        let coordinator = Coordinator::new(CoordinatorConfig { settings, seed, zones, kinds }, &metrics);
         Rc::new(Core { coordinator: RefCell::new(coordinator), pool, limits, wake: Notify::new(), metrics })
     }
 
@@ -201,6 +202,16 @@
         self.coordinator.borrow_mut().complete_all(self)
     }
 
+    /// Counts a violation that was observed outside of the core. `detail`: ids and figures.
+    pub fn record_violation(&self, rule: Invariant, detail: &str) {
+        self.coordinator.borrow().monitor.record_violation(now(), rule, detail);
+    }
+
+    /// Counts what clients still wait for, once the process ends.
+    pub fn check_nothing_pending(&self) {
+        self.coordinator.borrow().check_nothing_pending();
+    }
+
     /// Cordons an engine; `Ok` also where it is cordoned already.
     ///
     /// # Errors
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -95,6 +95,8 @@
     pub(super) connection: Rc<EngineConnection>,
     /// When it was queued to its connection.
     pub(super) sent_at: Timestamp,
+    /// How long its engine is told to wait.
+    pub(super) told_time_left: TimeDelta,
     /// The pages received.
     pub(super) result: ResultSet,
     /// What the query needed, once the engine has told.
@@ -110,12 +112,18 @@
 }
 
 impl InFlightAttempt {
-    /// An attempt that was queued to a connection at `sent_at`.
-    pub(super) fn new(number: u32, connection: Rc<EngineConnection>, sent_at: Timestamp) -> InFlightAttempt {
+    /// An attempt that was queued to a connection at `sent_at`, with `told_time_left` as its deadline.
+    pub(super) fn new(
+        number: u32,
+        connection: Rc<EngineConnection>,
+        sent_at: Timestamp,
+        told_time_left: TimeDelta,
+    ) -> InFlightAttempt {
         InFlightAttempt {
             number,
             connection,
             sent_at,
+            told_time_left,
             result: ResultSet::default(),
             cost: None,
             load_report: LoadStats::default(),
--- a/src/core/coordinator.rs
+++ b/src/core/coordinator.rs
@@ -11,7 +11,9 @@
 use super::engine_table::EngineTable;
 use super::fleet_state::FleetState;
 use super::gossip_facts::GossipFacts;
+use super::invariants::{Invariant, InvariantMonitor};
 use super::policy_driver::{PolicyCommand, PolicyDriver, PolicyEvent};
+use super::reason_counters::ReasonCounters;
 use super::request::{RejectReason, Request, Response};
 use super::request_counters::{RequestCounters, COUNTERS_LOG_INTERVAL};
 use super::request_table::{PendingRequest, RequestTable};
@@ -20,13 +22,13 @@
 use super::zone_routing::ZoneRouting;
 use sprucelink_capture::recorder::Recorder;
 use sprucelink_cordon::{CordonLimits, CordonState};
-use sprucelink_metrics::ActiveRequest;
+use sprucelink_metrics::{ActiveRequest, Metrics};
 use sprucelink_policy::{Settings, TimeDelta, Timestamp};
 use sprucelink_startup::config::StartupConfig;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 mod attempts;
 mod cordons;
@@ -68,6 +70,10 @@
     pub(super) engines: EngineTable,
     pub(super) policy: PolicyDriver,
     send_guard: SendGuard,
+    /// Checks the rules on records of its own.
+    pub(super) monitor: InvariantMonitor,
+    /// Why attempts and requests ended.
+    reasons: ReasonCounters,
     counters: RequestCounters,
     next_counters_log: Timestamp,
     seed: u64,
@@ -86,16 +92,19 @@
 
 impl Coordinator {
     /// A coordinator that knows no engine yet.
-    pub(super) fn new(config: CoordinatorConfig) -> Coordinator {
+    pub(super) fn new(config: CoordinatorConfig, metrics: &Metrics) -> Coordinator {
         let CoordinatorConfig { settings, seed, zones, kinds } = config;
         let longest_deadline = settings.classes.iter().map(|class| class.deadline).max();
         let fleet = FleetState::new(settings.gateways, settings.spare);
         let send_guard = SendGuard::new(&settings);
+        let monitor = InvariantMonitor::new(&settings, metrics);
         Coordinator {
             requests: RequestTable::default(),
             engines: EngineTable::new(longest_deadline.unwrap_or_default()),
             policy: PolicyDriver::new(settings, seed, zones, kinds, now()),
             send_guard,
+            monitor,
+            reasons: ReasonCounters::new(metrics),
             counters: RequestCounters::default(),
             next_counters_log: now() + COUNTERS_LOG_INTERVAL,
             seed,
@@ -155,6 +164,7 @@
         let deadline = self.send_guard.response_deadline(arrived_at + request.spec.time_left);
         request.spec.time_left = deadline - arrived_at;
         self.send_guard.record_request(arrived_at);
+        self.monitor.record_request(arrived_at);
         let pending = self.requests.len();
         let spec = request.spec.clone();
         let (responder, response) = oneshot::channel();
@@ -199,7 +209,7 @@
         let mut commands = self.withdraw_attempt(id);
         commands.extend(self.policy.on_event(now(), PolicyEvent::RequestAbandoned { id }));
         self.execute(runtime, commands);
-        self.requests.remove_if_done(id);
+        self.remove_if_done(id);
     }
 
     /// Gives every pending request its final response, because this process shuts down: those that cannot have run are
@@ -274,24 +284,42 @@
             Some(responder) => {
                 let arrived_at = request.arrived_at;
                 let accounting = request.accounting.take();
+                log_response(id, request, &response);
                 self.count_response(&response, arrived_at, accounting);
                 drop(responder.send(response));
             }
             None => {
                 let request = super::attempt::format_id(id);
                 error!(request, "second response to {request} dropped");
+                self.monitor.record_violation(now(), Invariant::SecondResponse, &request);
             }
         }
-        self.requests.remove_if_done(id);
+        self.remove_if_done(id);
         commands
     }
 
+    /// Removes a request that has its final response and no attempt in flight.
+    fn remove_if_done(&mut self, id: u64) {
+        if self.requests.remove_if_done(id) {
+            self.monitor.forget(id);
+        }
+    }
+
+    /// Counts what clients still wait for, once the process ends.
+    pub(super) fn check_nothing_pending(&self) {
+        for id in self.requests.awaited_ids() {
+            let name = super::attempt::format_id(id);
+            self.monitor.record_violation(now(), Invariant::PendingAtExit, &name);
+        }
+    }
+
     fn count_response(
         &mut self,
         response: &Response,
         arrived_at: Timestamp,
         accounting: Option<ActiveRequest>,
     ) {
+        self.reasons.record_response(response);
         match response {
             Response::Served(_) => {
                 accounting.into_iter().for_each(ActiveRequest::succeed);
@@ -374,6 +402,24 @@
     }
 }
 
+fn log_response(id: u64, request: &PendingRequest, response: &Response) {
+    let (kind, reason) = match response {
+        Response::Served(_) => ("served", None),
+        Response::Rejected { reason, .. } => ("rejected", Some(reason)),
+        Response::Failed { reason, .. } => ("failed", Some(reason)),
+    };
+    debug!(
+        request = super::attempt::format_id(id),
+        class = request.class_name,
+        attempts = request.attempts,
+        elapsed_ms = (now() - request.arrived_at).as_millis(),
+        time_left_ms = (request.deadline - now()).as_millis(),
+        last_outcome = ?request.last_outcome,
+        ?reason,
+        "request completed: {kind}"
+    );
+}
+
 /// Why a request fails, by its last attempt.
 fn failure_reason(request: &PendingRequest) -> RejectReason {
     if request.deadline - now() < DEADLINE_MARGIN {
--- a/src/core/coordinator/attempts.rs
+++ b/src/core/coordinator/attempts.rs
@@ -5,6 +5,7 @@
 use crate::core::buffer_pool::BufferPool;
 use crate::core::clock::now;
 use crate::core::engine_connection::{EngineConnection, Withdrawal};
+use crate::core::invariants::SentAttempt;
 use crate::core::policy_driver::{PolicyCommand, PolicyEvent};
 use crate::core::request::Response;
 use crate::core::request_table::PendingRequest;
@@ -68,7 +69,7 @@
         if !connection.send(runtime.pool(), id, attempt, &command) {
             return self.report_end(id, AttemptEnd::unsent(attempt, AttemptOutcome::NeverRan));
         }
-        request.in_flight = Some(InFlightAttempt::new(attempt, connection, now()));
+        request.in_flight = Some(InFlightAttempt::new(attempt, connection, now(), time_left));
         Vec::new()
     }
 
@@ -82,7 +83,9 @@
     ) -> bool {
         let now = now();
         let spare_attempts = self.fleet.spare_attempts;
-        let engine_ready = self.engines.get(connection.engine).is_some_and(|engine| engine.is_ready);
+        let engine = self.engines.get(connection.engine);
+        let engine_is_ready = engine.is_some_and(|engine| engine.is_ready);
+        let unlisted_since = engine.and_then(|engine| engine.unlisted_since);
         let is_owner = |attempt: &InFlightAttempt| {
             attempt.number == number && attempt.is_on(connection) && attempt.cancellation.is_none()
         };
@@ -97,12 +100,24 @@
             class: request.class,
             is_retry: number > 0,
             may_have_run_since: request.may_have_run_since,
-            engine_is_ready: engine_ready,
+            engine_is_ready,
         };
         let Err(why) = self.send_guard.check(now, spare_attempts, &outgoing) else {
             self.send_guard.record_send(now, outgoing.is_retry);
+            let sent = SentAttempt {
+                id,
+                number,
+                class: outgoing.class,
+                request_is_awaited: outgoing.request_is_awaited,
+                deadline: outgoing.deadline,
+                told_time_left: request.in_flight.as_ref().map_or(TimeDelta::ZERO, |a| a.told_time_left),
+                unlisted_since,
+                spare_attempts,
+            };
+            self.monitor.record_send(now, &sent);
             return true;
         };
+        self.reasons.record_withdrawal(why);
         connection.withdraw(id);
         if let Some(attempt) = &mut request.in_flight {
             attempt.mark_withdrawn(now);
@@ -123,6 +138,8 @@
         let Some(request) = self.requests.get_mut(id) else { return Vec::new() };
         let outcome = end.outcome;
         request.last_outcome = Some(outcome);
+        self.reasons.record_end(outcome);
+        self.monitor.record_end(id, end.attempt, outcome.never_ran());
         let request_complete = outcome == AttemptOutcome::Served || !request.is_awaited();
         if matches!(outcome, AttemptOutcome::Overloaded | AttemptOutcome::EngineError) {
             if let Some(startup) = &mut self.startup {
@@ -139,7 +156,7 @@
             load_report: end.load_report,
         };
         let commands = self.policy.on_event(now(), event);
-        self.requests.remove_if_done(id);
+        self.remove_if_done(id);
         commands
     }
 
--- a/src/core/engine_table.rs
+++ b/src/core/engine_table.rs
@@ -33,6 +33,8 @@
     pub(super) connections: Vec<Rc<EngineConnection>>,
     /// Since when it is withdrawn from the list.
     pub(super) removed_at: Option<Timestamp>,
+    /// Since when it is listed as draining or gone, or cordoned; `None` while it is ready.
+    pub(super) unlisted_since: Option<Timestamp>,
     /// When it last answered anything.
     pub(super) last_heard_at: Option<Timestamp>,
     /// Its last entry in the list, before cordons are applied.
@@ -57,6 +59,7 @@
         self.address = address;
         self.started_at_ms = entry.up_since_ms;
         self.is_ready = entry.phase == EndpointPhase::Ready;
+        self.unlisted_since = if self.is_ready { None } else { self.unlisted_since.or(Some(now)) };
         self.id.clone_from(&entry.id);
         self.removed_at = (entry.phase == EndpointPhase::Gone).then_some(now);
         if has_moved || self.removed_at.is_some() {
--- /dev/null
+++ b/src/core/invariants/tests.rs
@@ -0,0 +1,145 @@
+//! Tests of the invariant monitor: each rule is seen to count its violation, and nothing else.
+
+use super::*;
+use sprucelink_policy::{ClassSettings, DedupGroup};
+
+const SECOND: i64 = 1_000_000;
+
+fn at(seconds: f64) -> Timestamp {
+    Timestamp::from_micros((seconds * SECOND as f64) as i64)
+}
+
+fn span(seconds: f64) -> TimeDelta {
+    TimeDelta::from_micros((seconds * SECOND as f64) as i64)
+}
+
+fn class(effect: Effect) -> ClassSettings {
+    ClassSettings {
+        worth: 1.0,
+        late_worth: 0.5,
+        aim: span(1.0),
+        aim_stretch: 0.0,
+        deadline: span(20.0),
+        effect,
+        group: DedupGroup::All,
+        repeat_window: span(2.0),
+        in_turn: false,
+        threads: 1.0,
+        load: false,
+        kinds: None,
+        zones: None,
+    }
+}
+
+/// A monitor of three classes (safe, keyed, unsafe) and a budget of one retry in 5 s; and its metrics.
+fn monitor() -> (InvariantMonitor, Metrics) {
+    let metrics = Metrics::try_new(&["a".into(), "b".into(), "c".into()]).expect("metrics");
+    let settings = Settings {
+        classes: [Effect::Safe, Effect::Keyed, Effect::Unsafe].map(class).to_vec(),
+        drain_grace: span(0.5),
+        attempt_budget: Some(AttemptBudget { span: span(5.0), free: 1.0, share: 0.0 }),
+        ..Settings::default()
+    };
+    (InvariantMonitor::new(&settings, &metrics), metrics)
+}
+
+fn sent(id: u64, number: u32, class: usize) -> SentAttempt {
+    SentAttempt {
+        id,
+        number,
+        class,
+        request_is_awaited: true,
+        deadline: at(100.0),
+        told_time_left: span(10.0),
+        unlisted_since: None,
+        spare_attempts: 0.0,
+    }
+}
+
+/// The rules that were violated, by their counters.
+fn violated(metrics: &Metrics) -> Vec<&'static str> {
+    let text = metrics.render();
+    let names = Invariant::ALL.map(Invariant::counter_name);
+    names.into_iter().filter(|name| !text.contains(&format!("edge.{name}=0\n"))).collect()
+}
+
+#[test]
+fn attempt_within_all_rules_counts_nothing() {
+    let (mut monitor, metrics) = monitor();
+    monitor.record_request(at(50.0));
+    monitor.record_send(at(50.0), &sent(1, 0, 2));
+    // A slow peer: the same attempt is about to be sent again.
+    monitor.record_send(at(50.1), &sent(1, 0, 2));
+    monitor.record_end(1, 0, true);
+    monitor.record_send(at(50.2), &sent(1, 1, 2));
+    assert_eq!(violated(&metrics), Vec::<&str>::new());
+    assert_eq!(monitor.violations(), 0);
+}
+
+#[test]
+fn second_attempt_beside_the_first_is_counted() {
+    let (mut monitor, metrics) = monitor();
+    monitor.record_send(at(50.0), &sent(1, 0, 0));
+    monitor.record_send(at(50.1), &sent(1, 1, 0));
+    assert_eq!(violated(&metrics), ["invariant.concurrent_attempt"]);
+}
+
+#[test]
+fn attempt_for_a_completed_request_is_counted() {
+    let (mut monitor, metrics) = monitor();
+    monitor.record_send(at(50.0), &SentAttempt { request_is_awaited: false, ..sent(1, 0, 0) });
+    assert_eq!(violated(&metrics), ["invariant.send_after_end"]);
+}
+
+#[test]
+fn deadline_beyond_what_the_client_has_left_is_counted() {
+    let (mut monitor, metrics) = monitor();
+    monitor.record_send(at(90.1), &sent(1, 0, 0));
+    assert_eq!(violated(&metrics), Vec::<&str>::new(), "within the slack");
+    monitor.record_send(at(90.2), &sent(2, 0, 0));
+    assert_eq!(violated(&metrics), ["invariant.late_deadline"]);
+}
+
+#[test]
+fn attempt_at_an_engine_that_has_been_draining_for_the_grace_is_counted() {
+    let (mut monitor, metrics) = monitor();
+    let draining = SentAttempt { unlisted_since: Some(at(49.5)), ..sent(1, 0, 0) };
+    monitor.record_send(at(50.0), &draining);
+    assert_eq!(violated(&metrics), Vec::<&str>::new());
+    monitor.record_send(at(50.1), &SentAttempt { id: 2, ..draining });
+    assert_eq!(violated(&metrics), ["invariant.send_to_unlisted"]);
+}
+
+#[test]
+fn retry_of_an_unsafe_class_is_counted_only_after_an_attempt_that_may_have_run() {
+    let (mut monitor, metrics) = monitor();
+    monitor.record_send(at(50.0), &sent(1, 0, 2));
+    monitor.record_end(1, 0, false);
+    monitor.record_send(at(50.1), &sent(1, 1, 2));
+    assert_eq!(violated(&metrics), ["invariant.unsafe_retry"]);
+}
+
+#[test]
+fn keyed_retry_is_counted_once_the_window_is_over() {
+    let (mut monitor, metrics) = monitor();
+    monitor.record_send(at(50.0), &sent(1, 0, 1));
+    monitor.record_end(1, 0, false);
+    monitor.record_send(at(51.9), &sent(1, 1, 1));
+    monitor.record_end(1, 1, false);
+    assert_eq!(violated(&metrics), Vec::<&str>::new());
+    monitor.record_send(at(57.1), &sent(1, 2, 1));
+    assert_eq!(violated(&metrics), ["invariant.unsafe_retry"]);
+}
+
+#[test]
+fn retry_over_the_budget_is_counted() {
+    let (mut monitor, metrics) = monitor();
+    for id in 1..=2 {
+        monitor.record_send(at(50.0), &sent(id, 0, 0));
+        monitor.record_end(id, 0, false);
+    }
+    monitor.record_send(at(50.1), &sent(1, 1, 0));
+    assert_eq!(violated(&metrics), Vec::<&str>::new());
+    monitor.record_send(at(55.0), &sent(2, 1, 0));
+    assert_eq!(violated(&metrics), ["invariant.retry_budget"], "two within 5 s");
+}
--- /dev/null
+++ b/src/core/reason_counters.rs
@@ -0,0 +1,83 @@
+//! Counters by reason: why attempts ended or were withdrawn, and why requests got no result.
+
+use super::attempt::AttemptOutcome;
+use super::request::{RejectReason, Response};
+use super::send_guard::SendRejection;
+use sprucelink_metrics::{Counter, Metrics};
+use std::collections::BTreeMap;
+
+/// How attempts end, and the names of the counters.
+const OUTCOMES: [(AttemptOutcome, &str); 9] = [
+    (AttemptOutcome::Served, "attempts.ended.served"),
+    (AttemptOutcome::EngineError, "attempts.ended.engine_error"),
+    (AttemptOutcome::Overloaded, "attempts.ended.overloaded"),
+    (AttemptOutcome::Expired, "attempts.ended.expired"),
+    (AttemptOutcome::Unreachable, "attempts.ended.unreachable"),
+    (AttemptOutcome::ConnectionBroken, "attempts.ended.connection_broken"),
+    (AttemptOutcome::ConnectionClosed, "attempts.ended.connection_closed"),
+    (AttemptOutcome::Cancelled, "attempts.ended.cancelled"),
+    (AttemptOutcome::NeverRan, "attempts.ended.never_ran"),
+];
+/// Why attempts are withdrawn before their first byte, and the names of the counters.
+const WITHDRAWALS: [(SendRejection, &str); 5] = [
+    (SendRejection::RequestOver, "attempts.withdrawn.request_over"),
+    (SendRejection::DeadlinePassed, "attempts.withdrawn.deadline_passed"),
+    (SendRejection::EngineNotReady, "attempts.withdrawn.engine_not_ready"),
+    (SendRejection::NotRetryable, "attempts.withdrawn.not_retryable"),
+    (SendRejection::RetryBudgetSpent, "attempts.withdrawn.retry_budget_spent"),
+];
+/// Why requests are rejected, and the names of the counters.
+const REJECTIONS: [(RejectReason, &str); 2] = [
+    (RejectReason::Overloaded, "responses.rejected.overloaded"),
+    (RejectReason::DeadlineExceeded, "responses.rejected.deadline_exceeded"),
+];
+/// Why requests fail, and the names of the counters.
+const FAILURES: [(RejectReason, &str); 5] = [
+    (RejectReason::Overloaded, "responses.failed.given_up"),
+    (RejectReason::DeadlineExceeded, "responses.failed.deadline_exceeded"),
+    (RejectReason::EngineError, "responses.failed.engine_error"),
+    (RejectReason::ConnectionLost, "responses.failed.connection_lost"),
+    (RejectReason::Unreachable, "responses.failed.unreachable"),
+];
+
+/// Counters by reason, for the admin address.
+pub(super) struct ReasonCounters {
+    counters: BTreeMap<&'static str, Counter>,
+}
+
+impl ReasonCounters {
+    /// Counters in these metrics, all at zero.
+    pub(super) fn new(metrics: &Metrics) -> ReasonCounters {
+        let names = OUTCOMES.iter().map(|(_, name)| *name);
+        let names = names.chain(WITHDRAWALS.iter().map(|(_, name)| *name));
+        let names = names.chain(REJECTIONS.iter().chain(&FAILURES).map(|(_, name)| *name));
+        let counter = |name| (name, metrics.counter(name).unwrap_or_else(|_| Counter::noop()));
+        ReasonCounters { counters: names.map(counter).collect() }
+    }
+
+    /// An attempt ended.
+    pub(super) fn record_end(&self, outcome: AttemptOutcome) {
+        self.increment(&OUTCOMES, outcome);
+    }
+
+    /// An attempt was withdrawn just before its first byte.
+    pub(super) fn record_withdrawal(&self, reason: SendRejection) {
+        self.increment(&WITHDRAWALS, reason);
+    }
+
+    /// A request got its final response.
+    pub(super) fn record_response(&self, response: &Response) {
+        match response {
+            Response::Served(_) => {}
+            Response::Rejected { reason, .. } => self.increment(&REJECTIONS, *reason),
+            Response::Failed { reason, .. } => self.increment(&FAILURES, *reason),
+        }
+    }
+
+    fn increment<T: PartialEq>(&self, names: &[(T, &'static str)], value: T) {
+        let name = names.iter().find(|(known, _)| *known == value).map(|(_, name)| name);
+        if let Some(counter) = name.and_then(|name| self.counters.get(name)) {
+            counter.increment(1);
+        }
+    }
+}
--- a/src/core/request_table.rs
+++ b/src/core/request_table.rs
@@ -152,15 +152,16 @@
         awaited.map(|(id, _)| *id).collect()
     }
 
-    /// Removes a request that has its final response and no attempt in flight.
-    pub(super) fn remove_if_done(&mut self, id: u64) {
+    /// Removes a request that has its final response and no attempt in flight; whether it did.
+    pub(super) fn remove_if_done(&mut self, id: u64) -> bool {
         let is_done = self.requests.get(&id).is_some_and(|r| !r.is_awaited() && r.in_flight.is_none());
         if !is_done {
-            return;
+            return false;
         }
         if let Some(request) = self.requests.remove(&id) {
             self.deadlines.remove(&(request.deadline, id));
         }
+        true
     }
 
     /// Schedules a look at whether the cancellation of an attempt has taken effect.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -18,6 +18,7 @@
 pub mod request;
 mod result_rows;
 pub mod session;
+mod session_end;
 pub mod sessionless;
 pub mod socket;
 mod startup;
@@ -26,6 +27,7 @@
 use cancel_signal::CancelSignal;
 use connection_slots::ConnectionSlots;
 use read_ahead::ReadAheadBudget;
+use session_end::SessionEndCounters;
 use sessionless::SessionlessConnections;
 use sprucelink_time::TimeDelta;
 use std::cell::{Cell, RefCell};
@@ -50,6 +52,7 @@
     pub config: FrontConfig,
     /// The sessions' cancel signals, by the process id that BackendKeyData gave.
     sessions: RefCell<BTreeMap<u32, Rc<CancelSignal>>>,
+    session_ends: SessionEndCounters,
     slots: Rc<ConnectionSlots>,
     sessionless: Rc<SessionlessConnections>,
     read_ahead: Rc<ReadAheadBudget>,
@@ -77,6 +80,7 @@
         let total_buffers = core.pool().max_buffers() / READ_AHEAD_POOL_DIVISOR;
         Rc::new(Front {
             sessions: RefCell::default(),
+            session_ends: SessionEndCounters::new(core.metrics()),
             slots: ConnectionSlots::new(config.max_sessions, config.max_evicted, !config.extended),
             sessionless: SessionlessConnections::new(config.max_sessionless),
             read_ahead: ReadAheadBudget::new(max_buffers, total_buffers),
--- a/src/front/session/error.rs
+++ b/src/front/session/error.rs
@@ -1,5 +1,6 @@
 //! Why the handling of a message stops early.
 
+use crate::front::session_end::SessionEnd;
 use crate::proto::pg::ErrorResponse;
 use std::io;
 use thiserror::Error;
@@ -11,8 +12,8 @@
     #[error("message rejected")]
     Rejected(#[source] ErrorResponse),
     /// The session ends, after the error if there is one.
-    #[error("session ended")]
-    SessionEnded(Option<ErrorResponse>),
+    #[error("session ended: {:?}", .0.reason)]
+    SessionEnded(Box<SessionEnd>),
     /// The connection has failed.
     #[error("client connection failed")]
     Connection(#[from] io::Error),
--- a/src/front/session/input.rs
+++ b/src/front/session/input.rs
@@ -3,6 +3,7 @@
 use super::state::{Session, SessionFlow};
 use crate::front::client_connection::ClientConnection;
 use crate::front::client_error::{incomplete_in_time, read_ahead_overrun, too_many_sessions};
+use crate::front::session_end::{SessionEnd, SessionEndReason};
 use crate::proto::pg::ErrorResponse;
 use std::io;
 use std::time::Duration;
@@ -24,7 +25,7 @@
         }
         if let Some(overrun) = connection.overrun() {
             let error = read_ahead_overrun(overrun, connection.max_buffered());
-            return Ok(SessionFlow::End(Some(error)));
+            return Ok(SessionFlow::End(SessionEnd::with_error(SessionEndReason::Overrun, error)));
         }
         connection.flush().await?;
         if connection.input().is_empty() {
@@ -33,7 +34,7 @@
             let has_answered = std::mem::take(&mut self.has_answered);
             // No request is open here, and the client may send the next one to another connection.
             if self.slot.is_evicted() || has_answered && self.front.end_after_answer.get() {
-                return Ok(SessionFlow::End(None));
+                return Ok(SessionFlow::End(SessionEnd::silent(SessionEndReason::Evicted)));
             }
         } else {
             self.slot.set_receiving();
@@ -54,18 +55,23 @@
             // answer, also where the process had no turn for so long that it is to stop, or the slot evicted, by now.
             biased;
             read = connection.fill() => {
-                Ok(if read? > 0 { SessionFlow::Continue } else { SessionFlow::End(None) })
+                Ok(match read? {
+                    0 => SessionFlow::End(SessionEnd::silent(SessionEndReason::ClientClosed)),
+                    _ => SessionFlow::Continue,
+                })
             }
             () = std::future::ready(()), if ends_now => Ok(self.end_for_stop()),
             () = state_changed => Ok(SessionFlow::Continue),
             // An incomplete message does not keep an evicted connection's slot.
             () = self.slot.evicted(), if deadline.is_some() => {
-                Ok(SessionFlow::End(Some(too_many_sessions())))
+                let error = too_many_sessions();
+                Ok(SessionFlow::End(SessionEnd::with_error(SessionEndReason::Evicted, error)))
             }
             () = self.slot.evicted() => Ok(SessionFlow::Continue),
             () = self.cancel.requested() => self.handle_early_cancel(connection).await,
             () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
-                Ok(SessionFlow::End(Some(incomplete_in_time("length", MESSAGE_TIMEOUT))))
+                let error = incomplete_in_time("length", MESSAGE_TIMEOUT);
+                Ok(SessionFlow::End(SessionEnd::with_error(SessionEndReason::TimedOut, error)))
             }
         }
     }
@@ -73,7 +79,8 @@
     /// The end of an idle session where the process stops. Clients of the platform's front expect no message.
     fn end_for_stop(&self) -> SessionFlow {
         let error = ErrorResponse::new("57P01", "the server is stopping").hint("Connect again.");
-        SessionFlow::End(self.front.config.extended.then_some(error))
+        let error = self.front.config.extended.then_some(error);
+        SessionFlow::End(SessionEnd { reason: SessionEndReason::Stopping, error })
     }
 
     /// Handles a CancelRequest while no request is open. The request it is for may have been sent before it and be
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -12,6 +12,7 @@
 use super::count_guard::CountGuard;
 use super::extended::objects::ExtendedAction;
 use super::extended::statement_timeout::timeout_of_startup;
+use super::session_end::{check_request_end, SessionEnd, SessionEndReason};
 use super::startup::SessionStart;
 use super::Front;
 use crate::core::buffer_pool::BUFFER_BYTES;
@@ -57,7 +58,7 @@
     /// A part of a message, or nothing.
     Incomplete,
     /// The end of the session.
-    End(Option<ErrorResponse>),
+    End(SessionEnd),
 }
 
 /// Removes a session's cancel signal when the session ends.
@@ -99,15 +100,11 @@
     slot.set_executing(false);
     greet(connection.output(), &start, process_id, secret);
     connection.flush().await?;
-    let mut session = Session::new(Rc::clone(&front), cancel, slot, statement_timeout_ms);
-    loop {
-        // A client that writes many short messages at once is read without waiting: others have their turn.
-        consume_budget().await;
-        match session.handle_message(connection).await? {
-            SessionFlow::Continue => {}
-            SessionFlow::End(error) => return Ok(error),
-        }
-    }
+    let mut session = Session::new(Rc::clone(&front), process_id, cancel, slot, statement_timeout_ms);
+    let end = session.run(connection).await;
+    let reason = end.as_ref().map_or(SessionEndReason::ConnectionFailed, |end| end.reason);
+    front.session_ends.record(process_id, reason);
+    end.map(|end| end.error)
 }
 
 /// The messages from the start of a session to its first ReadyForQuery.
@@ -126,6 +123,21 @@
 }
 
 impl Session<'_> {
+    /// Handles messages up to the end of the session.
+    async fn run<S: AsyncRead + AsyncWrite + Unpin>(
+        &mut self,
+        connection: &mut ClientConnection<S>,
+    ) -> io::Result<SessionEnd> {
+        loop {
+            // A client that writes many short messages at once is read without waiting: others have their turn.
+            consume_budget().await;
+            match self.handle_message(connection).await? {
+                SessionFlow::Continue => {}
+                SessionFlow::End(end) => return Ok(end),
+            }
+        }
+    }
+
     /// Handles one message, or waits for more input.
     async fn handle_message<S: AsyncRead + AsyncWrite + Unpin>(
         &mut self,
@@ -139,7 +151,7 @@
                 self.scratch = reply;
                 return self.await_input(connection).await;
             }
-            NextMessage::End(error) => return Ok(SessionFlow::End(error)),
+            NextMessage::End(end) => return Ok(SessionFlow::End(end)),
         };
         self.partial_since = None;
         self.slot.set_executing(true);
@@ -155,8 +167,11 @@
         let _open_request = CountGuard::new(&front.open_requests);
         match self.perform(connection, action).await {
             Ok(()) => {}
-            Err(MessageError::SessionEnded(error)) => return Ok(SessionFlow::End(error)),
-            Err(MessageError::Connection(error)) => return Err(error),
+            Err(MessageError::SessionEnded(end)) => return Ok(SessionFlow::End(*end)),
+            Err(MessageError::Connection(error)) => {
+                check_request_end(&front.core, self.process_id, &error);
+                return Err(error);
+            }
             Err(MessageError::Rejected(error)) => {
                 connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
                 pg::error(connection.output(), &error);
@@ -183,10 +198,15 @@
             Err(MalformedMessage { error, length: Some(length) }) => {
                 return NextMessage::Complete { action: Err(error.into()), length };
             }
-            Err(MalformedMessage { error, length: None }) => return NextMessage::End(Some(error.into())),
+            Err(MalformedMessage { error, length: None }) => {
+                let end = SessionEnd::with_error(SessionEndReason::Malformed, error.into());
+                return NextMessage::End(end);
+            }
         };
         let action = match message {
-            Message::Terminate => return NextMessage::End(None),
+            Message::Terminate => {
+                return NextMessage::End(SessionEnd::silent(SessionEndReason::ClientClosed));
+            }
             Message::Sync => Ok(MessageAction::Sync),
             Message::Flush => Ok(MessageAction::Flush),
             _ if self.skips_to_sync => Ok(MessageAction::None),
--- a/src/front/session/state.rs
+++ b/src/front/session/state.rs
@@ -8,8 +8,8 @@
 use crate::front::client_error::{cancelled, failed, read_ahead_overrun, rejected};
 use crate::front::connection_slots::ConnectionSlot;
 use crate::front::extended::objects::SessionObjects;
+use crate::front::session_end::{SessionEnd, SessionEndReason};
 use crate::front::Front;
-use crate::proto::pg::ErrorResponse;
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::Instant;
@@ -20,6 +20,8 @@
 /// State of a session.
 pub(super) struct Session<'a> {
     pub(super) front: Rc<Front>,
+    /// Its number in BackendKeyData, by which log lines name it.
+    pub(super) process_id: u32,
     pub(super) cancel: Rc<CancelSignal>,
     pub(super) slot: &'a ConnectionSlot,
     /// Since when the input has held a part of a message.
@@ -38,20 +40,22 @@
 pub(super) enum SessionFlow {
     /// It does.
     Continue,
-    /// It ends, after an error if there is one.
-    End(Option<ErrorResponse>),
+    /// It ends.
+    End(SessionEnd),
 }
 
 impl<'a> Session<'a> {
     /// A session that has not received a message.
     pub(super) fn new(
         front: Rc<Front>,
+        process_id: u32,
         cancel: Rc<CancelSignal>,
         slot: &'a ConnectionSlot,
         statement_timeout_ms: Option<u64>,
     ) -> Session<'a> {
         Session {
             front,
+            process_id,
             cancel,
             slot,
             partial_since: None,
@@ -88,7 +92,7 @@
                 }
                 read = connection.read_ahead() => {
                     if read? == 0 {
-                        return Err(MessageError::SessionEnded(None));
+                        return Err(client_closed());
                     }
                     if connection.is_flooding() {
                         request.cancel();
@@ -105,6 +109,17 @@
     connection: &ClientConnection<S>,
 ) -> MessageError {
     let overrun = connection.overrun().filter(|_| connection.is_flooding());
-    let error = overrun.map(|overrun| read_ahead_overrun(overrun, connection.max_buffered()));
-    MessageError::SessionEnded(error)
+    let end = match overrun {
+        Some(overrun) => {
+            let error = read_ahead_overrun(overrun, connection.max_buffered());
+            SessionEnd::with_error(SessionEndReason::Overrun, error)
+        }
+        None => SessionEnd::silent(SessionEndReason::ClientClosed),
+    };
+    MessageError::SessionEnded(Box::new(end))
+}
+
+/// The end of a session whose client has closed its side.
+fn client_closed() -> MessageError {
+    MessageError::SessionEnded(Box::new(SessionEnd::silent(SessionEndReason::ClientClosed)))
 }
--- /dev/null
+++ b/src/front/session_end.rs
@@ -0,0 +1,125 @@
+//! Why sessions end: the reason of each end is counted and logged.
+
+use crate::core::invariants::Invariant;
+use crate::core::Core;
+use crate::proto::pg::ErrorResponse;
+use sprucelink_metrics::{Counter, Metrics};
+use std::collections::BTreeMap;
+use std::io;
+use tracing::debug;
+
+/// Why a session ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum SessionEndReason {
+    /// The client closed its side, or sent Terminate.
+    ClientClosed,
+    /// The connection failed.
+    ConnectionFailed,
+    /// The session's slot was needed, or a hot restart closes idle sessions.
+    Evicted,
+    /// The process stops.
+    Stopping,
+    /// A message that cannot be read.
+    Malformed,
+    /// A message that did not become complete in time.
+    TimedOut,
+    /// The client sent more than may be held.
+    Overrun,
+}
+
+impl SessionEndReason {
+    /// All of them.
+    const ALL: [SessionEndReason; 7] = [
+        SessionEndReason::ClientClosed,
+        SessionEndReason::ConnectionFailed,
+        SessionEndReason::Evicted,
+        SessionEndReason::Stopping,
+        SessionEndReason::Malformed,
+        SessionEndReason::TimedOut,
+        SessionEndReason::Overrun,
+    ];
+
+    /// The name of its counter, rendered as `edge.NAME`.
+    fn counter_name(self) -> &'static str {
+        match self {
+            SessionEndReason::ClientClosed => "sessions.ended.client_closed",
+            SessionEndReason::ConnectionFailed => "sessions.ended.connection_failed",
+            SessionEndReason::Evicted => "sessions.ended.evicted",
+            SessionEndReason::Stopping => "sessions.ended.stopping",
+            SessionEndReason::Malformed => "sessions.ended.malformed",
+            SessionEndReason::TimedOut => "sessions.ended.timed_out",
+            SessionEndReason::Overrun => "sessions.ended.overrun",
+        }
+    }
+}
+
+/// The end of a session.
+#[derive(Debug)]
+pub(super) struct SessionEnd {
+    /// Why.
+    pub(super) reason: SessionEndReason,
+    /// The final message, if there is one.
+    pub(super) error: Option<ErrorResponse>,
+}
+
+impl SessionEnd {
+    /// An end without a final message.
+    pub(super) fn silent(reason: SessionEndReason) -> SessionEnd {
+        SessionEnd { reason, error: None }
+    }
+
+    /// An end with a final message.
+    pub(super) fn with_error(reason: SessionEndReason, error: ErrorResponse) -> SessionEnd {
+        SessionEnd { reason, error: Some(error) }
+    }
+}
+
+/// Counts the ends of sessions by reason.
+pub(super) struct SessionEndCounters(BTreeMap<SessionEndReason, Counter>);
+
+impl SessionEndCounters {
+    /// Counters in these metrics.
+    pub(super) fn new(metrics: &Metrics) -> SessionEndCounters {
+        let counter = |reason: &SessionEndReason| {
+            let counter = metrics.counter(reason.counter_name());
+            (*reason, counter.unwrap_or_else(|_| Counter::noop()))
+        };
+        SessionEndCounters(SessionEndReason::ALL.iter().map(counter).collect())
+    }
+
+    /// A session ended.
+    pub(super) fn record(&self, process_id: u32, reason: SessionEndReason) {
+        if let Some(counter) = self.0.get(&reason) {
+            counter.increment(1);
+        }
+        debug!(session = process_id, ?reason, "session ended: {reason:?}");
+    }
+}
+
+/// Checks that an error which ends a session with an open request is one of a connection whose client is out of reach.
+pub(super) fn check_request_end(core: &Core, process_id: u32, error: &io::Error) {
+    if !is_client_unreachable(error) {
+        let detail = format!("session {process_id}: {error}");
+        core.record_violation(Invariant::ClosedUnanswered, &detail);
+    }
+}
+
+/// Whether nothing that is written to a connection can reach its client any more.
+fn is_client_unreachable(error: &io::Error) -> bool {
+    use io::ErrorKind::{
+        BrokenPipe, ConnectionAborted, ConnectionReset, HostUnreachable, NetworkUnreachable, NotConnected,
+        TimedOut, UnexpectedEof, WriteZero,
+    };
+    matches!(
+        error.kind(),
+        BrokenPipe
+            | ConnectionAborted
+            | ConnectionReset
+            | HostUnreachable
+            | NetworkUnreachable
+            | NotConnected
+            | TimedOut
+            | UnexpectedEof
+            | WriteZero
+    )
+}
--- a/src/run/serve/shutdown.rs
+++ b/src/run/serve/shutdown.rs
@@ -73,6 +73,7 @@
         hot_restart.leave();
     }
     server.core.set_recorder(None);
+    server.core.check_nothing_pending();
     let open = server.core.pending_requests();
     info!(open, "stopped: {open} open");
 }
