--- /dev/null
+++ b/crates/fault-soak/src/client.rs
@@ -0,0 +1,430 @@
+//! Clients of the platform's front: PostgreSQL 3.0, simple queries. Some keep their session, some send many requests at
+//! once, write slowly, leave early or cancel.
+
+use crate::judge::Rule;
+use crate::manager::Seat;
+use crate::world::{World, CLASSES};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// An answer that comes later than this after the request's time is lost.
+const LATE: Duration = Duration::from_millis(500);
+/// A client that has cancelled closes its connection after this.
+const CLOSE_AFTER_CANCEL: Duration = Duration::from_millis(500);
+/// Longest message that is read.
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// Code of a CancelRequest.
+const CANCEL_CODE: u32 = 80_877_102;
+
+/// A session with a manager.
+struct Session {
+    stream: TcpStream,
+    /// Process id and secret of BackendKeyData.
+    key: Vec<u8>,
+}
+
+/// How a request ended at its client.
+#[derive(Debug)]
+enum Answer {
+    /// Served: the first column of the only row.
+    Served(String),
+    /// Refused or failed, with an error.
+    Error,
+}
+
+/// One request.
+struct Request {
+    id: u64,
+    class: usize,
+    timeout: Duration,
+}
+
+impl Request {
+    fn draw(rng: &mut ChaCha8Rng) -> Request {
+        let class = match rng.gen_range(0..10) {
+            0 => 1,
+            1 => 2,
+            _ => 0,
+        };
+        Request { id: rng.gen(), class, timeout: Duration::from_millis(rng.gen_range(300..4_000)) }
+    }
+
+    fn message(&self) -> Vec<u8> {
+        let key = if self.class == 1 { format!(",opkey={:032x}", self.id) } else { String::new() };
+        let (id, timeout_ms, name) = (self.id, self.timeout.as_millis(), CLASSES[self.class].name);
+        let text = format!(
+            "/* kind={name},req={id:016x},timeout={timeout_ms},owner=sud,ms=40.0{key} */ SELECT '{id:016x}' FROM rates_3.lanes\0"
+        );
+        let mut message = vec![b'Q'];
+        message.extend_from_slice(&(text.len() as u32 + 4).to_be_bytes());
+        message.extend_from_slice(text.as_bytes());
+        message
+    }
+}
+
+fn startup() -> Vec<u8> {
+    let body = b"\0\x03\0\0user\0app\0database\0core\0\0";
+    [&(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
+}
+
+impl Session {
+    /// Connects and starts a session; `with`: bytes that are sent right behind the start-up.
+    async fn open(address: SocketAddr, with: &[u8]) -> io::Result<Session> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        stream.write_all(&[&startup(), with].concat()).await?;
+        Ok(Session { stream, key: Vec::new() })
+    }
+
+    async fn message(&mut self) -> io::Result<(u8, Vec<u8>)> {
+        let mut head = [0; 5];
+        self.stream.read_exact(&mut head).await?;
+        let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]) as usize;
+        if !(4..=MAX_MESSAGE_BYTES).contains(&length) {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let mut body = vec![0; length - 4];
+        self.stream.read_exact(&mut body).await?;
+        Ok((head[0], body))
+    }
+
+    /// Reads up to the first ReadyForQuery.
+    async fn greeted(&mut self) -> io::Result<()> {
+        loop {
+            match self.message().await? {
+                (b'K', key) => self.key = key,
+                (b'Z', _) => return Ok(()),
+                (b'E', _) => return Err(io::Error::other("refused")),
+                _ => {}
+            }
+        }
+    }
+
+    /// Reads the answer to the next request.
+    async fn answer(&mut self) -> io::Result<Answer> {
+        let mut row = None;
+        let mut answer = None;
+        loop {
+            match self.message().await? {
+                (b'D', body) => row = Some(first_column(&body)),
+                (b'C', _) => answer = Some(Answer::Served(row.take().unwrap_or_default())),
+                (b'E', _) => answer = Some(Answer::Error),
+                (b'Z', _) => return answer.ok_or_else(|| io::ErrorKind::InvalidData.into()),
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether the manager has closed it while it rested.
+    fn is_closed(&self) -> bool {
+        let mut byte = [0];
+        self.stream.try_read(&mut byte).is_ok()
+    }
+}
+
+fn first_column(row: &[u8]) -> String {
+    let length =
+        row.get(2..6).map_or(0, |bytes| u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]));
+    String::from_utf8_lossy(row.get(6..6 + length as usize).unwrap_or_default()).into_owned()
+}
+
+/// A client of one manager.
+pub struct Client {
+    world: Arc<World>,
+    seat: Arc<Seat>,
+    rng: ChaCha8Rng,
+}
+
+/// What a client does.
+#[derive(Clone, Copy)]
+enum Manner {
+    /// One request on a connection of its own, all written at once.
+    Once,
+    /// Several, one after the other, on one session that rests between them.
+    Rests,
+    /// Several at once, or a little apart, on one session.
+    Pipelines,
+    /// Its request comes in pieces.
+    WritesSlowly,
+    /// Closes its connection while its request is open.
+    Leaves,
+    /// Cancels while its request is open.
+    Cancels,
+    /// Sends what cannot be read, or half a request.
+    Misbehaves,
+}
+
+const MANNERS: [(u32, Manner); 7] = [
+    (30, Manner::Once),
+    (25, Manner::Rests),
+    (12, Manner::Pipelines),
+    (8, Manner::WritesSlowly),
+    (10, Manner::Leaves),
+    (10, Manner::Cancels),
+    (5, Manner::Misbehaves),
+];
+
+impl Client {
+    /// A client that draws from `rng`.
+    pub fn new(world: &Arc<World>, seat: &Arc<Seat>, rng: ChaCha8Rng) -> Client {
+        Client { world: Arc::clone(world), seat: Arc::clone(seat), rng }
+    }
+
+    /// Does what it does, once. An error that tells nothing of the manager is passed over.
+    pub async fn run(mut self) {
+        let total: u32 = MANNERS.iter().map(|(weight, _)| weight).sum();
+        let mut drawn = self.rng.gen_range(0..total);
+        let mut manner = Manner::Once;
+        for (weight, candidate) in MANNERS {
+            if drawn < weight {
+                manner = candidate;
+                break;
+            }
+            drawn -= weight;
+        }
+        let address = self.seat.address;
+        match manner {
+            Manner::Once => self.once(address).await,
+            Manner::Rests => self.rests(address).await,
+            Manner::Pipelines => self.pipelines(address).await,
+            Manner::WritesSlowly => self.writes_slowly(address).await,
+            Manner::Leaves => self.leaves(address).await,
+            Manner::Cancels => self.cancels(address).await,
+            Manner::Misbehaves => self.misbehaves(address).await,
+        }
+    }
+
+    fn request_sent(&self, request: &Request) {
+        self.world.request_sent(request.id, self.seat.number, request.class, request.timeout);
+    }
+
+    /// Judges how a request ended that was written at `sent`.
+    fn judge(&self, request: &Request, sent: Instant, ended: io::Result<Answer>, what: &str) {
+        match ended {
+            Ok(Answer::Served(column)) if column != format!("{:016x}", request.id) => {
+                let detail =
+                    format!("manager {}, request {:016x}: got {column:?}", self.seat.number, request.id);
+                self.world.violate(Rule::WrongAnswer, detail);
+            }
+            Ok(_) => {}
+            // A request that came too late after SIGTERM, or to a process that was killed, is owed nothing.
+            Err(_) if !self.seat.owes(sent) => {}
+            Err(error) => {
+                let (number, id, took) = (self.seat.number, request.id, sent.elapsed());
+                let (left, class) = (request.timeout, CLASSES[request.class].name);
+                let detail = format!(
+                    "manager {number}, request {id:016x} ({what}, {class}, {left:?}): {error} after {took:?}"
+                );
+                self.world.violate(Rule::Lost, detail);
+            }
+        }
+    }
+
+    /// Waits for an answer as long as one is owed.
+    async fn await_answer(&self, session: &mut Session, request: &Request) -> io::Result<Answer> {
+        let patience = request.timeout + LATE + self.world.lag();
+        timeout(patience, session.answer()).await?
+    }
+
+    async fn once(&mut self, address: SocketAddr) {
+        let request = Request::draw(&mut self.rng);
+        let Ok(mut session) = Session::open(address, &request.message()).await else { return };
+        let sent = Instant::now();
+        self.request_sent(&request);
+        let ended = async {
+            timeout(request.timeout + LATE, session.greeted()).await??;
+            self.await_answer(&mut session, &request).await
+        };
+        let ended = match ended.await {
+            // A connection that is refused by an error is answered.
+            Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
+            ended => ended,
+        };
+        self.judge(&request, sent, ended, "new connection");
+    }
+
+    async fn rests(&mut self, address: SocketAddr) {
+        let Ok(mut session) = Session::open(address, &[]).await else { return };
+        if !matches!(timeout(Duration::from_secs(3), session.greeted()).await, Ok(Ok(()))) {
+            return;
+        }
+        for _ in 0..self.rng.gen_range(2..6) {
+            let rest = Duration::from_millis(self.rng.gen_range(0..1_500));
+            tokio::time::sleep(rest).await;
+            if !self.seat.takes_requests() || session.is_closed() {
+                return;
+            }
+            let request = Request::draw(&mut self.rng);
+            if session.stream.write_all(&request.message()).await.is_err() {
+                return self.again(address, request).await;
+            }
+            let sent = Instant::now();
+            self.request_sent(&request);
+            match self.await_answer(&mut session, &request).await {
+                // The close crossed the request: it is sent again, once, on a new connection.
+                Err(error) if is_end(&error) && sent.elapsed() < Duration::from_millis(100) => {
+                    return self.again(address, request).await;
+                }
+                ended => {
+                    let has_ended = ended.is_err();
+                    self.judge(&request, sent, ended, "open session");
+                    if has_ended {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn again(&mut self, address: SocketAddr, request: Request) {
+        if !self.seat.takes_connections() {
+            return;
+        }
+        let Ok(mut session) = Session::open(address, &request.message()).await else { return };
+        let sent = Instant::now();
+        self.request_sent(&request);
+        let ended = async {
+            timeout(request.timeout + LATE, session.greeted()).await??;
+            self.await_answer(&mut session, &request).await
+        };
+        let ended = match ended.await {
+            Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
+            ended => ended,
+        };
+        self.judge(&request, sent, ended, "sent again");
+    }
+
+    async fn pipelines(&mut self, address: SocketAddr) {
+        let Ok(mut session) = Session::open(address, &[]).await else { return };
+        if !matches!(timeout(Duration::from_secs(3), session.greeted()).await, Ok(Ok(()))) {
+            return;
+        }
+        let mut requests = Vec::new();
+        for _ in 0..self.rng.gen_range(2..5) {
+            if !self.seat.takes_requests() {
+                break;
+            }
+            let request = Request::draw(&mut self.rng);
+            if session.stream.write_all(&request.message()).await.is_err() {
+                break;
+            }
+            self.request_sent(&request);
+            requests.push((request, Instant::now()));
+            let pause = self.rng.gen_range(0..400);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        let longest = requests.iter().map(|(request, _)| request.timeout).sum::<Duration>();
+        for (request, sent) in requests {
+            let ended = timeout(longest + LATE, session.answer()).await;
+            let ended = ended.unwrap_or_else(|elapsed| Err(elapsed.into()));
+            let is_over = ended.is_err();
+            self.judge(&request, sent, ended, "pipelined");
+            if is_over {
+                return;
+            }
+        }
+    }
+
+    async fn writes_slowly(&mut self, address: SocketAddr) {
+        let request = Request::draw(&mut self.rng);
+        let Ok(mut session) = Session::open(address, &[]).await else { return };
+        let message = request.message();
+        let pieces = self.rng.gen_range(2..6);
+        for piece in message.chunks(message.len() / pieces + 1) {
+            if session.stream.write_all(piece).await.is_err() {
+                return;
+            }
+            let pause = self.rng.gen_range(0..250);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        // The last piece has been out for a pause already: the deadline counts from it, which is the milder way.
+        let sent = Instant::now();
+        if !self.seat.takes_requests() {
+            return;
+        }
+        self.request_sent(&request);
+        let ended = async {
+            timeout(request.timeout + LATE, session.greeted()).await??;
+            self.await_answer(&mut session, &request).await
+        };
+        let ended = match ended.await {
+            Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
+            ended => ended,
+        };
+        self.judge(&request, sent, ended, "in pieces");
+    }
+
+    async fn leaves(&mut self, address: SocketAddr) {
+        let request = Request::draw(&mut self.rng);
+        let Ok(mut session) = Session::open(address, &request.message()).await else { return };
+        self.request_sent(&request);
+        let stay = Duration::from_millis(self.rng.gen_range(0..400));
+        let is_reset = self.rng.gen_bool(0.3);
+        // What comes is read, so that the close is no reset by itself.
+        let _ = timeout(stay, async { while session.message().await.is_ok() {} }).await;
+        if is_reset {
+            let _ = session.stream.set_zero_linger();
+        }
+        drop(session);
+        self.world.client_gone(request.id);
+    }
+
+    async fn cancels(&mut self, address: SocketAddr) {
+        let request = Request::draw(&mut self.rng);
+        let Ok(mut session) = Session::open(address, &[]).await else { return };
+        if !matches!(timeout(Duration::from_secs(3), session.greeted()).await, Ok(Ok(()))) {
+            return;
+        }
+        if session.stream.write_all(&request.message()).await.is_err() {
+            return;
+        }
+        self.request_sent(&request);
+        tokio::time::sleep(Duration::from_millis(self.rng.gen_range(0..300))).await;
+        let Ok(mut other) = TcpStream::connect(address).await else { return };
+        let message = [&16u32.to_be_bytes()[..], &CANCEL_CODE.to_be_bytes(), &session.key].concat();
+        if other.write_all(&message).await.is_err() {
+            return;
+        }
+        self.world.client_gone(request.id);
+        let _ = timeout(CLOSE_AFTER_CANCEL, async { while session.message().await.is_ok() {} }).await;
+    }
+
+    async fn misbehaves(&mut self, address: SocketAddr) {
+        let kind = self.rng.gen_range(0..4);
+        let message = Request::draw(&mut self.rng).message();
+        let bytes: Vec<u8> = match kind {
+            0 => (0..self.rng.gen_range(1..4_000)).map(|_| self.rng.gen()).collect(),
+            1 => [&startup()[..], &message[..message.len() / 2]].concat(),
+            2 => [&startup()[..], b"Q\xff\xff\xff\xff"].concat(),
+            _ => Vec::new(),
+        };
+        let Ok(mut stream) = TcpStream::connect(address).await else { return };
+        if stream.write_all(&bytes).await.is_ok() {
+            let mut rest = Vec::new();
+            let _ = timeout(Duration::from_millis(500), stream.read_to_end(&mut rest)).await;
+        }
+    }
+}
+
+/// Whether a connection has ended without an answer.
+fn is_end(error: &io::Error) -> bool {
+    use io::ErrorKind::{BrokenPipe, ConnectionReset, UnexpectedEof};
+    matches!(error.kind(), UnexpectedEof | ConnectionReset | BrokenPipe)
+}
+
+/// Whether a manager answers the platform's health check, an empty query.
+pub async fn is_healthy(address: SocketAddr) -> bool {
+    let check = async {
+        let mut session = Session::open(address, b"Q\0\0\0\x05\0").await?;
+        session.greeted().await?;
+        session.message().await
+    };
+    matches!(timeout(Duration::from_secs(2), check).await, Ok(Ok((b'I', _))))
+}
--- /dev/null
+++ b/crates/fault-soak/src/feed.rs
@@ -0,0 +1,145 @@
+//! Stand-in control feeds. Each manager has addresses of its own, so that what it was told is known; all tell the same list.
+
+use crate::world::World;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// A comment comes this often.
+const COMMENT_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest head of a request that is read.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// What an address of a feed does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum FeedMode {
+    /// It tells events.
+    Serve = 0,
+    /// Connections stay open, and nothing is told.
+    Silent = 1,
+    /// Connections are closed at once.
+    Down = 2,
+    /// It has moved: open connections are closed, and new ones too.
+    Moved = 3,
+}
+
+/// The list's events so far, in order.
+pub struct EventLog {
+    world: Arc<World>,
+    events: Mutex<Vec<String>>,
+    count: watch::Sender<u64>,
+}
+
+impl EventLog {
+    /// No events.
+    pub fn new(world: &Arc<World>) -> Arc<EventLog> {
+        Arc::new(EventLog { world: Arc::clone(world), events: Mutex::default(), count: watch::channel(0).0 })
+    }
+
+    /// Adds an event; `text` makes it from its number.
+    pub fn push(&self, text: impl FnOnce(u64) -> String) -> u64 {
+        let mut events = self.events.lock().unwrap_or_else(PoisonError::into_inner);
+        let number = events.len() as u64 + 1;
+        events.push(text(number));
+        self.world.event_pushed();
+        self.count.send_replace(number);
+        number
+    }
+
+    /// All events.
+    pub fn all(&self) -> Vec<String> {
+        self.events.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// One address of a manager's feed.
+pub struct Feed {
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: Arc<AtomicU8>,
+}
+
+impl Feed {
+    /// Listens for this manager.
+    ///
+    /// # Errors
+    /// No port.
+    pub async fn start(manager: usize, log: &Arc<EventLog>) -> io::Result<Feed> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let mode = Arc::new(AtomicU8::new(FeedMode::Serve as u8));
+        tokio::spawn(accept(listener, manager, Arc::clone(log), Arc::clone(&mode)));
+        Ok(Feed { address, mode })
+    }
+
+    /// Changes what it does.
+    pub fn set_mode(&self, mode: FeedMode) {
+        self.mode.store(mode as u8, Ordering::SeqCst);
+    }
+}
+
+async fn accept(listener: TcpListener, manager: usize, log: Arc<EventLog>, mode: Arc<AtomicU8>) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            if mode.load(Ordering::SeqCst) >= FeedMode::Down as u8 {
+                continue;
+            }
+            let (log, mode) = (Arc::clone(&log), Arc::clone(&mode));
+            tokio::spawn(async move { drop(serve(stream, manager, &log, &mode).await) });
+        }
+    }
+}
+
+async fn serve(mut stream: TcpStream, manager: usize, log: &EventLog, mode: &AtomicU8) -> io::Result<()> {
+    let mut next = read_last_event(&mut stream).await? + 1;
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n").await?;
+    let mut count = log.count.subscribe();
+    let mut next_comment = tokio::time::Instant::now();
+    loop {
+        if mode.load(Ordering::SeqCst) >= FeedMode::Down as u8 {
+            return Ok(());
+        }
+        if mode.load(Ordering::SeqCst) == FeedMode::Serve as u8 {
+            if tokio::time::Instant::now() >= next_comment {
+                next_comment = tokio::time::Instant::now() + COMMENT_INTERVAL;
+                stream.write_all(b": here\n\n").await?;
+            }
+            next = tell(&mut stream, manager, log, next).await?;
+        }
+        let _ = tokio::time::timeout(Duration::from_millis(20), count.changed()).await;
+    }
+}
+
+/// Writes the events from `next` on, each in two pieces; the number after the last.
+async fn tell(stream: &mut TcpStream, manager: usize, log: &EventLog, mut next: u64) -> io::Result<u64> {
+    let events = log.all();
+    while let Some(text) = usize::try_from(next - 1).ok().and_then(|index| events.get(index)) {
+        let bytes = format!("id: {next}\ndata: {text}\n\n").into_bytes();
+        let (first, second) = bytes.split_at(bytes.len() / 2);
+        stream.write_all(first).await?;
+        tokio::task::yield_now().await;
+        stream.write_all(second).await?;
+        log.world.event_delivered(manager, next);
+        next += 1;
+    }
+    Ok(next)
+}
+
+/// Reads the head of a poll: the last event that the manager has.
+async fn read_last_event(stream: &mut TcpStream) -> io::Result<u64> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") && head.len() < MAX_HEAD_BYTES {
+        if stream.read_buf(&mut head).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    let text = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let value = text.lines().find_map(|line| line.strip_prefix("last-event-id:"));
+    Ok(value.and_then(|number| number.trim().parse().ok()).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/fault-soak/src/judge.rs
@@ -0,0 +1,108 @@
+//! The rules that a run is judged by, and what broke them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// A rule of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// A request that was taken has one final answer.
+    Lost,
+    /// An answer holds what an engine made for that request.
+    WrongAnswer,
+    /// No attempt begins over 0.1 s after its client has gone or cancelled.
+    SentAfterClientGone,
+    /// The deadline that an engine is told is at most what the client has left, with 0.15 s of slack.
+    LateDeadline,
+    /// A request has one attempt out at a time.
+    ConcurrentAttempts,
+    /// Nothing is sent to an engine 0.5 s after its drain was told.
+    SentToDraining,
+    /// What may have run is repeated only as its class allows.
+    UnsafeRepeat,
+    /// Retries stay within the budget.
+    RetryBudget,
+    /// An engine in slow start gets N + 3 x root of N + 3 requests at most, or N + 2 x root of N + 2.
+    SlowStart,
+    /// A process ends only when it is told to, with status 0, and is ready within 10 s.
+    Crash,
+    /// The program's own invariants hold.
+    OwnInvariant,
+}
+
+/// One violation.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// What was broken.
+    pub rule: Rule,
+    /// Since the start of the run.
+    pub at: Duration,
+    /// By whom, and the figures.
+    pub detail: String,
+}
+
+/// Slack for the time that bytes take through the machine.
+pub const TRANSIT: Duration = Duration::from_millis(50);
+
+/// The bound on attempts that an engine in slow start gets, where `n` requests of mean work are allowed.
+pub fn slow_start_bound(n: f64) -> f64 {
+    if n < 30.0 {
+        n + 3.0 * n.sqrt() + 3.0
+    } else {
+        n + 2.0 * n.sqrt() + 2.0
+    }
+}
+
+/// The worst excess of retries over the budget in any window of `span`; `None` where there is none. The platform widens the
+/// budget by 15 in 100 and one attempt.
+pub fn retry_excess(
+    requests: &[Instant],
+    retries: &[Instant],
+    free: f64,
+    share: f64,
+    span: Duration,
+) -> Option<f64> {
+    let mut worst: Option<f64> = None;
+    for (index, end) in retries.iter().enumerate() {
+        let within = |at: &&Instant| **at <= *end && end.saturating_duration_since(**at) <= span;
+        let made = retries[..=index].iter().filter(within).count() as f64;
+        let taken = requests.iter().filter(within).count() as f64;
+        let excess = made - ((free + share * taken) * 1.15 + 1.0);
+        if excess > 0.0 && worst.is_none_or(|known| excess > known) {
+            worst = Some(excess);
+        }
+    }
+    worst
+}
+
+/// How many violations there are of each rule.
+pub fn count_by_rule(violations: &[Violation]) -> BTreeMap<Rule, usize> {
+    let mut counts = BTreeMap::new();
+    for violation in violations {
+        *counts.entry(violation.rule).or_insert(0) += 1;
+    }
+    counts
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retry_excess_is_seen_in_a_window_between_two_quiet_ones() {
+        let start = Instant::now();
+        let at = |ms: u64| start + Duration::from_millis(ms);
+        let requests: Vec<Instant> = (0..20).map(|i| at(i * 500)).collect();
+        let span = Duration::from_secs(5);
+        let few: Vec<Instant> = (0..4).map(|i| at(5_000 + i)).collect();
+        assert_eq!(retry_excess(&requests, &few, 3.0, 0.1, span), None);
+        let many: Vec<Instant> = (0..9).map(|i| at(5_000 + i)).collect();
+        assert!(retry_excess(&requests, &many, 3.0, 0.1, span).is_some());
+    }
+
+    #[test]
+    fn slow_start_bound_follows_the_size() {
+        assert!((slow_start_bound(25.0) - 43.0).abs() < 1e-9);
+        assert!((slow_start_bound(100.0) - 122.0).abs() < 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/fault-soak/src/manager.rs
@@ -0,0 +1,272 @@
+//! The processes under test: started, signalled and ended by their own ids only.
+
+use crate::client;
+use crate::judge::Rule;
+use crate::shim::{SyscallFaults, VARIABLE};
+use crate::world::World;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// A process that starts must serve within this.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// After SIGTERM a process that has not ended is killed after the longest deadline (3 s at most), and 0.7 s more.
+const END_WITHIN: Duration = Duration::from_millis(3_700);
+/// New connections come for this long after SIGTERM.
+const CONNECTIONS_AFTER_SIGTERM: Duration = Duration::from_millis(300);
+/// Requests on open connections come for this long after SIGTERM.
+const REQUESTS_AFTER_SIGTERM: Duration = Duration::from_millis(500);
+/// A request that comes later than this after SIGTERM is owed nothing.
+const OWED_AFTER_SIGTERM: Duration = Duration::from_millis(700);
+
+/// One process of a manager, from its start on.
+#[derive(Clone, Copy, Debug)]
+struct Life {
+    started_at: Instant,
+    is_up: bool,
+    terminated_at: Option<Instant>,
+    was_killed: bool,
+}
+
+/// What clients know of a manager.
+pub struct Seat {
+    /// Its number.
+    pub number: usize,
+    /// Where its clients connect, the same after a restart.
+    pub address: SocketAddr,
+    /// Its processes, in order.
+    lives: Mutex<Vec<Life>>,
+}
+
+impl Seat {
+    fn lives(&self) -> MutexGuard<'_, Vec<Life>> {
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its last process.
+    fn life(&self) -> Option<Life> {
+        self.lives().last().copied()
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Life)) {
+        if let Some(life) = self.lives().last_mut() {
+            change(life);
+        }
+    }
+
+    /// Whether it serves, and SIGTERM came less than this ago, if it did.
+    fn is_up_until(&self, after_sigterm: Duration) -> bool {
+        let is_within = |life: &Life| life.terminated_at.is_none_or(|at| at.elapsed() < after_sigterm);
+        self.life().is_some_and(|life| life.is_up && is_within(&life))
+    }
+
+    /// Whether clients make new connections to it.
+    pub fn takes_connections(&self) -> bool {
+        self.is_up_until(CONNECTIONS_AFTER_SIGTERM)
+    }
+
+    /// Whether clients send requests on open connections.
+    pub fn takes_requests(&self) -> bool {
+        self.is_up_until(REQUESTS_AFTER_SIGTERM)
+    }
+
+    /// Whether it owes an answer to a request that was sent at this time.
+    pub fn owes(&self, sent: Instant) -> bool {
+        let lives = self.lives();
+        let Some(life) = lives.iter().rev().find(|life| life.started_at <= sent) else { return false };
+        !life.was_killed && life.terminated_at.is_none_or(|at| sent <= at + OWED_AFTER_SIGTERM)
+    }
+}
+
+/// What all managers of a run share.
+pub struct Deployment {
+    /// The program.
+    pub program: PathBuf,
+    /// The library of system call faults.
+    pub library: PathBuf,
+    /// Folder for configurations, logs and state.
+    pub folder: PathBuf,
+    /// The settings, as the platform words them.
+    pub settings: String,
+    /// What fails in every process.
+    pub faults: SyscallFaults,
+    /// Arguments of `serve` besides the configuration.
+    pub arguments: Vec<String>,
+}
+
+/// One manager.
+pub struct Manager {
+    /// What its clients know.
+    pub seat: Arc<Seat>,
+    name: String,
+    child: Option<Child>,
+    starts: u64,
+    world: Arc<World>,
+}
+
+impl Manager {
+    /// A manager that is not started yet.
+    ///
+    /// # Errors
+    /// No free port.
+    pub fn new(number: usize, world: &Arc<World>) -> io::Result<Manager> {
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let seat = Seat { number, address, lives: Mutex::default() };
+        let name = format!("n{number}");
+        Ok(Manager { seat: Arc::new(seat), name, child: None, starts: 0, world: Arc::clone(world) })
+    }
+
+    /// Writes its configuration: the feed's address and the list's events so far.
+    ///
+    /// # Errors
+    /// A folder that cannot be written.
+    pub fn write_config(
+        &self,
+        deployment: &Deployment,
+        feed: SocketAddr,
+        events: &[String],
+    ) -> io::Result<()> {
+        let (name, listen, seed) =
+            (&self.name, self.seat.address, self.seat.number as u64 * 1_000 + self.starts);
+        let (known, settings) = (events.join(","), &deployment.settings);
+        let text = format!(
+            r#"{{"name":"{name}","listen":"{listen}","seed":"{seed:016x}","feed":"{feed}",
+ "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{{"n":{},"events":[{known}]}},"settings":{settings}}}"#,
+            events.len()
+        );
+        std::fs::create_dir_all(self.folder(deployment))?;
+        let draft = self.folder(deployment).join("draft");
+        std::fs::write(&draft, text)?;
+        std::fs::rename(draft, self.config_path(deployment))
+    }
+
+    fn folder(&self, deployment: &Deployment) -> PathBuf {
+        deployment.folder.join(&self.name)
+    }
+
+    fn config_path(&self, deployment: &Deployment) -> PathBuf {
+        self.folder(deployment).join("config.json")
+    }
+
+    /// Where it logs, over all its starts.
+    pub fn log_path(&self, deployment: &Deployment) -> PathBuf {
+        deployment.folder.join(format!("{}.log", self.name))
+    }
+
+    /// Starts its process, and waits in the background until it serves.
+    ///
+    /// # Errors
+    /// A process that cannot be started.
+    pub fn start(&mut self, deployment: &Deployment, known: u64) -> io::Result<()> {
+        self.starts += 1;
+        let log = OpenOptions::new().create(true).append(true).open(self.log_path(deployment))?;
+        let seed = self.seat.number as u64 * 1_000_003 + self.starts;
+        let mut command = Command::new(&deployment.program);
+        command.arg("serve").arg("--config").arg(self.config_path(deployment)).args(&deployment.arguments);
+        command.env("TMPDIR", self.folder(deployment)).env("LD_PRELOAD", &deployment.library);
+        command.env(VARIABLE, deployment.faults.to_variable(seed)).env_remove("EDGE_FD");
+        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        self.world.manager_started(self.seat.number, known);
+        self.child = Some(command.spawn()?);
+        let started_at = Instant::now();
+        self.seat.lives().push(Life { started_at, is_up: false, terminated_at: None, was_killed: false });
+        let (seat, world) = (Arc::clone(&self.seat), Arc::clone(&self.world));
+        let starts = self.starts;
+        tokio::spawn(async move {
+            let began = Instant::now();
+            while !client::is_healthy(seat.address).await {
+                if began.elapsed() > READY_WITHIN {
+                    return world
+                        .violate(Rule::Crash, format!("manager {}, start {starts}: not ready", seat.number));
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            seat.change(|life| life.is_up = true);
+        });
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Whether its process runs and was not told to end.
+    pub fn is_serving(&self) -> bool {
+        let serves = |life: Life| life.is_up && life.terminated_at.is_none();
+        self.child.is_some() && self.seat.life().is_some_and(serves)
+    }
+
+    /// Sends SIGHUP.
+    pub fn reload(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.seat.change(|life| life.terminated_at = Some(Instant::now()));
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Sends SIGKILL, and waits for the end.
+    pub fn kill(&mut self) {
+        self.seat.change(|life| {
+            life.is_up = false;
+            life.was_killed = true;
+        });
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Looks whether its process has ended, and judges that. True once it has ended after SIGTERM.
+    pub fn has_ended(&mut self) -> bool {
+        let terminated_at = self.seat.life().and_then(|life| life.terminated_at);
+        let Some(child) = &mut self.child else { return false };
+        let ended = child.try_wait().ok().flatten();
+        let number = self.seat.number;
+        match (ended, terminated_at) {
+            (None, Some(at)) if at.elapsed() > END_WITHIN + self.world.lag() => {
+                // The platform kills it now. What it has not answered is judged as lost.
+                let mut child = self.child.take();
+                child.iter_mut().for_each(|child| drop(child.kill().and_then(|()| child.wait())));
+                self.seat.change(|life| life.is_up = false);
+                true
+            }
+            (None, _) => false,
+            (Some(status), at) => {
+                if at.is_none() || !status.success() {
+                    self.world.violate(Rule::Crash, format!("manager {number} ended with {status}"));
+                }
+                self.child = None;
+                self.seat.change(|life| life.is_up = false);
+                at.is_some()
+            }
+        }
+    }
+}
+
+impl Drop for Manager {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Lines of a log that tell of a broken invariant or a panic.
+///
+/// # Errors
+/// A log that cannot be read.
+pub fn alarming_lines(path: &Path) -> io::Result<Vec<String>> {
+    let mut text = String::new();
+    io::Read::read_to_string(&mut File::open(path)?, &mut text)?;
+    let is_alarming = |line: &&str| line.contains("invariant violated") || line.contains("panicked");
+    Ok(text.lines().filter(is_alarming).map(str::to_owned).collect())
+}
