--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,93 @@
+//! Faults that two rare events cause together, each as the smallest run that shows it.
+
+mod support;
+
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// An attempt waits for its connection to come up, or behind a slow peer. The engine must be told what the client has left
+/// as the attempt leaves, not as it was chosen.
+#[test]
+fn deadline_told_to_an_engine_is_what_is_left_when_its_connection_comes_up() {
+    let late = Late::listen();
+    let program = Program::start(&[("s-1", late.address)], None, None);
+    let mut client = Raw::connect(program.platform);
+    let sent = Instant::now();
+    client
+        .send(&query("/* kind=lane-rate,req=00000000000000f1,timeout=6000,owner=sud */ SELECT 1 FROM a_1.b"));
+    std::thread::sleep(Duration::from_millis(1_500));
+    let engine = late.open(|seen| Reply::Pages(vec![format!("{}\tb\tc\n", seen.parts[3])]));
+    let seen = engine.wait_for("do", 1).remove(0);
+    let told = Duration::from_millis(seen.field("wait").expect("a deadline").parse().expect("a number"));
+    let left = Duration::from_millis(6_000).saturating_sub(seen.at - sent);
+    assert!(told <= left + Duration::from_millis(150), "told {told:?} of {left:?}");
+    assert_eq!(kinds(&client.until_ready()), "TDCZ");
+}
+
+/// A request that stands behind another one counts from its own last byte, whatever its client writes after it.
+#[test]
+fn deadline_of_a_pipelined_request_counts_from_its_own_last_byte() {
+    let engine = Engine::start(|seen| match seen.parts[1].as_str() {
+        "00000000000000a1" => {
+            std::thread::sleep(Duration::from_millis(1_600));
+            Reply::Pages(vec!["a\tb\tc\n".into()])
+        }
+        _ => Reply::Pages(vec!["a\tb\tc\n".into()]),
+    });
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let mut client = Raw::connect(program.platform);
+    let ask = |id: &str| {
+        query(&format!("/* kind=lane-rate,req={id},timeout=4000,owner=sud,ms=10.0 */ SELECT 1 FROM a_1.b"))
+    };
+    client.send(&ask("00000000000000a1"));
+    engine.wait_for("do", 1);
+    client.send(&ask("00000000000000a2"));
+    let second_sent = Instant::now();
+    std::thread::sleep(Duration::from_millis(800));
+    client.send(&ask("00000000000000a3"));
+    let second = engine.wait_for("do", 2).remove(1);
+    assert_eq!(second.parts[1], "00000000000000a2");
+    let told = Duration::from_millis(second.field("wait").expect("a deadline").parse().expect("a number"));
+    let left = Duration::from_millis(4_000).saturating_sub(second.at - second_sent);
+    assert!(told <= left + Duration::from_millis(150), "told {told:?} of {left:?}");
+    (0..3).for_each(|_| assert_eq!(kinds(&client.until_ready()), "TDCZ"));
+}
+
+/// The disk of the log is full, or its reader has gone: that must not end a process that serves.
+#[test]
+fn log_that_cannot_be_written_does_not_end_the_process() {
+    let engine = Engine::echo();
+    let dir = scratch();
+    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let known = list(1, true, &[("s-1", engine.address, "ready")]);
+    let config = format!(
+        r#"{{"name":"n0","listen":"{port}","seed":"00000000000000aa","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+         "known":{{"n":1,"events":[{known}]}},"settings":{SETTINGS}}}"#
+    );
+    std::fs::write(dir.join("config.json"), config).expect("written");
+    let full = || Stdio::from(std::fs::OpenOptions::new().write(true).open("/dev/full").expect("/dev/full"));
+    let mut command = Command::new(program());
+    command.arg("serve").arg("--config").arg(dir.join("config.json")).stdout(full()).stderr(full());
+    let mut child = command.spawn().expect("started");
+    let end = Instant::now() + PATIENCE;
+    let connected = loop {
+        let ended = child.try_wait().expect("waited");
+        let stream = std::net::TcpStream::connect(port);
+        if ended.is_some() || stream.is_ok() || Instant::now() > end {
+            break ended.is_none() && stream.is_ok();
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    if connected {
+        let mut client = Raw::connect(port);
+        let answer = client
+            .ask("/* kind=lane-rate,req=00000000000000e1,timeout=6000,owner=sud */ SELECT 1 FROM a_1.b");
+        assert_eq!(kinds(&answer), "TDCZ");
+    }
+    let ended = child.try_wait().expect("waited");
+    let _ = child.kill();
+    let _ = child.wait();
+    std::fs::remove_dir_all(dir).expect("removed");
+    assert!(connected && ended.is_none(), "it ended: {ended:?}");
+}
