Engines are told the time left at the send; pipelines count apart; a full log ends nothing

Causes: the wait field was written when an attempt was queued, and a dial may take the connect timeout (attempts.rs, send); one time of arrival for all bytes held (client_connection, arrived); tracing-subscriber reports a failed line on standard error and panics where that fails too. Ruled out for the first: the policy's own margin (it never saw the dial). Change: approve_send queues an attempt anew that was told over 50 ms too much; each message has the time of its own last byte; log_internal_errors(false).

--- a/src/core/api.rs
+++ b/src/core/api.rs
@@ -301,9 +301,9 @@
     }
 
     fn may_send(self: &Rc<Self>, connection: &EngineConnection, id: u64, attempt: u32) -> bool {
-        let is_approved = self.coordinator.borrow_mut().approve_send(connection, id, attempt);
+        let is_approved = self.coordinator.borrow_mut().approve_send(&self.pool, connection, id, attempt);
         if !is_approved {
-            // The attempt's end is reported with the next tick.
+            // The end of one that was withdrawn is reported with the next tick.
             self.wake.notify_one();
         }
         is_approved
--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -97,6 +97,8 @@
     pub(super) sent_at: Timestamp,
     /// How long its engine is told to wait.
     pub(super) told_time_left: TimeDelta,
+    /// It was approved to be sent, and counts in the retry budget; a slow peer may keep its first byte back all the same.
+    pub(super) is_approved: bool,
     /// The pages received.
     pub(super) result: ResultSet,
     /// What the query needed, once the engine has told.
@@ -124,6 +126,7 @@
             connection,
             sent_at,
             told_time_left,
+            is_approved: false,
             result: ResultSet::default(),
             cost: None,
             load_report: LoadStats::default(),
--- a/src/core/coordinator/attempts.rs
+++ b/src/core/coordinator/attempts.rs
@@ -9,13 +9,17 @@
 use crate::core::policy_driver::{PolicyCommand, PolicyEvent};
 use crate::core::request::Response;
 use crate::core::request_table::PendingRequest;
-use crate::core::send_guard::OutgoingAttempt;
+use crate::core::send_guard::{OutgoingAttempt, SendRejection};
 use crate::proto::engine_answer::{read_answer, AnswerKind, EngineAnswerError, LoadStats, QueryCost};
 use crate::proto::engine_command::{self, QueryFields};
 use sprucelink_policy::TimeDelta;
 use std::rc::Rc;
 use tracing::{debug, error, warn};
 
+/// An attempt that waits is told to its engine anew once its deadline there would be this much later than its client's. The
+/// platform's slack is three times as much; less would queue anew what a busy machine delays.
+const MAX_DEADLINE_EXCESS: TimeDelta = TimeDelta::from_micros(50_000);
+
 /// How an attempt ended, as the policy is told.
 struct AttemptEnd {
     /// The attempt's number.
@@ -63,10 +67,8 @@
             Err(outcome) => return self.report_end(id, AttemptEnd::unsent(attempt, outcome)),
         };
         let Some(request) = self.requests.get_mut(id) else { return Vec::new() };
-        let name = format_id(id);
-        let fields = format_fields(request, time_left);
-        let command = [engine_command::QUERY, name.as_bytes(), fields.as_bytes(), &request.statement[..]];
-        if !connection.send(runtime.pool(), id, attempt, &command) {
+        let (name, fields) = (format_id(id), format_fields(request, time_left));
+        if !connection.send(runtime.pool(), id, attempt, &query_command(request, &name, &fields)) {
             return self.report_end(id, AttemptEnd::unsent(attempt, AttemptOutcome::NeverRan));
         }
         request.in_flight = Some(InFlightAttempt::new(attempt, connection, now(), time_left));
@@ -74,9 +76,11 @@
     }
 
     /// Whether an attempt may be sent, checked just before its first byte: the one place through which attempts leave.
-    /// One that may not is withdrawn and ends as one that never ran; one without an owner is withdrawn, and that is all.
+    /// One that may not is withdrawn and ends as one that never ran; one without an owner is withdrawn, and that is all. One
+    /// that has waited is queued anew with the time that is left, and is asked for again.
     pub(in crate::core) fn approve_send(
         &mut self,
+        pool: &BufferPool,
         connection: &EngineConnection,
         id: u64,
         number: u32,
@@ -94,43 +98,63 @@
             connection.withdraw(id);
             return false;
         };
+        let Some(attempt) = &mut request.in_flight else { return false };
         let outgoing = OutgoingAttempt {
-            request_is_awaited: request.is_awaited(),
+            request_is_awaited: request.responder.is_some(),
             deadline: request.deadline,
             class: request.class,
-            is_retry: number > 0,
+            // One that was approved before is in the budget already.
+            is_retry: number > 0 && !attempt.is_approved,
             may_have_run_since: request.may_have_run_since,
             engine_is_ready,
         };
-        let Err(why) = self.send_guard.check(now, spare_attempts, &outgoing) else {
-            self.send_guard.record_send(now, outgoing.is_retry);
-            let sent = SentAttempt {
-                id,
-                number,
-                class: outgoing.class,
-                request_is_awaited: outgoing.request_is_awaited,
-                deadline: outgoing.deadline,
-                told_time_left: request.in_flight.as_ref().map_or(TimeDelta::ZERO, |a| a.told_time_left),
-                unlisted_since,
-                spare_attempts,
-            };
-            self.monitor.record_send(now, &sent);
-            return true;
-        };
-        self.reasons.record_withdrawal(why);
-        connection.withdraw(id);
-        if let Some(attempt) = &mut request.in_flight {
+        if let Err(reason) = self.send_guard.check(now, spare_attempts, &outgoing) {
             attempt.mark_withdrawn(now);
+            self.withdraw_unapproved(connection, id, number, reason);
+            return false;
+        }
+        let time_left = request.deadline - now;
+        if attempt.told_time_left - time_left > MAX_DEADLINE_EXCESS {
+            attempt.told_time_left = time_left;
+            let (name, fields) = (format_id(id), format_fields(request, time_left));
+            connection.requeue(pool, id, number, &query_command(request, &name, &fields));
+            return false;
+        }
+        let sent = SentAttempt {
+            id,
+            number,
+            class: outgoing.class,
+            request_is_awaited: outgoing.request_is_awaited,
+            deadline: outgoing.deadline,
+            told_time_left: attempt.told_time_left,
+            unlisted_since,
+            spare_attempts,
+        };
+        if !std::mem::replace(&mut attempt.is_approved, true) {
+            self.send_guard.record_send(now, outgoing.is_retry);
         }
-        self.requests.schedule_cancellation(now, id, number);
+        self.monitor.record_send(now, &sent);
+        true
+    }
+
+    /// Takes back an attempt that may not be sent; its end is reported with the next tick.
+    fn withdraw_unapproved(
+        &mut self,
+        connection: &EngineConnection,
+        id: u64,
+        number: u32,
+        reason: SendRejection,
+    ) {
+        connection.withdraw(id);
+        self.reasons.record_withdrawal(reason);
+        self.requests.schedule_cancellation(now(), id, number);
         debug!(
             request = format_id(id),
             number = connection.engine,
             attempt = number,
-            reason = ?why,
-            "attempt withdrawn before it was sent: {why:?}"
+            ?reason,
+            "attempt withdrawn before it was sent: {reason:?}"
         );
-        false
     }
 
     /// Reports an attempt's end to the policy; the attempt is not in flight any more.
@@ -285,6 +309,11 @@
     }
 }
 
+/// The command that sends an attempt.
+fn query_command<'a>(request: &'a PendingRequest, name: &'a str, fields: &'a str) -> [&'a [u8]; 4] {
+    [engine_command::QUERY, name.as_bytes(), fields.as_bytes(), &request.statement[..]]
+}
+
 /// The fields of the command that sends an attempt.
 fn format_fields(request: &PendingRequest, time_left: TimeDelta) -> String {
     let fields = QueryFields {
--- a/src/core/engine_connection.rs
+++ b/src/core/engine_connection.rs
@@ -226,6 +226,24 @@
         true
     }
 
+    /// Queues the command that sends an attempt anew, behind all others, in place of one of which no byte was sent; false if
+    /// a byte was sent. It takes a buffer whatever the pool has left: that of the old command is free as soon as it is skipped.
+    pub fn requeue(&self, pool: &BufferPool, id: u64, attempt: u32, parts: &[&[u8]]) -> bool {
+        if self.is_closed() || self.withdraw(id) != Withdrawal::Complete {
+            return false;
+        }
+        let start = self.queued();
+        if !self.queue_command(parts, || Some(pool.get_beyond_limit())) {
+            return false;
+        }
+        let end = self.queued();
+        self.send_queue.borrow_mut().push_attempt(UnsentCommand { id, attempt, start, end });
+        if let Some(carried) = self.attempts.borrow_mut().get_mut(&id) {
+            *carried = CarriedAttempt { start, end, is_withdrawn: false, ..*carried };
+        }
+        true
+    }
+
     /// Bytes queued so far.
     pub fn queued(&self) -> u64 {
         self.send_queue.borrow().queued()
--- a/src/front/client_connection/input.rs
+++ b/src/front/client_connection/input.rs
@@ -121,10 +121,15 @@
             self.discarded_bytes += bytes.len();
             return;
         }
-        self.arrived = now();
+        let received = bytes.len();
         if self.read_ahead.is_empty() {
             bytes = self.extend_input(bytes);
         }
+        self.store_ahead(bytes, received);
+    }
+
+    /// Stores what does not fit the input, of `received` bytes in all.
+    fn store_ahead(&mut self, mut bytes: &[u8], received: usize) {
         while !bytes.is_empty() {
             if let Some(last) = self.read_ahead.back_mut().filter(|buffer| buffer.has_room()) {
                 bytes = last.append(bytes);
@@ -132,9 +137,13 @@
             }
             match self.budget.allocate(&self.pool, self.read_ahead.len()) {
                 Ok(buffer) => self.read_ahead.push_back(buffer),
-                Err(overrun) => return self.discard(bytes, overrun),
+                Err(overrun) => {
+                    self.discard(bytes, overrun);
+                    break;
+                }
             }
         }
+        self.arrivals.record_received(received - bytes.len(), now());
     }
 
     fn discard(&mut self, bytes: &[u8], overrun: ReadAheadOverrun) {
--- a/src/front/client_connection/mod.rs
+++ b/src/front/client_connection/mod.rs
@@ -4,12 +4,14 @@
 //! request, may stand behind what the client still sent. What is read ahead is kept up to a bound. Beyond it bytes are
 //! discarded, only to see the end of the stream; the session then ends behind the messages that it holds completely.
 
+mod arrivals;
 mod input;
 mod output;
 
 use super::read_ahead::{append, ReadAheadBudget, ReadAheadBuffer, ReadAheadOverrun};
 use crate::core::buffer_pool::{Buffer, BufferPool};
 use crate::core::now;
+use arrivals::Arrivals;
 use sprucelink_time::Timestamp;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -34,7 +36,7 @@
     /// Bytes that were read since other tasks last had a turn.
     bytes_this_turn: usize,
     output: Option<Buffer>,
-    arrived: Timestamp,
+    arrivals: Arrivals,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> ClientConnection<S> {
@@ -52,7 +54,7 @@
             is_at_end: false,
             bytes_this_turn: 0,
             output: None,
-            arrived: now(),
+            arrivals: Arrivals::new(now()),
         }
     }
 
@@ -66,14 +68,15 @@
         self.input.as_ref().map_or(&[], |buffer| &buffer[self.consumed..])
     }
 
-    /// When the last bytes that were kept arrived.
+    /// When the last byte that was consumed arrived: of the message that is being answered.
     pub fn arrived(&self) -> Timestamp {
-        self.arrived
+        self.arrivals.of_consumed()
     }
 
     /// Consumes `count` bytes of the input.
     pub fn consume(&mut self, count: usize) {
         self.consumed += count;
+        self.arrivals.record_consumed(count);
         if self.input().is_empty() {
             self.input = None;
             self.consumed = 0;
--- a/src/run/logging.rs
+++ b/src/run/logging.rs
@@ -114,7 +114,12 @@
 
 /// Starts logging for the life of the process. A second call changes nothing.
 pub fn start(logging: Logging) {
-    let builder = tracing_subscriber::fmt().with_max_level(logging.level).with_writer(std::io::stdout);
+    // The library reports a line that it cannot write on standard error, and panics where that fails too: with both on a full
+    // disk, or their reader gone, the next line would end the process.
+    let builder = tracing_subscriber::fmt()
+        .with_max_level(logging.level)
+        .with_writer(std::io::stdout)
+        .log_internal_errors(false);
     // An error means that logging was started before: it goes on unchanged.
     let _ = match logging.format {
         Format::Text => builder.event_format(TextFormat).try_init(),
