--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -92,3 +92,60 @@
     std::fs::remove_dir_all(dir).expect("removed");
     assert!(connected && ended.is_none(), "it ended: {ended:?}");
 }
+
+/// The program with the library that fails system calls, told to fail these.
+fn with_failing_calls(engines: &[(&str, std::net::SocketAddr)], faults: &str) -> Program {
+    let library = sprucelink_fault_soak::shim::build(&scratch()).expect("compiled");
+    let library = library.to_str().expect("a name in UTF-8");
+    let vars = [("LD_PRELOAD", library), ("SYSCALL_FAULTS", faults)];
+    Program::launch_in(&vars, None, engines, None, None, (192, 1024), SETTINGS, &[])
+}
+
+/// A signal may interrupt any read or write before a byte was moved: it is repeated, on connections to clients and engines.
+#[test]
+fn interrupted_reads_and_writes_lose_no_request() {
+    let engine = Engine::echo();
+    let program = with_failing_calls(&[("s-1", engine.address)], "seed=1,eintr=100");
+    for id in 1..=200 {
+        let mut client = Raw::connect(program.platform);
+        let answer = client.ask(&format!(
+            "/* kind=lane-rate,req={id:016x},timeout=6000,owner=sud */ SELECT {id} FROM a_1.b"
+        ));
+        assert_eq!(kinds(&answer), "TDCZ", "request {id}");
+    }
+}
+
+/// A read or write may move fewer bytes than it could: what is left is there at once, and nothing wakes who waits for it.
+#[test]
+fn short_reads_and_writes_hold_up_no_request() {
+    let row = format!("{}\tb\tc\n", "x".repeat(5_900));
+    let pages = vec![row; 7];
+    let engine = Engine::start(move |_| Reply::Pages(pages.clone()));
+    let program = with_failing_calls(&[("s-1", engine.address)], "seed=1,short=500");
+    let begun = Instant::now();
+    for id in 1..=50 {
+        let mut client = Raw::connect(program.platform);
+        client.stream.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
+        let answer = client.ask(&format!(
+            "/* kind=lane-rate,req={id:016x},timeout=9000,owner=sud */ SELECT {id} FROM a_1.b"
+        ));
+        assert_eq!(kinds(&answer), "TDDDDDDDCZ", "request {id}");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(20), "{:?}", begun.elapsed());
+}
+
+/// An accept may fail for the new connection's own sake, or for a moment: no client that is there is evicted for it.
+#[test]
+fn failing_accepts_evict_no_client_that_is_writing_its_request() {
+    let engine = Engine::echo();
+    let program = with_failing_calls(&[("s-1", engine.address)], "seed=1,accept=500");
+    let sql = "/* kind=lane-rate,req=00000000000000c1,timeout=6000,owner=sud */ SELECT 1 FROM a_1.b";
+    let message = query(sql);
+    let mut client = Raw::connect(program.platform);
+    let (first, second) = message.split_at(message.len() / 2);
+    client.send(first);
+    let others: Vec<Raw> = (0..30).map(|_| Raw::connect(program.platform)).collect();
+    client.send(second);
+    assert_eq!(kinds(&client.until_ready()), "TDCZ");
+    drop(others);
+}
