--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -28,6 +28,7 @@
     stream: TcpStream,
     /// Process id and secret of BackendKeyData.
     key: Vec<u8>,
+    opened_at: Instant,
 }
 
 /// How a request ended at its client.
@@ -78,9 +79,10 @@
     /// Connects and starts a session; `with`: bytes that are sent right behind the start-up.
     async fn open(address: SocketAddr, with: &[u8]) -> io::Result<Session> {
         let mut stream = TcpStream::connect(address).await?;
+        let opened_at = Instant::now();
         stream.set_nodelay(true)?;
         stream.write_all(&[&startup(), with].concat()).await?;
-        Ok(Session { stream, key: Vec::new() })
+        Ok(Session { stream, key: Vec::new(), opened_at })
     }
 
     async fn message(&mut self) -> io::Result<(u8, Vec<u8>)> {
@@ -205,8 +207,14 @@
         self.world.request_sent(request.id, self.seat.number, request.class, request.timeout);
     }
 
-    /// Judges how a request ended that was written at `sent`.
-    fn judge(&self, request: &Request, sent: Instant, ended: io::Result<Answer>, what: &str) {
+    /// Judges how a request ended that was written at `sent`, on a connection that was opened at `opened`.
+    fn judge(
+        &self,
+        request: &Request,
+        (opened, sent): (Instant, Instant),
+        ended: io::Result<Answer>,
+        what: &str,
+    ) {
         match ended {
             Ok(Answer::Served(column)) if column != format!("{:016x}", request.id) => {
                 let detail =
@@ -215,7 +223,7 @@
             }
             Ok(_) => {}
             // A request that came too late after SIGTERM, or to a process that was killed, is owed nothing.
-            Err(_) if !self.seat.owes(sent) => {}
+            Err(_) if !self.seat.owes(opened, sent) => {}
             Err(error) => {
                 let (number, id, took) = (self.seat.number, request.id, sent.elapsed());
                 let (left, class) = (request.timeout, CLASSES[request.class].name);
@@ -247,7 +255,7 @@
             Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
             ended => ended,
         };
-        self.judge(&request, sent, ended, "new connection");
+        self.judge(&request, (session.opened_at, sent), ended, "new connection");
     }
 
     async fn rests(&mut self, address: SocketAddr) {
@@ -274,7 +282,7 @@
                 }
                 ended => {
                     let has_ended = ended.is_err();
-                    self.judge(&request, sent, ended, "open session");
+                    self.judge(&request, (session.opened_at, sent), ended, "open session");
                     if has_ended {
                         return;
                     }
@@ -298,7 +306,7 @@
             Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
             ended => ended,
         };
-        self.judge(&request, sent, ended, "sent again");
+        self.judge(&request, (session.opened_at, sent), ended, "sent again");
     }
 
     async fn pipelines(&mut self, address: SocketAddr) {
@@ -325,7 +333,7 @@
             let ended = timeout(longest + LATE, session.answer()).await;
             let ended = ended.unwrap_or_else(|elapsed| Err(elapsed.into()));
             let is_over = ended.is_err();
-            self.judge(&request, sent, ended, "pipelined");
+            self.judge(&request, (session.opened_at, sent), ended, "pipelined");
             if is_over {
                 return;
             }
@@ -358,7 +366,7 @@
             Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
             ended => ended,
         };
-        self.judge(&request, sent, ended, "in pieces");
+        self.judge(&request, (session.opened_at, sent), ended, "in pieces");
     }
 
     async fn leaves(&mut self, address: SocketAddr) {
--- a/crates/fault-soak/src/manager.rs
+++ b/crates/fault-soak/src/manager.rs
@@ -76,10 +76,10 @@
         self.is_up_until(REQUESTS_AFTER_SIGTERM)
     }
 
-    /// Whether it owes an answer to a request that was sent at this time.
-    pub fn owes(&self, sent: Instant) -> bool {
+    /// Whether it owes an answer to a request that was sent at this time, on a connection that was opened at `opened`.
+    pub fn owes(&self, opened: Instant, sent: Instant) -> bool {
         let lives = self.lives();
-        let Some(life) = lives.iter().rev().find(|life| life.started_at <= sent) else { return false };
+        let Some(life) = lives.iter().rev().find(|life| life.started_at <= opened) else { return false };
         !life.was_killed && life.terminated_at.is_none_or(|at| sent <= at + OWED_AFTER_SIGTERM)
     }
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -149,3 +149,64 @@
     assert_eq!(kinds(&client.until_ready()), "TDCZ");
     drop(others);
 }
+
+/// A local failure to make a connection passes, and says nothing of the engine: the dial is repeated within its time.
+#[test]
+fn dials_that_fail_locally_are_repeated_and_blame_no_engine() {
+    let engine = Engine::start(|seen| Reply::Pages(vec![format!("{}\tb\tc\n", seen.parts[3])]));
+    let program = with_failing_calls(&[("s-1", engine.address)], "seed=3,connect=500,socket=300,eintr=100");
+    for id in 1..=20 {
+        let mut client = Raw::connect(program.platform);
+        let answer = client.ask(&format!(
+            "/* kind=lane-rate,req={id:016x},timeout=6000,owner=sud */ SELECT {id} FROM a_1.b"
+        ));
+        assert_eq!(kinds(&answer), "TDCZ", "request {id}: {:?}", error(&answer));
+        if id == 1 {
+            assert_eq!(engine.seen("do").len(), 1);
+        }
+    }
+    let blamed: Vec<String> =
+        program.lines().into_iter().filter(|line| line.contains("no connection")).collect();
+    assert!(blamed.is_empty(), "{blamed:?}");
+}
+
+/// The milliseconds of the machine's monotonic clock, so many from now.
+fn from_now(millis: i64) -> i64 {
+    sprucelink_fault_soak::clock::monotonic_ms() + millis
+}
+
+/// For a moment there is no descriptor for the listener: the process starts all the same.
+#[test]
+fn start_waits_for_a_moment_in_which_no_socket_can_be_made() {
+    let engine = Engine::echo();
+    let faults = format!("seed=1,socket=1000,to={}", from_now(1_000));
+    let program = with_failing_calls(&[("s-1", engine.address)], &faults);
+    let mut client = Raw::connect(program.platform);
+    let answer =
+        client.ask("/* kind=lane-rate,req=00000000000000d1,timeout=6000,owner=sud */ SELECT 1 FROM a_1.b");
+    assert_eq!(kinds(&answer), "TDCZ");
+}
+
+/// SIGHUP comes in a moment in which the configuration cannot be opened. There is no second signal, and the old feed closes.
+#[test]
+fn reload_is_tried_again_when_the_configuration_cannot_be_read() {
+    let engine = Engine::echo();
+    let (old, new) = (Feed::start(), Feed::start());
+    let library = sprucelink_fault_soak::shim::build(&scratch()).expect("compiled");
+    let faults = format!("seed=1,config=1000,from={},to={}", from_now(1_500), from_now(3_000));
+    let vars = [("LD_PRELOAD", library.to_str().expect("a name in UTF-8")), ("SYSCALL_FAULTS", &faults)];
+    let program = Program::launch_in(
+        &vars,
+        None,
+        &[("s-1", engine.address)],
+        Some(&old),
+        None,
+        (192, 1024),
+        SETTINGS,
+        &[],
+    );
+    std::thread::sleep(Duration::from_millis(1_700));
+    program.reload(&program.config_with_feed(new.address));
+    program.wait_line("configuration not read");
+    until(|| (new.listening() > 0).then_some(()));
+}
