--- a/src/core/connection_task.rs
+++ b/src/core/connection_task.rs
@@ -4,18 +4,22 @@
 use super::clock::{now, to_duration};
 use super::engine_connection::{ConnectionLimits, EngineConnection, QueuedBuffer};
 use super::socket::{retry_interrupted, SocketReader};
+use super::system_error::is_local_dial_failure;
 use crate::proto::engine_answer::EngineAnswerError;
 use crate::proto::resp;
 use socket2::SockRef;
 use sprucelink_policy::{TimeDelta, Timestamp};
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+/// Pause before a dial that failed locally is repeated.
+const DIAL_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// How often a connection is checked for being idle for too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// An answer that has begun and grows no further for this long will not be complete: engines write answers in one go, and
@@ -66,9 +70,14 @@
         ConnectionEnd { reason: reason.to_string(), is_local: false }
     }
 
+    /// This process ended it, or could not make it.
+    fn local(reason: impl ToString) -> ConnectionEnd {
+        ConnectionEnd { reason: reason.to_string(), is_local: true }
+    }
+
     /// What was read breaks the protocol: nothing else on the connection is of use.
     fn unreadable(error: impl std::fmt::Display) -> ConnectionEnd {
-        ConnectionEnd { reason: format!("unreadable: {error}"), is_local: true }
+        ConnectionEnd::local(format!("unreadable: {error}"))
     }
 }
 
@@ -76,23 +85,41 @@
 pub async fn run<O: ConnectionOwner>(owner: Rc<O>, connection: Rc<EngineConnection>) {
     let delay = connection.dial_time() - now();
     if delay > TimeDelta::ZERO {
-        tokio::time::sleep(to_duration(delay)).await;
+        sleep(to_duration(delay)).await;
     }
     let dial_timeout = to_duration(owner.limits().dial_timeout);
     // A dial that is given up returns its file descriptor at once.
     let dialled = tokio::select! {
-        dialled = timeout(dial_timeout, TcpStream::connect(connection.address())) => dialled,
+        dialled = dial(connection.address(), dial_timeout) => dialled,
         () = connection.wait_closed() => return owner.on_connection_down(&connection, "", true),
     };
     let end = match dialled {
-        Ok(Ok(stream)) if connection.is_dialing() => serve(&owner, &connection, stream).await,
-        Ok(Ok(_)) => ConnectionEnd::remote("not wanted any more"),
-        Ok(Err(error)) => ConnectionEnd::remote(format!("no connection: {error}")),
-        Err(_) => ConnectionEnd::remote("no connection in time"),
+        Ok(stream) if connection.is_dialing() => serve(&owner, &connection, stream).await,
+        Ok(_) => ConnectionEnd::remote("not wanted any more"),
+        Err(end) => end,
     };
     owner.on_connection_down(&connection, &end.reason, end.is_local);
 }
 
+/// Makes a connection. A failure of this machine passes, and tells nothing of the engine: the dial is repeated within its time.
+async fn dial(address: SocketAddr, dial_timeout: Duration) -> Result<TcpStream, ConnectionEnd> {
+    let deadline = Instant::now() + dial_timeout;
+    loop {
+        let error = match timeout_at(deadline, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => return Ok(stream),
+            Ok(Err(error)) => error,
+            Err(_) => return Err(ConnectionEnd::remote("no connection in time")),
+        };
+        if !is_local_dial_failure(&error) {
+            return Err(ConnectionEnd::remote(format!("no connection: {error}")));
+        }
+        if Instant::now() + DIAL_RETRY_DELAY >= deadline {
+            return Err(ConnectionEnd::local(format!("no connection could be made here: {error}")));
+        }
+        sleep(DIAL_RETRY_DELAY).await;
+    }
+}
+
 async fn serve<O: ConnectionOwner>(
     owner: &Rc<O>,
     connection: &EngineConnection,
--- a/src/core/coordinator/engines.rs
+++ b/src/core/coordinator/engines.rs
@@ -143,7 +143,7 @@
         if !reason.is_empty() {
             log_connection_loss(connection, reason);
         }
-        if connection.is_dialing() {
+        if connection.is_dialing() && !is_local {
             self.gossip_reachability(connection.engine, false);
         }
         let commands = self.close_connection(connection, is_local);
@@ -170,7 +170,8 @@
             let attempt = self.requests.attempt_mut(id, number).filter(|a| a.is_on(connection));
             let Some(attempt) = attempt else { continue };
             let outcome = match interrupted.is_unsent {
-                true if was_dialing => AttemptOutcome::Unreachable,
+                // A dial that this machine could not make tells nothing of the engine.
+                true if was_dialing && !is_local => AttemptOutcome::Unreachable,
                 true => AttemptOutcome::NeverRan,
                 false if fault_is_counted => AttemptOutcome::ConnectionClosed,
                 false => AttemptOutcome::ConnectionBroken,
--- a/src/run/serve/reload.rs
+++ b/src/run/serve/reload.rs
@@ -4,11 +4,18 @@
 use crate::run::config::Config;
 use crate::run::error::with_causes;
 use crate::run::startup_files::StartupFileError;
+use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 use tokio::task::spawn_blocking;
+use tokio::time::{timeout, Instant};
 use tracing::{info, warn};
 
+/// How long a configuration that cannot be read or is invalid is tried again.
+const RETRY_PERIOD: Duration = Duration::from_secs(5);
+/// Pause between two tries.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Reads the configuration that the options name.
 pub type ConfigReader = fn(&ServeOptions) -> Result<Config, StartupFileError>;
 
@@ -47,15 +54,34 @@
     /// Only the feed's address changes in a running process: no session, request or engine connection is touched.
     pub async fn run(mut self, feed_address: watch::Sender<Option<String>>) {
         while self.hangup.recv().await.is_some() {
+            self.reload(&feed_address).await;
+        }
+    }
+
+    /// Reads the file until it can be read and is valid, for [`RETRY_PERIOD`] at most: it may be half written yet, or not to
+    /// be opened for a moment, and there is no second signal.
+    async fn reload(&mut self, feed_address: &watch::Sender<Option<String>>) {
+        let mut deadline = Instant::now() + RETRY_PERIOD;
+        let mut was_logged = false;
+        loop {
             match self.read_feed_address().await {
                 Ok(address) => {
                     info!("configuration read anew: feed at {address}");
                     feed_address.send_if_modified(|current| replace(current, address));
+                    return;
                 }
                 // A bad file must not disturb a process that serves: it goes on as it was.
-                Err(error) => {
+                Err(error) if !was_logged => {
+                    was_logged = true;
                     warn!("configuration not read anew, nothing changes: {}", with_causes(&error));
                 }
+                Err(_) if Instant::now() >= deadline => return,
+                Err(_) => {}
+            }
+            // A further signal is answered by the next look, and begins the period anew.
+            if timeout(RETRY_INTERVAL, self.hangup.recv()).await.is_ok() {
+                deadline = Instant::now() + RETRY_PERIOD;
+                was_logged = false;
             }
         }
     }
