An engine's start is read by the wall clock of the time at which it was stamped

Cause: up_since_ms was converted by the offset of the wall clock at the moment it was read (clock::from_unix), so that a step between the stamp and the list made a cold engine an hour old, or put its start an hour ahead; the latter held it in slow start for that hour. Change: WallClock remembers the last eight offsets, looked at every tick, and takes the latest instant that has passed; a step is logged. Ruled out: the conversion of the same start listed again, which is kept. Left: a process that starts between the stamp and the step's end knows no earlier offset, and takes what it is told.

--- a/src/core/clock.rs
+++ b/src/core/clock.rs
@@ -20,16 +20,6 @@
     Timestamp::from_micros(i64::try_from(since_epoch.as_micros()).unwrap_or(i64::MAX))
 }
 
-/// Converts a Unix time from another process to the clock of [`now`].
-pub fn from_unix(unix_time: Timestamp) -> Timestamp {
-    convert_from_unix(unix_time, unix(), now())
-}
-
-/// Converts a Unix time to a clock that shows `now` when Unix time is `unix_now`.
-fn convert_from_unix(unix_time: Timestamp, unix_now: Timestamp, now: Timestamp) -> Timestamp {
-    now + (unix_time - unix_now)
-}
-
 /// A span as a duration to sleep; zero if it is negative.
 pub fn to_duration(span: TimeDelta) -> Duration {
     Duration::from_micros(span.as_micros().max(0) as u64)
--- a/src/core/coordinator.rs
+++ b/src/core/coordinator.rs
@@ -347,6 +347,7 @@
 
     /// Does what is due by now: log lines, timers of the policy, cancellations and deadlines.
     pub(super) fn process_due(&mut self, runtime: &dyn ConnectionRuntime) {
+        self.policy.observe_wall_clock();
         if now() >= self.next_counters_log {
             self.next_counters_log = now() + COUNTERS_LOG_INTERVAL;
             self.log_counters(runtime.pool());
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -31,11 +31,12 @@
 pub mod system_error;
 #[cfg(test)]
 mod test_support;
+mod wall_clock;
 pub mod zone_routing;
 
 pub use api::{Core, CoreConfig, RequestHandle};
 pub use attempt::AttemptOutcome;
-pub use clock::{from_unix, now, to_duration, unix};
+pub use clock::{now, to_duration, unix};
 pub use engine_table::EngineCounts;
 pub use gossip_facts::GossipWindows;
 pub use request::{RejectReason, Request, RequestSpec, Response, MAX_STATEMENT_BYTES};
--- a/src/core/policy_driver.rs
+++ b/src/core/policy_driver.rs
@@ -2,8 +2,9 @@
 //! engines, and turns the policy's actions into commands. The rest of the core never sees the policy's own types.
 
 use super::attempt::AttemptOutcome;
-use super::clock::from_unix;
+use super::clock::{now, unix};
 use super::request::RequestSpec;
+use super::wall_clock::WallClock;
 use crate::proto::engine_answer::{LoadStats, QueryCost, UpdateTopic};
 use crate::proto::events::{EndpointPhase, ListEvent};
 use sprucelink_capture::recorder::{Recorder, RecorderCounters};
@@ -144,6 +145,7 @@
     number_changes: Vec<NumberChange>,
     /// Starts of engines by number, of those that are listed with one.
     starts: BTreeMap<u32, EngineStart>,
+    wall_clock: WallClock,
 }
 
 /// The number of a name; 0 where it is not known.
@@ -172,6 +174,7 @@
             recorder: None,
             number_changes: Vec::new(),
             starts: BTreeMap::new(),
+            wall_clock: WallClock::default(),
         }
     }
 
@@ -224,11 +227,19 @@
             return None;
         }
         let known = self.starts.get(&number).filter(|start| start.listed_ms == listed_ms);
-        let at = known.map_or_else(|| from_unix(Timestamp::from_millis(listed_ms)), |start| start.at);
+        let at = match known {
+            Some(start) => start.at,
+            None => self.wall_clock.to_process_time(Timestamp::from_millis(listed_ms), unix(), now()),
+        };
         self.starts.insert(number, EngineStart { listed_ms, at });
         Some(at)
     }
 
+    /// Notes where the wall clock stands; to be called often, for its steps.
+    pub fn observe_wall_clock(&mut self) {
+        self.wall_clock.observe(unix(), now());
+    }
+
     /// The policy's view of every engine, by number.
     pub fn engine_views(&self) -> Vec<EngineView> {
         self.policy.engines()
