Two failing tests: a hot restart with a clock step between its two processes

Seen: neither the phase Serving as 1 of 2 nor ServingBesideSuccessor ever comes; each of the two, by the step's sign, takes the other for dead.

--- a/tests/clock_steps.rs
+++ b/tests/clock_steps.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use sprucelink_fault_soak::clock::{monotonic_ms, wall_ms, ClockStep};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -71,3 +71,38 @@
     let sends = sends_to_an_engine_started_before_a_step(-HOUR_MS, &settings, Duration::from_millis(2_500));
     assert!(sends >= 30, "{sends} of 100 went to an engine that is warm");
 }
+
+/// Two processes of a hot restart that the step lies between: each knows that the other lives.
+fn both_know_each_other(ahead_ms: i64) {
+    let engine = Engine::echo();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let folder = scratch();
+    let step = ClockStep { at_ms: monotonic_ms() + 1_500, ahead_ms };
+    let vars = stepping(&[step]);
+    let mut all: Vec<(&str, &str)> = vars.iter().map(|(name, value)| (*name, value.as_str())).collect();
+    all.extend([("EDGE_OPERATOR", "127.0.0.1:0"), ("EDGE_FD", "5")]);
+    all.push(("TMPDIR", folder.to_str().expect("a name in UTF-8")));
+    let start = || {
+        let engines = [("s-1", engine.address)];
+        Program::launch_in(&all, Some(&listener), &engines, None, None, (192, 1024), SETTINGS, &[])
+    };
+    let old = start();
+    old.wait_line("phase Serving");
+    let pause = u64::try_from(step.at_ms + 300 - monotonic_ms()).expect("the step is to come");
+    std::thread::sleep(Duration::from_millis(pause));
+    let new = start();
+    new.wait_line("phase Serving, 1 of 2 budget parts");
+    old.wait_line("phase ServingBesideSuccessor, 1 of 2 budget parts");
+    let unacknowledged = new.lines().into_iter().find(|line| line.contains("did not share"));
+    assert_eq!(unacknowledged, None);
+}
+
+#[test]
+fn processes_of_a_hot_restart_know_each_other_over_a_step_forward() {
+    both_know_each_other(HOUR_MS);
+}
+
+#[test]
+fn processes_of_a_hot_restart_know_each_other_over_a_step_back() {
+    both_know_each_other(-HOUR_MS);
+}
