State files of a hot restart are read by real time over steps of the wall clock

Cause: each process counts its own clock from the wall clock of its start (core::now) and wrote those instants into its file; after a step of an hour between the starts one of the two took the other's file for an hour old: dead after 1.5 s, removed after 10 s, budgets undivided, leases of cordons an hour off. Change: the file tells the writer's offset from the machine's monotonic clock and the machine's boot id (new tags 15 and 16, which older builds skip); a reader of the same boot shifts all instants by the difference, which is constant, so that merged records stay equal on both sides.

--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -43,7 +43,8 @@
 pub use phase::{PhaseMachine, PhaseStatus, ACCEPT_GRACE, ACK_TIMEOUT, IDLE_GRACE, MIN_IDLE_TIME};
 pub use sprucelink_time::{TimeDelta, Timestamp};
 pub use state::{
-    Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot, WarmupBucket, WarmupLoad,
+    ClockReference, Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot, WarmupBucket,
+    WarmupLoad,
 };
 pub use state::{BUCKET_SPAN, MAX_BUCKETS, MAX_NAME_BYTES, MAX_SHARING_PEERS, MAX_WARMING_ENGINES};
 pub use state_file_driver::{FolderScan, StateFileDriver, WriteReport, SCAN_INTERVAL, WRITE_INTERVAL};
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -5,10 +5,10 @@
 
 use crate::error::InvalidState;
 use crate::state::{
-    Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot, WarmupBucket, WarmupLoad,
-    MAX_BUCKETS, MAX_NAME_BYTES, MAX_SHARING_PEERS, MAX_WARMING_ENGINES,
+    ClockReference, Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot, WarmupBucket,
+    WarmupLoad, MAX_BUCKETS, MAX_NAME_BYTES, MAX_SHARING_PEERS, MAX_WARMING_ENGINES,
 };
-use crate::Timestamp;
+use crate::{TimeDelta, Timestamp};
 use sprucelink_cordon::{Cause, CordonEntry, CordonRecord, Target};
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -41,6 +41,11 @@
     warmup: Vec<WarmupMessage>,
     #[prost(uint64, tag = "14")]
     last_event: u64,
+    /// The writer's clock less the machine's monotonic clock, in microseconds.
+    #[prost(int64, optional, tag = "15")]
+    clock_offset: Option<i64>,
+    #[prost(string, tag = "16")]
+    boot_id: String,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -225,6 +230,8 @@
             retry_budget: snapshot.retry_budget.iter().map(RetryBudgetMessage::from).collect(),
             warmup: snapshot.warmup.iter().map(WarmupMessage::from).collect(),
             last_event: snapshot.last_event,
+            clock_offset: file.clock.as_ref().map(|clock| clock.offset.as_micros()),
+            boot_id: file.clock.as_ref().map_or_else(String::new, |clock| clock.boot_id.clone()),
         }
     }
 }
@@ -237,6 +244,7 @@
         check_bytes("name", &message.name)?;
         check_bytes("listen", &message.listen)?;
         check_bytes("build", &message.build)?;
+        check_bytes("boot_id", &message.boot_id)?;
         check_count("ration", message.retry_budget.len(), MAX_BUCKETS, "buckets")?;
         check_count("room_for", message.shares_with.len(), MAX_SHARING_PEERS, "processes")?;
         check_count("cold", message.warmup.len(), MAX_WARMING_ENGINES, "engines")?;
@@ -254,7 +262,10 @@
             warmup,
             last_event: message.last_event,
         };
+        let boot_id = message.boot_id;
+        let offset = message.clock_offset.map(TimeDelta::from_micros);
         Ok(StateFile {
+            clock: offset.map(|offset| ClockReference { boot_id, offset }),
             instance: Instance { name: message.name, listen: message.listen },
             process: process.into(),
             build: message.build,
--- a/crates/hot-restart/src/state.rs
+++ b/crates/hot-restart/src/state.rs
@@ -118,6 +118,16 @@
     pub last_event: u64,
 }
 
+/// How a process's clock relates to the machine's: by it a file's times are read by real time, whatever steps the wall
+/// clock made between the starts of two processes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClockReference {
+    /// Tells one start of the machine from the next, as `/proc/sys/kernel/random/boot_id` does.
+    pub boot_id: String,
+    /// The process's clock less the machine's monotonic clock, the same for the life of the process.
+    pub offset: TimeDelta,
+}
+
 /// The contents of a process's state file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StateFile {
@@ -127,6 +137,8 @@
     pub process: Process,
     /// The program's version, for log lines.
     pub build: String,
+    /// The clock of its times; `None` of builds that do not tell it.
+    pub clock: Option<ClockReference>,
     /// When it was written.
     pub written_at: Timestamp,
     /// The number of this write, counted by the process.
@@ -140,3 +152,28 @@
     /// What the rest of the program hands over.
     pub snapshot: StateSnapshot,
 }
+
+impl StateFile {
+    /// Turns its times into those of another process's clock. Without both references, or from before the machine's last
+    /// start, they stay as they are: the wall clock is all that the two have in common then.
+    pub fn convert_to_clock(&mut self, reader: Option<&ClockReference>) {
+        let (Some(writer), Some(reader)) = (&self.clock, reader) else { return };
+        if writer.boot_id != reader.boot_id {
+            return;
+        }
+        let shift = reader.offset - writer.offset;
+        self.written_at = self.written_at + shift;
+        self.phase_since = self.phase_since + shift;
+        for record in &mut self.snapshot.cordons {
+            record.entry.changed_at = record.entry.changed_at + shift;
+            record.entry.lease_expires_at = record.entry.lease_expires_at.map(|at| at + shift);
+        }
+        for bucket in &mut self.snapshot.retry_budget {
+            bucket.start = bucket.start + shift;
+        }
+        for bucket in self.snapshot.warmup.iter_mut().flat_map(|load| &mut load.buckets) {
+            bucket.start = bucket.start + shift;
+        }
+        self.clock = Some(reader.clone());
+    }
+}
--- a/crates/hot-restart/src/state_file_driver.rs
+++ b/crates/hot-restart/src/state_file_driver.rs
@@ -6,7 +6,7 @@
 use crate::folder::StateFolder;
 use crate::peer_state::{PeerState, PeerTable, MAX_PEER_FILES};
 use crate::phase::{PhaseMachine, PhaseStatus};
-use crate::state::{Instance, Phase, Process, StateFile, StateSnapshot};
+use crate::state::{ClockReference, Instance, Phase, Process, StateFile, StateSnapshot};
 use crate::{TimeDelta, Timestamp};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,6 +69,7 @@
     instance: Instance,
     process: Process,
     build: String,
+    clock: Option<ClockReference>,
     file_name: String,
     peers: PeerTable,
     phase_machine: PhaseMachine,
@@ -81,13 +82,27 @@
 }
 
 impl<F: StateFolder> StateFileDriver<F> {
-    /// A process that starts now, with a first scan of the folder: what it found is to be merged.
+    /// A process that starts now, with a first scan of the folder: what it found is to be merged. Times of others are taken
+    /// as they are; see [`StateFileDriver::open_with_clock`].
     pub fn open(
         folder: F,
         instance: Instance,
         build: &str,
         pid: u32,
         now: Timestamp,
+    ) -> (StateFileDriver<F>, FolderScan) {
+        StateFileDriver::open_with_clock(folder, instance, build, pid, now, None)
+    }
+
+    /// The same with the clock of this process: what others tell is read by real time, also where the wall clock has stepped
+    /// between their start and this one.
+    pub fn open_with_clock(
+        folder: F,
+        instance: Instance,
+        build: &str,
+        pid: u32,
+        now: Timestamp,
+        clock: Option<ClockReference>,
     ) -> (StateFileDriver<F>, FolderScan) {
         let process = Process { generation: 1, started_at: now, pid };
         let mut phase_machine = PhaseMachine::new(process, now);
@@ -95,6 +110,7 @@
             folder,
             process,
             build: build.to_owned(),
+            clock,
             file_name: StateFileName::new(&instance, &process).to_string(),
             instance,
             peers: PeerTable::default(),
@@ -211,11 +227,12 @@
     }
 
     fn decode_file(&self, bytes: &[u8], parts: StateFileName) -> Result<StateFile, StateFileError> {
-        let file = decode(bytes, &self.instance)?;
+        let mut file = decode(bytes, &self.instance)?;
         if file.process.pid != parts.pid || file.process.started_at != parts.started_at {
             // A copy under another name would stay alive beside its original.
             return Err(StateFileError::Invalid(InvalidState::OtherProcess));
         }
+        file.convert_to_clock(self.clock.as_ref());
         Ok(file)
     }
 
@@ -249,6 +266,7 @@
             instance: self.instance.clone(),
             process: self.process,
             build: self.build.clone(),
+            clock: self.clock.clone(),
             written_at: now,
             sequence: self.sequence,
             phase: status.phase,
--- a/crates/hot-restart/tests/codec.rs
+++ b/crates/hot-restart/tests/codec.rs
@@ -24,6 +24,7 @@
             pid: 77,
         },
         build: "sprucelink 0.1.0".into(),
+        clock: None,
         written_at: Timestamp::from_micros(1_700_000_009_000_000),
         sequence: 36,
         phase: Phase::ServingBesideSuccessor,
@@ -293,3 +294,41 @@
     let rejected = encode(&state_file(StateSnapshot { warmup: vec![long], ..StateSnapshot::default() }));
     assert!(matches!(rejected, Err(StateFileError::TooLarge { bytes }) if bytes > MAX_FILE_BYTES));
 }
+
+/// Two processes whose clocks began before and behind a step of the wall clock: times are read by real time, except from
+/// before the machine's last start, and from builds that tell no clock.
+#[test]
+fn times_are_read_by_the_clock_of_the_reader() {
+    let clock = |boot: &str, offset: i64| ClockReference {
+        boot_id: boot.into(),
+        offset: TimeDelta::from_micros(offset * 1_000_000),
+    };
+    let lease = CordonEntry {
+        version: 1,
+        cordoned: true,
+        lease_expires_at: Some(Timestamp::from_micros(1_700_000_060_000_000)),
+        changed_at: Timestamp::from_micros(1_700_000_000_000_000),
+        reason: String::new(),
+    };
+    let cordon =
+        CordonRecord { target: Target::Manager, cause: Cause::Fleet { permit: 1 }, entry: lease.clone() };
+    let snapshot = StateSnapshot { cordons: vec![cordon], ..StateSnapshot::default() };
+    let file = StateFile { clock: Some(clock("a", 1_000)), ..state_file(snapshot) };
+    let hour = TimeDelta::from_micros(3_600_000_000);
+    let mut read = decode(&encode(&file).expect("fits").bytes, &instance()).expect("read");
+    assert_eq!(read, file);
+    read.convert_to_clock(Some(&clock("a", 4_600)));
+    assert_eq!((read.written_at - file.written_at, read.phase_since - file.phase_since), (hour, hour));
+    let entry = &read.snapshot.cordons[0].entry;
+    assert_eq!(entry.lease_expires_at, lease.lease_expires_at.map(|at| at + hour));
+    assert_eq!(read.process, file.process, "it names the process, by whatever clock");
+    for (writer, reader) in [
+        (Some(clock("a", 1_000)), Some(clock("b", 4_600))),
+        (None, Some(clock("a", 4_600))),
+        (Some(clock("a", 1_000)), None),
+    ] {
+        let mut read = StateFile { clock: writer, ..file.clone() };
+        read.convert_to_clock(reader.as_ref());
+        assert_eq!(read.written_at, file.written_at);
+    }
+}
--- a/src/core/clock.rs
+++ b/src/core/clock.rs
@@ -1,5 +1,6 @@
 //! The clock of the process: Unix time when the process started, advanced by the monotonic clock.
 
+use nix::time::{clock_gettime, ClockId};
 use sprucelink_policy::{TimeDelta, Timestamp};
 use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -14,6 +15,16 @@
     *started_at + TimeDelta::from_micros(elapsed)
 }
 
+/// [`now`] less the machine's monotonic clock, which all processes of the machine share: the same for the life of the
+/// process.
+pub fn machine_clock_offset() -> TimeDelta {
+    static OFFSET: OnceLock<TimeDelta> = OnceLock::new();
+    *OFFSET.get_or_init(|| {
+        let monotonic = clock_gettime(ClockId::CLOCK_MONOTONIC).map_or(Duration::ZERO, Duration::from);
+        now() - Timestamp::from_micros(i64::try_from(monotonic.as_micros()).unwrap_or(i64::MAX))
+    })
+}
+
 /// The system's Unix clock, which may step; 0 before 1970.
 pub fn unix() -> Timestamp {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,7 +36,7 @@
 
 pub use api::{Core, CoreConfig, RequestHandle};
 pub use attempt::AttemptOutcome;
-pub use clock::{now, to_duration, unix};
+pub use clock::{machine_clock_offset, now, to_duration, unix};
 pub use engine_table::EngineCounts;
 pub use gossip_facts::GossipWindows;
 pub use request::{RejectReason, Request, RequestSpec, Response, MAX_STATEMENT_BYTES};
--- a/src/run/hot_restart_driver.rs
+++ b/src/run/hot_restart_driver.rs
@@ -4,11 +4,11 @@
 //! `sprucelink_hot_restart` decides which process accepts connections and what each may spend, and keeps the files by
 //! which they know of each other; here its decisions are carried out.
 
-use crate::core::{now, Core};
+use crate::core::{machine_clock_offset, now, Core};
 use crate::front::Front;
 use sprucelink_hot_restart::{
-    usable_state, DiskFolder, FileAge, FolderScan, Instance, Phase, PhaseStatus, StateFile, StateFileDriver,
-    StateSnapshot, WindowCounters, WindowSpans, WriteError, SCAN_INTERVAL,
+    usable_state, ClockReference, DiskFolder, FileAge, FolderScan, Instance, Phase, PhaseStatus, StateFile,
+    StateFileDriver, StateSnapshot, WindowCounters, WindowSpans, WriteError, SCAN_INTERVAL,
 };
 use sprucelink_policy::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -23,6 +23,9 @@
 /// Most hashes of engine ids that are handed on; a file has room for more, and cordons go before them.
 const MAX_ENGINE_IDS: usize = 16_384;
 
+/// Tells one start of the machine from the next.
+const BOOT_ID_FILE: &str = "/proc/sys/kernel/random/boot_id";
+
 /// Among how many processes the manager's budgets are divided, as last set in the core.
 #[derive(Clone, Copy)]
 struct BudgetParts {
@@ -48,6 +51,12 @@
     Cordon,
 }
 
+/// The clock of this process; `None` where the machine does not tell its start.
+fn clock_reference() -> Option<ClockReference> {
+    let boot_id = std::fs::read_to_string(BOOT_ID_FILE).ok()?.trim().to_owned();
+    Some(ClockReference { boot_id, offset: machine_clock_offset() })
+}
+
 /// One process's side of a hot restart.
 pub struct HotRestartDriver {
     core: Rc<Core>,
@@ -72,7 +81,9 @@
         let instance = Instance { name: name.to_owned(), listen: listen.to_owned() };
         let pid = std::process::id();
         let build = env!("CARGO_PKG_VERSION");
-        let (state_files, scan) = StateFileDriver::open(DiskFolder::tmpdir(), instance, build, pid, now());
+        let folder = DiskFolder::tmpdir();
+        let (state_files, scan) =
+            StateFileDriver::open_with_clock(folder, instance, build, pid, now(), clock_reference());
         let generation = state_files.process().generation;
         let found = scan.files.len();
         info!(
