--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -291,3 +291,33 @@
     let told = |a: &Action| matches!(a, Action::Fail { retry_after: Some(t), .. } if t.as_secs_f64() <= 2.0);
     assert!(out.iter().any(told), "no word of when to come back: {out:?}");
 }
+
+/// Lists come late and contradict one another: an engine that is told gone and then ready again within the window is the
+/// same process, and has all that it was sent before.
+#[test]
+fn a_cold_engine_that_is_listed_again_keeps_what_it_was_sent() {
+    let sends = |flaps: bool| {
+        let mut b = Bench::new(settings(vec![class(Effect::Safe)]), 0);
+        let cold = EngineEntry { since: Some(b.now), ..entry(0) };
+        let mut out = b.list(ListKind::Changes, vec![cold.clone()]);
+        let mut sends = 0;
+        for round in 0..60 {
+            out.extend(b.arrive(0, 0.5, None).1);
+            if flaps && round % 20 == 19 {
+                let gone = EngineEntry { state: EngineState::Gone, ..cold.clone() };
+                out.extend(b.list(ListKind::Changes, vec![gone]));
+                out.extend(b.list(ListKind::Changes, vec![cold.clone()]));
+            }
+            // Each is answered at once: no more than the budget holds them back.
+            while let Some((id, _)) = sent(&out).first().copied() {
+                sends += 1;
+                out = b.end(id, 0, Outcome::Delivered);
+            }
+            out.clear();
+        }
+        sends
+    };
+    let steady = sends(false);
+    assert!(steady > 0 && steady < 60, "{steady}: the budget binds");
+    assert_eq!(sends(true), steady);
+}
--- a/tests/certificates.rs
+++ b/tests/certificates.rs
@@ -116,3 +116,18 @@
     authority.refuse(false);
     until(|| (authority.signed() >= 2).then_some(()));
 }
+
+/// The folder cannot be written for a while. The certificate serves meanwhile, and is on disk once the folder can be written:
+/// the next start must not order again.
+#[test]
+fn certificate_that_could_not_be_saved_is_saved_later() {
+    let challenges = free_port();
+    let authority = Authority::start(Duration::from_secs(600), challenges);
+    let store = scratch().join("absent");
+    let program = program(&authority, challenges, Some(&store));
+    program.wait_line("certificate not saved");
+    assert_eq!(ask(&mut secure(&program, &authority)), "IZ");
+    std::fs::create_dir(&store).expect("made");
+    until(|| store.join("certificate.pem").exists().then_some(()));
+    assert_eq!(authority.signed(), 1);
+}
