--- a/src/run/admin.rs
+++ b/src/run/admin.rs
@@ -1,6 +1,7 @@
 //! The admin address: what its calls do in this program. `sprucelink_admin` speaks HTTP and bounds the callers.
 
 use super::hot_restart_driver::HotRestartDriver;
+use super::listen::listen;
 use crate::core::Core;
 use sprucelink_admin::{LimitReached, Limits, OperationError, OperationOutcome, Operations};
 use sprucelink_cordon::{Cause, CordonError, CordonOutcome, CordonRequest};
@@ -9,7 +10,6 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tracing::{info, warn};
 
@@ -76,7 +76,7 @@
     /// An address that cannot be listened on.
     pub async fn listen(self: &Rc<Self>, address: &str, limits: Limits) -> Result<(), AdminListenError> {
         let failed = |source| AdminListenError { address: address.to_owned(), source };
-        let listener = TcpListener::bind(address).await.map_err(failed)?;
+        let listener = listen(address).await.map_err(failed)?;
         let local_address = listener.local_addr().map_err(failed)?;
         spawn_local(sprucelink_admin::serve(listener, Rc::clone(self), limits));
         info!("operators on {local_address}");
--- a/src/run/certificates/error.rs
+++ b/src/run/certificates/error.rs
@@ -58,9 +58,6 @@
     /// The account has no JSON form.
     #[error(transparent)]
     AccountFormat(#[from] serde_json::Error),
-    /// The account could not be written.
-    #[error("account not saved")]
-    AccountNotSaved(#[source] io::Error),
     /// The authority failed or rejected a step.
     #[error(transparent)]
     Authority(#[from] instant_acme::Error),
--- a/src/run/certificates/mod.rs
+++ b/src/run/certificates/mod.rs
@@ -13,13 +13,13 @@
 pub use error::{CertificateError, OrderError};
 
 use super::error::with_causes;
+use super::listen::listen;
 use crate::front::Front;
 use certificate::Certificate;
 use challenge_listener::{ChallengeResponses, MAX_REQUESTS};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tracing::{error, info, warn};
@@ -31,6 +31,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
 /// Shortest pause after a failed order, whatever is configured: an authority that rejects must not be flooded.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before a certificate that could not be saved is written again.
+const SAVE_RETRY_PAUSE: Duration = Duration::from_secs(2);
 /// Longest sleep between two looks at the clock: machines are suspended, and clocks are set.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -75,7 +77,7 @@
 /// A challenge address that cannot be listened on.
 pub async fn maintain(config: CertificateConfig, front: Rc<Front>) -> Result<(), CertificateError> {
     let address = &config.challenge_listen;
-    let listener = TcpListener::bind(address)
+    let listener = listen(address)
         .await
         .map_err(|source| CertificateError::Listen { address: address.clone(), source })?;
     let responses = ChallengeResponses::default();
@@ -90,18 +92,23 @@
         install(&front, certificate, "certificate loaded");
     }
     let mut pause = config.retry.first;
+    let mut is_saved = true;
     loop {
         let due = current.as_ref().map_or(0, |certificate| certificate.renew_at(config.renew_before));
         let now = unix_seconds();
         if now < due {
-            sleep(Duration::from_secs((due - now) as u64).min(CLOCK_CHECK_INTERVAL)).await;
+            let longest = if is_saved { CLOCK_CHECK_INTERVAL } else { SAVE_RETRY_PAUSE };
+            sleep(Duration::from_secs((due - now) as u64).min(longest)).await;
+            if let Some(certificate) = current.as_ref().filter(|_| !is_saved) {
+                is_saved = save(&config, certificate);
+            }
             continue;
         }
         let ordered = timeout(ORDER_TIMEOUT, order::order(&config, &responses)).await;
         responses.clear();
         match ordered.unwrap_or(Err(OrderError::Timeout)) {
             Ok(certificate) => {
-                save(&config, &certificate);
+                is_saved = save(&config, &certificate);
                 install(&front, &certificate, "certificate renewed");
                 current = Some(certificate);
                 pause = config.retry.first;
@@ -123,11 +130,14 @@
     is_usable.then_some(certificate)
 }
 
-fn save(config: &CertificateConfig, certificate: &Certificate) {
-    let Some(folder) = &config.store else { return };
-    if let Err(error) = store::save(folder, certificate) {
-        warn!("certificate not saved: {error}");
+/// Writes the certificate to disk where there is a folder for it; false if it has to be tried again.
+fn save(config: &CertificateConfig, certificate: &Certificate) -> bool {
+    let Some(folder) = &config.store else { return true };
+    let saved = store::save(folder, certificate);
+    if let Err(error) = &saved {
+        warn!("certificate not saved, tried again: {error}");
     }
+    saved.is_ok()
 }
 
 /// Open sessions keep the certificate that they began with.
--- a/src/run/certificates/order.rs
+++ b/src/run/certificates/order.rs
@@ -8,6 +8,7 @@
     Account, AccountBuilder, AuthorizationStatus, ChallengeType, Identifier, NewAccount, NewOrder, Order,
     OrderStatus, RetryPolicy,
 };
+use tracing::warn;
 
 /// Orders a certificate for the configured names; `responses` is where the authority finds its challenges answered.
 ///
@@ -68,7 +69,10 @@
     let (account, credentials) = created.map_err(OrderError::Account)?;
     if let Some(folder) = &config.store {
         let credentials = serde_json::to_value(&credentials)?;
-        store::save_account(folder, &config.directory, credentials).map_err(OrderError::AccountNotSaved)?;
+        // The certificate is worth more than the account: a folder that cannot be written must not hold it up.
+        if let Err(error) = store::save_account(folder, &config.directory, credentials) {
+            warn!("account not saved, the next order makes another: {error}");
+        }
     }
     Ok(account)
 }
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -12,6 +12,7 @@
 pub mod descriptor_budget;
 pub mod error;
 pub mod hot_restart_driver;
+pub mod listen;
 pub mod logging;
 pub mod membership_driver;
 pub mod second_front;
--- a/src/run/serve/fronts.rs
+++ b/src/run/serve/fronts.rs
@@ -1,21 +1,13 @@
 //! Opens the fronts: the sockets that clients connect to.
 
 use super::ServeError;
-use crate::core::system_error::is_out_of_resources;
 use crate::core::Core;
 use crate::front::{Front, FrontConfig};
-use std::io;
+use crate::run::listen::listen;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::{sleep, Instant};
-use tracing::{info, warn};
-
-/// How long a start waits for its address: the platform gives it 10 s in all.
-const BIND_PERIOD: Duration = Duration::from_secs(3);
-/// Pause between two tries to listen.
-const BIND_RETRY_DELAY: Duration = Duration::from_millis(100);
+use tracing::info;
 
 /// The platform's front, as log lines name it.
 pub const PLATFORM: &str = "serving";
@@ -62,27 +54,10 @@
     }
 }
 
-/// Listens on an address. What passes in a moment is waited for: a want of descriptors, or a predecessor on the address that
-/// has not ended yet.
+/// Listens on an address.
 ///
 /// # Errors
-/// An address that cannot be bound within [`BIND_PERIOD`].
+/// An address that cannot be bound.
 pub async fn bind(address: &str) -> Result<TcpListener, ServeError> {
-    let deadline = Instant::now() + BIND_PERIOD;
-    loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => return Ok(listener),
-            Err(error) if may_pass(&error) && Instant::now() < deadline => {
-                warn!(%error, "cannot listen on {address} yet: {error}");
-                sleep(BIND_RETRY_DELAY).await;
-            }
-            Err(source) => return Err(ServeError::Listen { address: address.to_owned(), source }),
-        }
-    }
-}
-
-/// Whether a listener may be made a moment later.
-fn may_pass(error: &io::Error) -> bool {
-    is_out_of_resources(error)
-        || matches!(error.kind(), io::ErrorKind::AddrInUse | io::ErrorKind::Interrupted)
+    listen(address).await.map_err(|source| ServeError::Listen { address: address.to_owned(), source })
 }
