--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -63,8 +63,8 @@
         self.engines.resize_with(self.engines.len().max(i + 1), Engine::default);
         let engine = &mut self.engines[i];
         if std::mem::replace(&mut engine.withdrawn, entry.state == EngineState::Gone) {
-            // Another engine may come under its number: only what is in flight is still true. It may as well be
-            // the same, after a list that came late: what it was sent in the slow-start window still counts.
+            // Another engine may come under its number: only what is in flight is still true. It may be the
+            // same one, after a list that came late: what it was sent in the slow-start window still counts.
             let Engine { threads, in_flight, withdrawn, .. } = *engine;
             let recent_charges = std::mem::take(&mut engine.recent_charges);
             *engine = Engine { threads, in_flight, withdrawn, recent_charges, ..Engine::default() };
