Two failing tests: a request across an idle session's end, a stuck log reader

Seen: the process reads on for half a second behind the end and answers nothing of it; request 472 has no answer once the pipe of the log is full. The test of the full disk shares its start with the second; it asserts the same.

--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use std::process::{Command, Stdio};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use support::*;
 
@@ -55,46 +56,71 @@
     (0..3).for_each(|_| assert_eq!(kinds(&client.until_ready()), "TDCZ"));
 }
 
-/// The disk of the log is full, or its reader has gone: that must not end a process that serves.
-#[test]
-fn log_that_cannot_be_written_does_not_end_the_process() {
+/// A program whose output goes elsewhere than to the test: its process and where it listens.
+fn with_output(stdout: Stdio, stderr: Stdio, more: &[&str]) -> (Child, SocketAddr) {
     let engine = Engine::echo();
     let dir = scratch();
-    let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let port = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
     let known = list(1, true, &[("s-1", engine.address, "ready")]);
     let config = format!(
         r#"{{"name":"n0","listen":"{port}","seed":"00000000000000aa","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
          "known":{{"n":1,"events":[{known}]}},"settings":{SETTINGS}}}"#
     );
     std::fs::write(dir.join("config.json"), config).expect("written");
-    let full = || Stdio::from(std::fs::OpenOptions::new().write(true).open("/dev/full").expect("/dev/full"));
     let mut command = Command::new(program());
-    command.arg("serve").arg("--config").arg(dir.join("config.json")).stdout(full()).stderr(full());
+    command
+        .arg("serve")
+        .arg("--config")
+        .arg(dir.join("config.json"))
+        .args(more)
+        .stdout(stdout)
+        .stderr(stderr);
     let mut child = command.spawn().expect("started");
-    let end = Instant::now() + PATIENCE;
-    let connected = loop {
+    until(|| {
         let ended = child.try_wait().expect("waited");
-        let stream = std::net::TcpStream::connect(port);
-        if ended.is_some() || stream.is_ok() || Instant::now() > end {
-            break ended.is_none() && stream.is_ok();
-        }
-        std::thread::sleep(Duration::from_millis(20));
-    };
-    if connected {
+        assert!(ended.is_none(), "it ended: {ended:?}");
+        TcpStream::connect(port).ok()
+    });
+    (child, port)
+}
+
+/// Ends a process by its id.
+fn end(mut child: Child) {
+    child.kill().expect("killed");
+    child.wait().expect("waited");
+}
+
+/// The disk of the log is full, or its reader has gone: that must not end a process that serves.
+#[test]
+fn log_that_cannot_be_written_does_not_end_the_process() {
+    let full = || Stdio::from(std::fs::OpenOptions::new().write(true).open("/dev/full").expect("/dev/full"));
+    let (mut child, port) = with_output(full(), full(), &[]);
+    let mut client = Raw::connect(port);
+    let sql = "/* kind=lane-rate,req=00000000000000e1,timeout=6000,owner=sud */ SELECT 1 FROM a_1.b";
+    assert_eq!(kinds(&client.ask(sql)), "TDCZ");
+    assert!(child.try_wait().expect("waited").is_none(), "it ended");
+    end(child);
+}
+
+/// The reader of the log is stuck, and the pipe to it full: requests are answered all the same.
+#[test]
+fn log_whose_reader_is_stuck_holds_up_no_request() {
+    // The test holds the reading end, and reads nothing.
+    let (child, port) = with_output(Stdio::piped(), Stdio::null(), &["--log-level", "debug"]);
+    for id in 1..=1_000 {
         let mut client = Raw::connect(port);
-        let answer = client
-            .ask("/* kind=lane-rate,req=00000000000000e1,timeout=6000,owner=sud */ SELECT 1 FROM a_1.b");
-        assert_eq!(kinds(&answer), "TDCZ");
+        client.stream.set_read_timeout(Some(Duration::from_secs(5))).expect("set");
+        client.send(&query(&format!(
+            "/* kind=lane-rate,req={id:016x},timeout=4000,owner=sud,ms=1.0 */ SELECT 1 FROM a_1.b"
+        )));
+        let first = client.message();
+        assert!(first.is_some(), "request {id} has no answer");
     }
-    let ended = child.try_wait().expect("waited");
-    let _ = child.kill();
-    let _ = child.wait();
-    std::fs::remove_dir_all(dir).expect("removed");
-    assert!(connected && ended.is_none(), "it ended: {ended:?}");
+    end(child);
 }
 
 /// The program with the library that fails system calls, told to fail these.
-fn with_failing_calls(engines: &[(&str, std::net::SocketAddr)], faults: &str) -> Program {
+fn with_failing_calls(engines: &[(&str, SocketAddr)], faults: &str) -> Program {
     let library = sprucelink_fault_soak::shim::build(&scratch()).expect("compiled");
     let library = library.to_str().expect("a name in UTF-8");
     let vars = [("LD_PRELOAD", library), ("SYSCALL_FAULTS", faults)];
@@ -210,3 +236,22 @@
     program.wait_line("configuration not read");
     until(|| (new.listening() > 0).then_some(()));
 }
+
+/// An idle session ends with the process, and its client's next request crosses the end. It must not be read: what is read is
+/// owed an answer, and what was not is sent again elsewhere.
+#[test]
+fn request_that_crosses_the_end_of_an_idle_session_is_not_read() {
+    let engine = Engine::echo();
+    let program = Program::start(&[("s-1", engine.address)], None, None);
+    let ask =
+        |id: u64| format!("/* kind=lane-rate,req={id:016x},timeout=6000,owner=sud */ SELECT {id} FROM a_1.b");
+    let mut client = Raw::connect(program.platform);
+    assert_eq!(kinds(&client.ask(&ask(1))), "TDCZ");
+    program.terminate();
+    assert_eq!(client.message(), None, "the end");
+    // The first write may still find the connection open; its reset comes right behind.
+    let crossed = std::io::Write::write_all(&mut client.stream, &query(&ask(2)));
+    std::thread::sleep(Duration::from_millis(50));
+    let behind = std::io::Write::write_all(&mut client.stream, &query(&ask(3)));
+    assert!(crossed.is_err() || behind.is_err(), "the process goes on reading");
+}
