What crosses the end of an idle session is left unread; a thread writes the log

Causes: a session that ended without a final message lingered like one with it, reading and discarding what came (front connection, close_connection); a log line was written on the serving thread, which waits where the pipe is full. Change: a session idle for 200 ms or more is closed without reading, so that a crossing request is reset unread and sent again; one that has just answered lingers as before, for its answer may not be delivered. tracing-appender writes lines, 4,096 wait at most, further ones are dropped, and the last are written at the end within a second.

--- a/src/front/client_connection/output.rs
+++ b/src/front/client_connection/output.rs
@@ -67,6 +67,15 @@
         self.flush().await
     }
 
+    /// Closes the connection without reading what the client still sends; there is no final message that a reset could
+    /// destroy.
+    ///
+    /// # Errors
+    /// Those of the stream, which has ended then.
+    pub async fn close_unread(mut self) -> io::Result<()> {
+        self.stream.shutdown().await
+    }
+
     /// Closes the connection so that its final message arrives: closes the writing half, and discards what the client
     /// still sends, within bounds.
     pub async fn close(mut self, linger: LingerTimeouts) {
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -32,6 +32,8 @@
 /// 50 ms.
 const SHORT_LINGER: LingerTimeouts =
     LingerTimeouts { total: Duration::from_millis(200), idle: Duration::from_millis(50) };
+/// An answer that was written this long ago has been delivered: nothing is lost where its connection is reset.
+const ANSWER_DELIVERY_TIME: TimeDelta = TimeDelta::from_millis(200);
 /// A final message that cannot be written in this time is dropped.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -138,6 +140,11 @@
         error: Option<ErrorResponse>,
         guard: ConnectionGuard,
     ) {
+        if error.is_none() && guard.idle_time().is_some_and(|idle| idle >= ANSWER_DELIVERY_TIME) {
+            // What crosses this end must not be read, and its client sends it again elsewhere.
+            drop(timeout(FINAL_WRITE_TIMEOUT, connection.close_unread()).await);
+            return;
+        }
         if let Some(error) = error {
             pg::error(connection.output(), &error.fatal());
         }
--- a/src/front/connection_slots.rs
+++ b/src/front/connection_slots.rs
@@ -230,6 +230,12 @@
         self.state.has_requested.set(true);
     }
 
+    /// How long the session has had no open request; `None` where it has one, or has received a part of a message.
+    pub fn idle_time(&self) -> Option<TimeDelta> {
+        let is_idle = self.state.activity.get() == SlotActivity::Idle;
+        is_idle.then(|| now() - self.state.since.get())
+    }
+
     /// Whether the connection has been evicted. Requests that arrived before are still answered.
     pub fn is_evicted(&self) -> bool {
         self.state.is_evicted.get()
--- a/src/front/sessionless.rs
+++ b/src/front/sessionless.rs
@@ -5,6 +5,7 @@
 //! equals the oldest.
 
 use super::connection_slots::ConnectionSlot;
+use sprucelink_time::TimeDelta;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -120,6 +121,14 @@
         }
     }
 
+    /// How long the connection's session has had no open request; `None` where it has one, or there is no session.
+    pub fn idle_time(&self) -> Option<TimeDelta> {
+        match self {
+            ConnectionGuard::Slot(slot) => slot.idle_time(),
+            ConnectionGuard::Sessionless(_) => None,
+        }
+    }
+
     /// Whether the connection has no slot.
     pub fn is_sessionless(&self) -> bool {
         matches!(self, ConnectionGuard::Sessionless(_))
--- a/src/run/commands/mod.rs
+++ b/src/run/commands/mod.rs
@@ -68,7 +68,7 @@
 
 fn serve_clients(options: ServeOptions) -> Result<(), CommandError> {
     let config = startup_files::read(&options)?;
-    logging::start(options.logging);
+    let _flush = logging::start(options.logging);
     serve::serve(config, options, startup_files::read_config)?;
     Ok(())
 }
--- a/src/run/logging.rs
+++ b/src/run/logging.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Level, Subscriber};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::fmt::format::Writer;
 use tracing_subscriber::fmt::time::FormatTime;
 use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
@@ -112,13 +113,22 @@
     }
 }
 
-/// Starts logging for the life of the process. A second call changes nothing.
-pub fn start(logging: Logging) {
+/// Lines that wait to be written; further ones are dropped. A reader that is stuck must not hold up what is served.
+const MAX_WAITING_LINES: usize = 4_096;
+
+/// Writes the lines that wait, for a second at most, when it is dropped: at the end of the process.
+#[must_use]
+pub struct LogFlush(#[expect(dead_code, reason = "it is there to be dropped")] WorkerGuard);
+
+/// Starts logging for the life of the process. Lines are written by a thread of their own. A second call changes nothing.
+pub fn start(logging: Logging) -> LogFlush {
+    let builder = NonBlockingBuilder::default().buffered_lines_limit(MAX_WAITING_LINES).lossy(true);
+    let (writer, guard) = builder.thread_name("log-writer").finish(std::io::stdout());
     // The library reports a line that it cannot write on standard error, and panics where that fails too: with both on a full
     // disk, or their reader gone, the next line would end the process.
     let builder = tracing_subscriber::fmt()
         .with_max_level(logging.level)
-        .with_writer(std::io::stdout)
+        .with_writer(writer)
         .log_internal_errors(false);
     // An error means that logging was started before: it goes on unchanged.
     let _ = match logging.format {
@@ -127,4 +137,5 @@
             builder.json().with_timer(UnixTime).flatten_event(true).with_current_span(false).try_init()
         }
     };
+    LogFlush(guard)
 }
