--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -299,14 +299,14 @@
     let sends = |flaps: bool| {
         let mut b = Bench::new(settings(vec![class(Effect::Safe)]), 0);
         let cold = EngineEntry { since: Some(b.now), ..entry(0) };
-        let mut out = b.list(ListKind::Changes, vec![cold.clone()]);
+        let mut out = b.list(ListKind::Changes, vec![cold]);
         let mut sends = 0;
         for round in 0..60 {
             out.extend(b.arrive(0, 0.5, None).1);
             if flaps && round % 20 == 19 {
-                let gone = EngineEntry { state: EngineState::Gone, ..cold.clone() };
+                let gone = EngineEntry { state: EngineState::Gone, ..cold };
                 out.extend(b.list(ListKind::Changes, vec![gone]));
-                out.extend(b.list(ListKind::Changes, vec![cold.clone()]));
+                out.extend(b.list(ListKind::Changes, vec![cold]));
             }
             // Each is answered at once: no more than the budget holds them back.
             while let Some((id, _)) = sent(&out).first().copied() {
--- a/src/core/connection_task.rs
+++ b/src/core/connection_task.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+/// How long a dial that fails locally is repeated; then its attempts are chosen again, perhaps for another engine.
+const MAX_LOCAL_FAILURE: Duration = Duration::from_millis(300);
 /// Pause before a dial that failed locally is repeated.
 const DIAL_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// How often a connection is checked for being idle for too long.
@@ -101,9 +103,10 @@
     owner.on_connection_down(&connection, &end.reason, end.is_local);
 }
 
-/// Makes a connection. A failure of this machine passes, and tells nothing of the engine: the dial is repeated within its time.
+/// Makes a connection. A failure of this machine passes, and tells nothing of the engine: the dial is repeated for a while.
 async fn dial(address: SocketAddr, dial_timeout: Duration) -> Result<TcpStream, ConnectionEnd> {
-    let deadline = Instant::now() + dial_timeout;
+    let started = Instant::now();
+    let deadline = started + dial_timeout;
     loop {
         let error = match timeout_at(deadline, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => return Ok(stream),
@@ -113,7 +116,7 @@
         if !is_local_dial_failure(&error) {
             return Err(ConnectionEnd::remote(format!("no connection: {error}")));
         }
-        if Instant::now() + DIAL_RETRY_DELAY >= deadline {
+        if started.elapsed() >= MAX_LOCAL_FAILURE.min(dial_timeout) {
             return Err(ConnectionEnd::local(format!("no connection could be made here: {error}")));
         }
         sleep(DIAL_RETRY_DELAY).await;
