--- a/src/core/policy_driver.rs
+++ b/src/core/policy_driver.rs
@@ -229,7 +229,7 @@
         let known = self.starts.get(&number).filter(|start| start.listed_ms == listed_ms);
         let at = match known {
             Some(start) => start.at,
-            None => self.wall_clock.to_process_time(Timestamp::from_millis(listed_ms), unix(), now()),
+            None => self.wall_clock.process_time_of(Timestamp::from_millis(listed_ms), unix(), now()),
         };
         self.starts.insert(number, EngineStart { listed_ms, at });
         Some(at)
--- a/src/core/wall_clock.rs
+++ b/src/core/wall_clock.rs
@@ -45,7 +45,7 @@
     }
 
     /// The instant of the process's own clock that another party stamped with a Unix time. It has passed.
-    pub(super) fn to_process_time(
+    pub(super) fn process_time_of(
         &mut self,
         unix_time: Timestamp,
         unix_now: Timestamp,
--- a/src/core/wall_clock/tests.rs
+++ b/src/core/wall_clock/tests.rs
@@ -13,11 +13,11 @@
     let five = TimeDelta::from_micros(5_000_000);
     // No step so far; the system's clock has gone forward an hour; it has gone back a day.
     for (unix, now) in [(s(100_000), s(100_000)), (s(103_600), s(100_000)), (s(13_600), s(100_000))] {
-        assert_eq!(now - WallClock::default().to_process_time(unix - five, unix, now), five);
+        assert_eq!(now - WallClock::default().process_time_of(unix - five, unix, now), five);
     }
-    assert_eq!(WallClock::default().to_process_time(Timestamp::MAX, Timestamp::ZERO, s(1)), s(1));
+    assert_eq!(WallClock::default().process_time_of(Timestamp::MAX, Timestamp::ZERO, s(1)), s(1));
     let lowest = Timestamp::from_micros(i64::MIN);
-    assert!(WallClock::default().to_process_time(lowest, s(1), s(1)) < Timestamp::ZERO, "nothing wraps");
+    assert!(WallClock::default().process_time_of(lowest, s(1), s(1)) < Timestamp::ZERO, "nothing wraps");
 }
 
 #[test]
@@ -28,10 +28,10 @@
         clock.observe(s(100_010 + step), s(100_010));
         // Stamped 3 s before the step, read 2 s after it: by a small step at most too late.
         let ambiguity = if step.abs() < HOUR { step.abs() } else { 0 };
-        let read = clock.to_process_time(s(100_007), s(100_012 + step), s(100_012));
+        let read = clock.process_time_of(s(100_007), s(100_012 + step), s(100_012));
         assert!(read >= s(100_007) && read <= s(100_007 + ambiguity), "step {step}: {read:?}");
         // Stamped 1 s after it.
-        let read = clock.to_process_time(s(100_011 + step), s(100_012 + step), s(100_012));
+        let read = clock.process_time_of(s(100_011 + step), s(100_012 + step), s(100_012));
         assert!(read >= s(100_011) && read <= s(100_012), "step {step}: {read:?}");
     }
 }
@@ -39,7 +39,7 @@
 #[test]
 fn time_that_lies_ahead_by_every_offset_counts_as_now() {
     let mut clock = WallClock::default();
-    assert_eq!(clock.to_process_time(s(HOUR), s(10), s(10)), s(10));
+    assert_eq!(clock.process_time_of(s(HOUR), s(10), s(10)), s(10));
 }
 
 #[test]
