--- a/crates/fault-soak/shim/syscall_faults.c
+++ b/crates/fault-soak/shim/syscall_faults.c
@@ -10,7 +10,6 @@
  *   connect=P    in 1,000 connects: fail with EADDRNOTAVAIL, ENETUNREACH, ENOBUFS or EAGAIN
  *   socket=P     in 1,000 calls of socket: fail with EMFILE, ENFILE, ENOBUFS or ENOMEM
  *   broken=P     in 10,000 reads of connections that this process made: the connection breaks with ETIMEDOUT or EHOSTUNREACH
- *   disk=P       in 1,000 writes and syncs of files: fail with ENOSPC or EIO
  *   config=P     in 1,000 opens of files for reading: fail with EIO or EMFILE
  *   from=T to=T  the span in which anything fails, in milliseconds of CLOCK_MONOTONIC
  *   step=T:S     from T on (milliseconds of CLOCK_MONOTONIC) the wall clock is S milliseconds ahead; up to eight of them, the
@@ -26,7 +25,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
 #include <sys/time.h>
 #include <sys/uio.h>
 #include <time.h>
@@ -42,7 +40,7 @@
 
 static struct {
     uint64_t random_state;
-    int eintr, short_io, accept, connect, socket, broken, disk, config;
+    int eintr, short_io, accept, connect, socket, broken, config;
     int64_t from_ms, to_ms;
     struct clock_step steps[MAX_STEPS];
     int step_count;
@@ -74,7 +72,6 @@
     else if (!strcmp(entry, "connect")) faults.connect = (int)number;
     else if (!strcmp(entry, "socket")) faults.socket = (int)number;
     else if (!strcmp(entry, "broken")) faults.broken = (int)number;
-    else if (!strcmp(entry, "disk")) faults.disk = (int)number;
     else if (!strcmp(entry, "config")) faults.config = (int)number;
     else if (!strcmp(entry, "from")) faults.from_ms = number;
     else if (!strcmp(entry, "to")) faults.to_ms = number;
@@ -105,7 +102,7 @@
     return x * 2685821657736338717ull;
 }
 
-static int strikes(int chance, int out_of) {
+static int should_fail(int chance, int out_of) {
     pthread_once(&is_loaded, load);
     if (chance <= 0) return 0;
     int64_t now = monotonic_ms();
@@ -120,11 +117,6 @@
     return getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) == 0 && (domain == AF_INET || domain == AF_INET6);
 }
 
-static int is_file(int fd) {
-    struct stat about;
-    return fstat(fd, &about) == 0 && S_ISREG(about.st_mode);
-}
-
 static int fail(int error) {
     errno = error;
     return -1;
@@ -138,8 +130,8 @@
 static int socket_fault(int fd, size_t *length, int is_read) {
     pthread_once(&is_loaded, load);
     if (!is_network_socket(fd)) return 0;
-    if (strikes(faults.eintr, 1000)) return fail(EINTR);
-    if (is_read && fd >= 0 && fd < MAX_DESCRIPTORS && is_outgoing[fd] && strikes(faults.broken, 10000)) {
+    if (should_fail(faults.eintr, 1000)) return fail(EINTR);
+    if (is_read && fd >= 0 && fd < MAX_DESCRIPTORS && is_outgoing[fd] && should_fail(faults.broken, 10000)) {
         static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
         /* Both directions are over, as after a real timeout; the peer sees a reset. */
         struct linger reset = {1, 0};
@@ -147,7 +139,7 @@
         shutdown(fd, SHUT_RDWR);
         return fail_one_of(errors, 2);
     }
-    if (*length > 1 && strikes(faults.short_io, 1000)) *length = 1 + next_random() % (*length - 1);
+    if (*length > 1 && should_fail(faults.short_io, 1000)) *length = 1 + next_random() % (*length - 1);
     return 0;
 }
 
@@ -180,13 +172,6 @@
     if (!next) next = NEXT(write);
     size_t allowed = length;
     if (socket_fault(fd, &allowed, 0)) return -1;
-    /* Not the log: the soak reads it. */
-    if (fd > 2 && faults.disk && is_file(fd) && strikes(faults.disk, 1000)) {
-        static const int errors[] = {ENOSPC, EIO};
-        /* A write may fail half done. */
-        if (length > 1) next(fd, bytes, length / 2);
-        return fail_one_of(errors, 2);
-    }
     return next(fd, bytes, allowed);
 }
 
@@ -199,20 +184,6 @@
     return next(fd, parts, allowed < 2 && count > 1 ? 1 : count);
 }
 
-int fsync(int fd) {
-    static int (*next)(int);
-    if (!next) next = NEXT(fsync);
-    if (strikes(faults.disk, 1000)) return fail(EIO);
-    return next(fd);
-}
-
-int fdatasync(int fd) {
-    static int (*next)(int);
-    if (!next) next = NEXT(fdatasync);
-    if (strikes(faults.disk, 1000)) return fail(EIO);
-    return next(fd);
-}
-
 int open64(const char *path, int flags, ...) {
     static int (*next)(const char *, int, ...);
     if (!next) next = NEXT(open64);
@@ -222,7 +193,7 @@
     va_end(arguments);
     static const int errors[] = {EIO, EMFILE};
     int is_config = strstr(path, "config.json") != NULL;
-    if (is_config && strikes(faults.config, 1000)) return fail_one_of(errors, 2);
+    if (is_config && should_fail(faults.config, 1000)) return fail_one_of(errors, 2);
     return next(path, flags, mode);
 }
 
@@ -231,7 +202,7 @@
     if (!next) next = NEXT(accept4);
     static const int errors[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EHOSTUNREACH};
     pthread_once(&is_loaded, load);
-    if (strikes(faults.accept, 1000)) return fail_one_of(errors, 7);
+    if (should_fail(faults.accept, 1000)) return fail_one_of(errors, 7);
     int accepted = next(fd, address, length, flags);
     if (accepted >= 0 && accepted < MAX_DESCRIPTORS) is_outgoing[accepted] = 0;
     return accepted;
@@ -242,7 +213,7 @@
     if (!next) next = NEXT(socket);
     static const int errors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
     pthread_once(&is_loaded, load);
-    if ((type & 0xf) == SOCK_STREAM && strikes(faults.socket, 1000)) return fail_one_of(errors, 4);
+    if ((type & 0xf) == SOCK_STREAM && should_fail(faults.socket, 1000)) return fail_one_of(errors, 4);
     return next(domain, type, protocol);
 }
 
@@ -251,8 +222,8 @@
     if (!next) next = NEXT(connect);
     static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN};
     pthread_once(&is_loaded, load);
-    if (strikes(faults.eintr, 1000)) return fail(EINTR);
-    if (strikes(faults.connect, 1000)) return fail_one_of(errors, 4);
+    if (should_fail(faults.eintr, 1000)) return fail(EINTR);
+    if (should_fail(faults.connect, 1000)) return fail_one_of(errors, 4);
     if (fd >= 0 && fd < MAX_DESCRIPTORS) is_outgoing[fd] = 1;
     return next(fd, address, length);
 }
--- a/crates/fault-soak/src/client.rs
+++ b/crates/fault-soak/src/client.rs
@@ -2,7 +2,7 @@
 //! once, write slowly, leave early or cancel.
 
 use crate::judge::Rule;
-use crate::manager::Seat;
+use crate::manager::ManagerEndpoint;
 use crate::world::{World, CLASSES};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -20,6 +20,8 @@
 const CLOSE_AFTER_CANCEL: Duration = Duration::from_millis(500);
 /// Longest message that is read.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
+/// The error of a session that its manager refused.
+const REFUSED: &str = "refused";
 /// Code of a CancelRequest.
 const CANCEL_CODE: u32 = 80_877_102;
 
@@ -103,7 +105,7 @@
             match self.message().await? {
                 (b'K', key) => self.key = key,
                 (b'Z', _) => return Ok(()),
-                (b'E', _) => return Err(io::Error::other("refused")),
+                (b'E', _) => return Err(io::Error::other(REFUSED)),
                 _ => {}
             }
         }
@@ -140,13 +142,13 @@
 /// A client of one manager.
 pub struct Client {
     world: Arc<World>,
-    seat: Arc<Seat>,
+    endpoint: Arc<ManagerEndpoint>,
     rng: ChaCha8Rng,
 }
 
 /// What a client does.
 #[derive(Clone, Copy)]
-enum Manner {
+enum ClientBehaviour {
     /// One request on a connection of its own, all written at once.
     Once,
     /// Several, one after the other, on one session that rests between them.
@@ -163,48 +165,48 @@
     Misbehaves,
 }
 
-const MANNERS: [(u32, Manner); 7] = [
-    (30, Manner::Once),
-    (25, Manner::Rests),
-    (12, Manner::Pipelines),
-    (8, Manner::WritesSlowly),
-    (10, Manner::Leaves),
-    (10, Manner::Cancels),
-    (5, Manner::Misbehaves),
+const CLIENT_BEHAVIOURS: [(u32, ClientBehaviour); 7] = [
+    (30, ClientBehaviour::Once),
+    (25, ClientBehaviour::Rests),
+    (12, ClientBehaviour::Pipelines),
+    (8, ClientBehaviour::WritesSlowly),
+    (10, ClientBehaviour::Leaves),
+    (10, ClientBehaviour::Cancels),
+    (5, ClientBehaviour::Misbehaves),
 ];
 
 impl Client {
     /// A client that draws from `rng`.
-    pub fn new(world: &Arc<World>, seat: &Arc<Seat>, rng: ChaCha8Rng) -> Client {
-        Client { world: Arc::clone(world), seat: Arc::clone(seat), rng }
+    pub fn new(world: &Arc<World>, endpoint: &Arc<ManagerEndpoint>, rng: ChaCha8Rng) -> Client {
+        Client { world: Arc::clone(world), endpoint: Arc::clone(endpoint), rng }
     }
 
     /// Does what it does, once. An error that tells nothing of the manager is passed over.
     pub async fn run(mut self) {
-        let total: u32 = MANNERS.iter().map(|(weight, _)| weight).sum();
+        let total: u32 = CLIENT_BEHAVIOURS.iter().map(|(weight, _)| weight).sum();
         let mut drawn = self.rng.gen_range(0..total);
-        let mut manner = Manner::Once;
-        for (weight, candidate) in MANNERS {
+        let mut behaviour = ClientBehaviour::Once;
+        for (weight, candidate) in CLIENT_BEHAVIOURS {
             if drawn < weight {
-                manner = candidate;
+                behaviour = candidate;
                 break;
             }
             drawn -= weight;
         }
-        let address = self.seat.address;
-        match manner {
-            Manner::Once => self.once(address).await,
-            Manner::Rests => self.rests(address).await,
-            Manner::Pipelines => self.pipelines(address).await,
-            Manner::WritesSlowly => self.writes_slowly(address).await,
-            Manner::Leaves => self.leaves(address).await,
-            Manner::Cancels => self.cancels(address).await,
-            Manner::Misbehaves => self.misbehaves(address).await,
+        let address = self.endpoint.address;
+        match behaviour {
+            ClientBehaviour::Once => self.once(address).await,
+            ClientBehaviour::Rests => self.rests(address).await,
+            ClientBehaviour::Pipelines => self.pipelines(address).await,
+            ClientBehaviour::WritesSlowly => self.writes_slowly(address).await,
+            ClientBehaviour::Leaves => self.leaves(address).await,
+            ClientBehaviour::Cancels => self.cancels(address).await,
+            ClientBehaviour::Misbehaves => self.misbehaves(address).await,
         }
     }
 
     fn request_sent(&self, request: &Request) {
-        self.world.request_sent(request.id, self.seat.number, request.class, request.timeout);
+        self.world.request_sent(request.id, self.endpoint.number, request.class, request.timeout);
     }
 
     /// Judges how a request ended that was written at `sent`, on a connection that was opened at `opened`.
@@ -218,14 +220,14 @@
         match ended {
             Ok(Answer::Served(column)) if column != format!("{:016x}", request.id) => {
                 let detail =
-                    format!("manager {}, request {:016x}: got {column:?}", self.seat.number, request.id);
+                    format!("manager {}, request {:016x}: got {column:?}", self.endpoint.number, request.id);
                 self.world.violate(Rule::WrongAnswer, detail);
             }
             Ok(_) => {}
             // A request that came too late after SIGTERM, or to a process that was killed, is owed nothing.
-            Err(_) if !self.seat.owes(opened, sent) => {}
+            Err(_) if !self.endpoint.owes(opened, sent) => {}
             Err(error) => {
-                let (number, id, took) = (self.seat.number, request.id, sent.elapsed());
+                let (number, id, took) = (self.endpoint.number, request.id, sent.elapsed());
                 let (left, class) = (request.timeout, CLASSES[request.class].name);
                 let detail = format!(
                     "manager {number}, request {id:016x} ({what}, {class}, {left:?}): {error} after {took:?}"
@@ -241,20 +243,22 @@
         timeout(patience, session.answer()).await?
     }
 
+    /// The same on a connection that was just opened: behind its greeting.
+    async fn await_first_answer(&self, session: &mut Session, request: &Request) -> io::Result<Answer> {
+        match timeout(request.timeout + LATE, session.greeted()).await? {
+            Ok(()) => self.await_answer(session, request).await,
+            // A connection that is refused by an error is answered.
+            Err(error) if error.to_string() == REFUSED => Ok(Answer::Error),
+            Err(error) => Err(error),
+        }
+    }
+
     async fn once(&mut self, address: SocketAddr) {
         let request = Request::draw(&mut self.rng);
         let Ok(mut session) = Session::open(address, &request.message()).await else { return };
         let sent = Instant::now();
         self.request_sent(&request);
-        let ended = async {
-            timeout(request.timeout + LATE, session.greeted()).await??;
-            self.await_answer(&mut session, &request).await
-        };
-        let ended = match ended.await {
-            // A connection that is refused by an error is answered.
-            Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
-            ended => ended,
-        };
+        let ended = self.await_first_answer(&mut session, &request).await;
         self.judge(&request, (session.opened_at, sent), ended, "new connection");
     }
 
@@ -266,7 +270,7 @@
         for _ in 0..self.rng.gen_range(2..6) {
             let rest = Duration::from_millis(self.rng.gen_range(0..1_500));
             tokio::time::sleep(rest).await;
-            if !self.seat.takes_requests() || session.is_closed() {
+            if !self.endpoint.takes_requests() || session.is_closed() {
                 return;
             }
             let request = Request::draw(&mut self.rng);
@@ -292,20 +296,13 @@
     }
 
     async fn again(&mut self, address: SocketAddr, request: Request) {
-        if !self.seat.takes_connections() {
+        if !self.endpoint.takes_connections() {
             return;
         }
         let Ok(mut session) = Session::open(address, &request.message()).await else { return };
         let sent = Instant::now();
         self.request_sent(&request);
-        let ended = async {
-            timeout(request.timeout + LATE, session.greeted()).await??;
-            self.await_answer(&mut session, &request).await
-        };
-        let ended = match ended.await {
-            Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
-            ended => ended,
-        };
+        let ended = self.await_first_answer(&mut session, &request).await;
         self.judge(&request, (session.opened_at, sent), ended, "sent again");
     }
 
@@ -316,7 +313,7 @@
         }
         let mut requests = Vec::new();
         for _ in 0..self.rng.gen_range(2..5) {
-            if !self.seat.takes_requests() {
+            if !self.endpoint.takes_requests() {
                 break;
             }
             let request = Request::draw(&mut self.rng);
@@ -354,18 +351,11 @@
         }
         // The last piece has been out for a pause already: the deadline counts from it, which is the milder way.
         let sent = Instant::now();
-        if !self.seat.takes_requests() {
+        if !self.endpoint.takes_requests() {
             return;
         }
         self.request_sent(&request);
-        let ended = async {
-            timeout(request.timeout + LATE, session.greeted()).await??;
-            self.await_answer(&mut session, &request).await
-        };
-        let ended = match ended.await {
-            Err(error) if error.to_string() == "refused" => Ok(Answer::Error),
-            ended => ended,
-        };
+        let ended = self.await_first_answer(&mut session, &request).await;
         self.judge(&request, (session.opened_at, sent), ended, "in pieces");
     }
 
--- a/crates/fault-soak/src/engine.rs
+++ b/crates/fault-soak/src/engine.rs
@@ -141,7 +141,7 @@
 
 /// What a request becomes.
 #[derive(Clone, Copy)]
-enum Fate {
+enum Reaction {
     Serve,
     Fail,
     Shed,
@@ -158,22 +158,22 @@
         self.behaviour.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn fate(&self, rng: &mut ChaCha8Rng) -> Fate {
+    fn reaction(&self, rng: &mut ChaCha8Rng) -> Reaction {
         let behaviour = self.behaviour();
         let chances = [
-            (behaviour.failing, Fate::Fail),
-            (behaviour.shedding, Fate::Shed),
-            (behaviour.spoilt, Fate::Spoil),
-            (behaviour.resetting, Fate::Reset),
+            (behaviour.failing, Reaction::Fail),
+            (behaviour.shedding, Reaction::Shed),
+            (behaviour.spoilt, Reaction::Spoil),
+            (behaviour.resetting, Reaction::Reset),
         ];
         let mut drawn = rng.gen_range(0..1_000);
-        for (chance, fate) in chances {
+        for (chance, reaction) in chances {
             if drawn < chance {
-                return fate;
+                return reaction;
             }
             drawn -= chance;
         }
-        Fate::Serve
+        Reaction::Serve
     }
 }
 
@@ -267,9 +267,9 @@
 /// Does the work of a request and hands over its answer.
 async fn work(shared: Arc<Shared>, answers: mpsc::UnboundedSender<Answer>, id: u64, number: u64) {
     let mut rng = shared.draw();
-    let fate = shared.fate(&mut rng);
+    let reaction = shared.reaction(&mut rng);
     let mut took = MEAN_WORK.mul_f64(-(1.0 - rng.gen::<f64>()).ln().min(5.0));
-    if matches!(fate, Fate::Shed) {
+    if matches!(reaction, Reaction::Shed) {
         took = Duration::from_millis(1);
     }
     tokio::time::sleep(took).await;
@@ -282,24 +282,24 @@
     }
     let name = format!("{id:016x}");
     let load = "stats=inflight:1;queue:0";
-    let bytes = match fate {
-        Fate::Serve => command(&[
+    let bytes = match reaction {
+        Reaction::Serve => command(&[
             &name,
             "served",
             &format!("batches=1,cpu=40,used=8,{load}"),
             &format!("{name}\tb\tc\n"),
         ]),
-        Fate::Fail => command(&[&name, "crashed", load, ""]),
-        Fate::Shed => command(&[&name, "overload", load, ""]),
-        Fate::Spoil => {
+        Reaction::Fail => command(&[&name, "crashed", load, ""]),
+        Reaction::Shed => command(&[&name, "overload", load, ""]),
+        Reaction::Spoil => {
             format!("*4\r\n$16\r\n{name}\r\n$6\r\nserved\r\n$9\r\nbatches=1\r\n$5000\r\nabc").into_bytes()
         }
-        Fate::Reset => {
+        Reaction::Reset => {
             let _ = answers.send(Answer::Reset);
             return;
         }
     };
-    let never_ran = matches!(fate, Fate::Shed);
+    let never_ran = matches!(reaction, Reaction::Shed);
     let _ = answers.send(Answer::Bytes { id, number, bytes, never_ran });
 }
 
--- a/crates/fault-soak/src/manager.rs
+++ b/crates/fault-soak/src/manager.rs
@@ -27,7 +27,7 @@
 
 /// One process of a manager, from its start on.
 #[derive(Clone, Copy, Debug)]
-struct Life {
+struct Incarnation {
     started_at: Instant,
     is_up: bool,
     terminated_at: Option<Instant>,
@@ -35,35 +35,37 @@
 }
 
 /// What clients know of a manager.
-pub struct Seat {
+pub struct ManagerEndpoint {
     /// Its number.
     pub number: usize,
     /// Where its clients connect, the same after a restart.
     pub address: SocketAddr,
     /// Its processes, in order.
-    lives: Mutex<Vec<Life>>,
+    incarnations: Mutex<Vec<Incarnation>>,
 }
 
-impl Seat {
-    fn lives(&self) -> MutexGuard<'_, Vec<Life>> {
-        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
+impl ManagerEndpoint {
+    fn incarnations(&self) -> MutexGuard<'_, Vec<Incarnation>> {
+        self.incarnations.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Its last process.
-    fn life(&self) -> Option<Life> {
-        self.lives().last().copied()
+    fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnations().last().copied()
     }
 
-    fn change(&self, change: impl FnOnce(&mut Life)) {
-        if let Some(life) = self.lives().last_mut() {
-            change(life);
+    fn change(&self, change: impl FnOnce(&mut Incarnation)) {
+        if let Some(incarnation) = self.incarnations().last_mut() {
+            change(incarnation);
         }
     }
 
     /// Whether it serves, and SIGTERM came less than this ago, if it did.
     fn is_up_until(&self, after_sigterm: Duration) -> bool {
-        let is_within = |life: &Life| life.terminated_at.is_none_or(|at| at.elapsed() < after_sigterm);
-        self.life().is_some_and(|life| life.is_up && is_within(&life))
+        let is_within = |incarnation: &Incarnation| {
+            incarnation.terminated_at.is_none_or(|at| at.elapsed() < after_sigterm)
+        };
+        self.incarnation().is_some_and(|incarnation| incarnation.is_up && is_within(&incarnation))
     }
 
     /// Whether clients make new connections to it.
@@ -78,9 +80,13 @@
 
     /// Whether it owes an answer to a request that was sent at this time, on a connection that was opened at `opened`.
     pub fn owes(&self, opened: Instant, sent: Instant) -> bool {
-        let lives = self.lives();
-        let Some(life) = lives.iter().rev().find(|life| life.started_at <= opened) else { return false };
-        !life.was_killed && life.terminated_at.is_none_or(|at| sent <= at + OWED_AFTER_SIGTERM)
+        let incarnations = self.incarnations();
+        let Some(incarnation) =
+            incarnations.iter().rev().find(|incarnation| incarnation.started_at <= opened)
+        else {
+            return false;
+        };
+        !incarnation.was_killed && incarnation.terminated_at.is_none_or(|at| sent <= at + OWED_AFTER_SIGTERM)
     }
 }
 
@@ -103,7 +109,7 @@
 /// One manager.
 pub struct Manager {
     /// What its clients know.
-    pub seat: Arc<Seat>,
+    pub endpoint: Arc<ManagerEndpoint>,
     name: String,
     child: Option<Child>,
     starts: u64,
@@ -117,9 +123,9 @@
     /// No free port.
     pub fn new(number: usize, world: &Arc<World>) -> io::Result<Manager> {
         let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let seat = Seat { number, address, lives: Mutex::default() };
+        let endpoint = ManagerEndpoint { number, address, incarnations: Mutex::default() };
         let name = format!("n{number}");
-        Ok(Manager { seat: Arc::new(seat), name, child: None, starts: 0, world: Arc::clone(world) })
+        Ok(Manager { endpoint: Arc::new(endpoint), name, child: None, starts: 0, world: Arc::clone(world) })
     }
 
     /// Writes its configuration: the feed's address and the list's events so far.
@@ -133,7 +139,7 @@
         events: &[String],
     ) -> io::Result<()> {
         let (name, listen, seed) =
-            (&self.name, self.seat.address, self.seat.number as u64 * 1_000 + self.starts);
+            (&self.name, self.endpoint.address, self.endpoint.number as u64 * 1_000 + self.starts);
         let (known, settings) = (events.join(","), &deployment.settings);
         let text = format!(
             r#"{{"name":"{name}","listen":"{listen}","seed":"{seed:016x}","feed":"{feed}",
@@ -166,28 +172,35 @@
     pub fn start(&mut self, deployment: &Deployment, known: u64) -> io::Result<()> {
         self.starts += 1;
         let log = OpenOptions::new().create(true).append(true).open(self.log_path(deployment))?;
-        let seed = self.seat.number as u64 * 1_000_003 + self.starts;
+        let seed = self.endpoint.number as u64 * 1_000_003 + self.starts;
         let mut command = Command::new(&deployment.program);
         command.arg("serve").arg("--config").arg(self.config_path(deployment)).args(&deployment.arguments);
         command.env("TMPDIR", self.folder(deployment)).env("LD_PRELOAD", &deployment.library);
         command.env(VARIABLE, deployment.faults.to_variable(seed)).env_remove("EDGE_FD");
         command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-        self.world.manager_started(self.seat.number, known);
+        self.world.manager_started(self.endpoint.number, known);
         self.child = Some(command.spawn()?);
         let started_at = Instant::now();
-        self.seat.lives().push(Life { started_at, is_up: false, terminated_at: None, was_killed: false });
-        let (seat, world) = (Arc::clone(&self.seat), Arc::clone(&self.world));
+        self.endpoint.incarnations().push(Incarnation {
+            started_at,
+            is_up: false,
+            terminated_at: None,
+            was_killed: false,
+        });
+        let (endpoint, world) = (Arc::clone(&self.endpoint), Arc::clone(&self.world));
         let starts = self.starts;
         tokio::spawn(async move {
             let began = Instant::now();
-            while !client::is_healthy(seat.address).await {
+            while !client::is_healthy(endpoint.address).await {
                 if began.elapsed() > READY_WITHIN {
-                    return world
-                        .violate(Rule::Crash, format!("manager {}, start {starts}: not ready", seat.number));
+                    return world.violate(
+                        Rule::Crash,
+                        format!("manager {}, start {starts}: not ready", endpoint.number),
+                    );
                 }
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
-            seat.change(|life| life.is_up = true);
+            endpoint.change(|incarnation| incarnation.is_up = true);
         });
         Ok(())
     }
@@ -200,8 +213,8 @@
 
     /// Whether its process runs and was not told to end.
     pub fn is_serving(&self) -> bool {
-        let serves = |life: Life| life.is_up && life.terminated_at.is_none();
-        self.child.is_some() && self.seat.life().is_some_and(serves)
+        let serves = |incarnation: Incarnation| incarnation.is_up && incarnation.terminated_at.is_none();
+        self.child.is_some() && self.endpoint.incarnation().is_some_and(serves)
     }
 
     /// Sends SIGHUP.
@@ -211,15 +224,15 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        self.seat.change(|life| life.terminated_at = Some(Instant::now()));
+        self.endpoint.change(|incarnation| incarnation.terminated_at = Some(Instant::now()));
         self.signal(Signal::SIGTERM);
     }
 
     /// Sends SIGKILL, and waits for the end.
     pub fn kill(&mut self) {
-        self.seat.change(|life| {
-            life.is_up = false;
-            life.was_killed = true;
+        self.endpoint.change(|incarnation| {
+            incarnation.is_up = false;
+            incarnation.was_killed = true;
         });
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -229,16 +242,16 @@
 
     /// Looks whether its process has ended, and judges that. True once it has ended after SIGTERM.
     pub fn has_ended(&mut self) -> bool {
-        let terminated_at = self.seat.life().and_then(|life| life.terminated_at);
+        let terminated_at = self.endpoint.incarnation().and_then(|incarnation| incarnation.terminated_at);
         let Some(child) = &mut self.child else { return false };
         let ended = child.try_wait().ok().flatten();
-        let number = self.seat.number;
+        let number = self.endpoint.number;
         match (ended, terminated_at) {
             (None, Some(at)) if at.elapsed() > END_WITHIN + self.world.lag() => {
                 // The platform kills it now. What it has not answered is judged as lost.
                 let mut child = self.child.take();
                 child.iter_mut().for_each(|child| drop(child.kill().and_then(|()| child.wait())));
-                self.seat.change(|life| life.is_up = false);
+                self.endpoint.change(|incarnation| incarnation.is_up = false);
                 true
             }
             (None, _) => false,
@@ -247,7 +260,7 @@
                     self.world.violate(Rule::Crash, format!("manager {number} ended with {status}"));
                 }
                 self.child = None;
-                self.seat.change(|life| life.is_up = false);
+                self.endpoint.change(|incarnation| incarnation.is_up = false);
                 at.is_some()
             }
         }
--- a/crates/fault-soak/src/nemesis.rs
+++ b/crates/fault-soak/src/nemesis.rs
@@ -125,7 +125,6 @@
         socket: chance(30),
         broken: chance(20),
         config: chance(400),
-        span_ms: None,
         steps,
     }
 }
--- a/crates/fault-soak/src/shim.rs
+++ b/crates/fault-soak/src/shim.rs
@@ -27,8 +27,6 @@
     pub broken: u32,
     /// Configurations that cannot be opened.
     pub config: u32,
-    /// When anything fails, in milliseconds of the monotonic clock; `None`: always.
-    pub span_ms: Option<(i64, i64)>,
     /// Steps of the wall clock, in order.
     pub steps: Vec<ClockStep>,
 }
@@ -40,9 +38,6 @@
             "seed={seed},eintr={},short={},accept={},connect={},socket={},broken={},config={}",
             self.interrupted, self.short, self.accept, self.connect, self.socket, self.broken, self.config
         );
-        if let Some((from, to)) = self.span_ms {
-            text += &format!(",from={from},to={to}");
-        }
         for step in &self.steps {
             text += &format!(",step={}:{}", step.at_ms, step.ahead_ms);
         }
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -78,7 +78,7 @@
 }
 
 /// Something that follows a fault.
-enum Later {
+enum FollowUp {
     FeedMode { manager: usize, side: usize, mode: FeedMode },
     EngineGone { id: String },
     Heal { id: String },
@@ -95,7 +95,7 @@
     feed_sides: Vec<usize>,
     engines: Vec<Engine>,
     next_engine: usize,
-    later: Vec<(Instant, Later)>,
+    later: Vec<(Instant, FollowUp)>,
     /// Managers that are started again once they have ended.
     ending: Vec<usize>,
     burst_until: Instant,
@@ -228,7 +228,7 @@
         let mut next_client = start;
         while start.elapsed() < self.config.lasts {
             while plan.faults.get(next_fault).is_some_and(|(at, _)| *at <= start.elapsed()) {
-                self.strike(plan.faults[next_fault].1).await?;
+                self.inject(plan.faults[next_fault].1).await?;
                 next_fault += 1;
             }
             while next_client <= Instant::now() {
@@ -248,14 +248,14 @@
     }
 
     fn send_client(&mut self) {
-        let open: Vec<&Manager> = self.managers.iter().filter(|m| m.seat.takes_connections()).collect();
+        let open: Vec<&Manager> = self.managers.iter().filter(|m| m.endpoint.takes_connections()).collect();
         let Some(manager) = open.choose(&mut self.rng) else { return };
-        let seat = Arc::clone(&manager.seat);
+        let endpoint = Arc::clone(&manager.endpoint);
         let rng = ChaCha8Rng::seed_from_u64(self.rng.gen());
-        tokio::spawn(Client::new(&self.world, &seat, rng).run());
+        tokio::spawn(Client::new(&self.world, &endpoint, rng).run());
     }
 
-    async fn strike(&mut self, fault: Fault) -> io::Result<()> {
+    async fn inject(&mut self, fault: Fault) -> io::Result<()> {
         let now = Instant::now();
         match fault {
             Fault::Terminate { managers } => {
@@ -284,7 +284,7 @@
             Fault::Reset { engines } => self.draw_engines(engines, |engine, _| engine.reset_connections()),
             Fault::Fail { engines, lasts } => self.draw_engines(engines, |engine, later| {
                 engine.behave(|b| b.failing = 333);
-                later.push((now + lasts, Later::Heal { id: engine.id.clone() }));
+                later.push((now + lasts, FollowUp::Heal { id: engine.id.clone() }));
             }),
             Fault::Burst { lasts } => self.burst_until = now + lasts,
         }
@@ -301,7 +301,7 @@
         serving
     }
 
-    fn draw_engines(&mut self, count: usize, mut hit: impl FnMut(&Engine, &mut Vec<(Instant, Later)>)) {
+    fn draw_engines(&mut self, count: usize, mut hit: impl FnMut(&Engine, &mut Vec<(Instant, FollowUp)>)) {
         let drawn: Vec<usize> =
             rand::seq::index::sample(&mut self.rng, self.engines.len(), count.min(self.engines.len()))
                 .into_vec();
@@ -324,7 +324,7 @@
             let feed = self.feeds[number][side].address;
             self.managers[number].write_config(&self.deployment, feed, &events)?;
             self.managers[number].reload();
-            let moved = Later::FeedMode { manager: number, side: old, mode: FeedMode::Moved };
+            let moved = FollowUp::FeedMode { manager: number, side: old, mode: FeedMode::Moved };
             self.later.push((Instant::now() + OLD_FEED_LASTS, moved));
         }
         Ok(())
@@ -335,7 +335,7 @@
             if self.rng.gen_bool(share) {
                 let side = self.feed_sides[number];
                 self.feeds[number][side].set_mode(mode);
-                let heals = Later::FeedMode { manager: number, side, mode: FeedMode::Serve };
+                let heals = FollowUp::FeedMode { manager: number, side, mode: FeedMode::Serve };
                 self.later.push((Instant::now() + lasts, heals));
             }
         }
@@ -365,7 +365,7 @@
         let number = self.log.push(|number| event(number, false, &[entry, drained]));
         self.world.engine_listed(&id, false, number);
         self.engines.push(fresh);
-        self.later.push((Instant::now() + DRAIN_LASTS, Later::EngineGone { id }));
+        self.later.push((Instant::now() + DRAIN_LASTS, FollowUp::EngineGone { id }));
         Ok(())
     }
 
@@ -375,17 +375,17 @@
         let now = Instant::now();
         let (due, later) = std::mem::take(&mut self.later).into_iter().partition(|(at, _)| *at <= now);
         self.later = later;
-        let due: Vec<(Instant, Later)> = due;
+        let due: Vec<(Instant, FollowUp)> = due;
         for (_, what) in due {
             match what {
                 // A feed that its manager's configuration names again meanwhile stays.
-                Later::FeedMode { manager, side, mode: FeedMode::Moved }
+                FollowUp::FeedMode { manager, side, mode: FeedMode::Moved }
                     if self.feed_sides[manager] == side => {}
-                Later::FeedMode { manager, side, mode: FeedMode::Serve }
+                FollowUp::FeedMode { manager, side, mode: FeedMode::Serve }
                     if self.feed_sides[manager] != side => {}
-                Later::FeedMode { manager, side, mode } => self.feeds[manager][side].set_mode(mode),
-                Later::EngineGone { id } => self.remove_engine(&id),
-                Later::Heal { id } => {
+                FollowUp::FeedMode { manager, side, mode } => self.feeds[manager][side].set_mode(mode),
+                FollowUp::EngineGone { id } => self.remove_engine(&id),
+                FollowUp::Heal { id } => {
                     if let Some(engine) = self.engines.iter().find(|engine| engine.id == id) {
                         engine.behave(|behaviour| behaviour.failing = 5);
                     }
@@ -433,7 +433,8 @@
         }
         for manager in &self.managers {
             for line in alarming_lines(&manager.log_path(&self.deployment))? {
-                self.world.violate(Rule::OwnInvariant, format!("manager {}: {line}", manager.seat.number));
+                self.world
+                    .violate(Rule::OwnInvariant, format!("manager {}: {line}", manager.endpoint.number));
             }
         }
         let (requests, attempts) = self.world.totals();
