Fault soak: a run in an earlier run's folder judges its own logs alone

Cause: logs are appended over a manager's starts, the first one included. Change: the first start of a run empties the log.

--- a/crates/fault-soak/src/manager.rs
+++ b/crates/fault-soak/src/manager.rs
@@ -171,6 +171,10 @@
     /// A process that cannot be started.
     pub fn start(&mut self, deployment: &Deployment, known: u64) -> io::Result<()> {
         self.starts += 1;
+        if self.starts == 1 {
+            // The folder may be that of an earlier run, whose log must not be judged again.
+            File::create(self.log_path(deployment))?;
+        }
         let log = OpenOptions::new().create(true).append(true).open(self.log_path(deployment))?;
         let seed = self.endpoint.number as u64 * 1_000_003 + self.starts;
         let mut command = Command::new(&deployment.program);
