Review, case 3: a CancelRequest during an upgrade is lost, the request runs

Cause: CancelRequests for sessions of the old process are accepted by the new one, which does not know them. Change: the case; nothing of the program.

--- a/review/harness/src/cases/mod.rs
+++ b/review/harness/src/cases/mod.rs
@@ -1,10 +1,12 @@
 use crate::{Bench, Verdict};
 
+mod cancel_at_upgrade;
 mod large_requests;
 mod many_fields;
 
 pub fn run(case: &str, bench: &Bench) -> Verdict {
     match case {
+        "cancel-at-upgrade" => cancel_at_upgrade::run(bench),
         "many-fields" => many_fields::run(bench),
         "large-requests" => large_requests::run(bench),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
