--- a/review/harness/src/cases/cancel_at_upgrade.rs
+++ b/review/harness/src/cases/cancel_at_upgrade.rs
@@ -19,6 +19,14 @@
 const GRACE_S: f64 = 0.1 + 0.05;
 const CLIENTS: u64 = 40;
 
+/// A load with a key of its own, each into another group of tables.
+fn load(id: &str, number: usize) -> String {
+    format!(
+        "/* kind=tariff-load,req={id},timeout=20000,owner=sud-transport,opkey=5c0f6e1a2b3d4c59{id},ms=3200.0,heap_mb=96 */ INSERT INTO sales_{}.tariffs VALUES ('{id}')",
+        number + 1
+    )
+}
+
 pub fn run(bench: &Bench) -> Verdict {
     let record = &bench.record;
     let engines: Vec<Engine> = ["s-00c41f7a", "s-00c41f7b"]
@@ -60,8 +68,8 @@
             Err(error) => return Verdict::CouldNotRun(format!("a client cannot connect: {error}")),
         }
     }
-    for (id, client) in &mut clients {
-        let text = format!("/* kind=lane-report,req={id},timeout=20000,owner=sud-transport,ms=4000.0,heap_mb=96 */ SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '{id}'");
+    for (number, (id, client)) in clients.iter_mut().enumerate() {
+        let text = load(id, number);
         if client.send(&query(&text)).is_err() {
             return Verdict::CouldNotRun("a request cannot be sent".to_owned());
         }
--- a/review/harness/src/manager.rs
+++ b/review/harness/src/manager.rs
@@ -39,6 +39,13 @@
     value.trim_matches('"').to_owned()
 }
 
+/// A seed for random numbers, another for each start.
+fn seed(label: &str) -> String {
+    let text =
+        label.bytes().fold(0x8c1f_30d2_7a5b_e964u64, |seed, byte| seed.rotate_left(7) ^ u64::from(byte));
+    format!("{text:016x}")
+}
+
 /// Writes a process id to the file that `run.sh` names, from which it ends what is left if it is interrupted.
 fn note_pid(pid: u32) {
     let Some(file) = std::env::var_os("REVIEW_PIDS") else { return };
@@ -65,9 +72,10 @@
         let entries: Vec<String> = told.engines.iter().map(|(id, at)| entry(id, *at, "ready", 0)).collect();
         let operator = told.operator.map_or(String::new(), |at| format!(r#""operator":"{at}","#));
         let config = format!(
-            r#"{{"name":"{}","listen":"{}",{operator}"seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"feed":"{}","known":{{"n":1,"events":[{}]}},"settings":{}}}"#,
+            r#"{{"name":"{}","listen":"{}",{operator}"seed":"{}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"feed":"{}","known":{{"n":1,"events":[{}]}},"settings":{}}}"#,
             told.name,
             told.listen,
+            seed(label),
             told.memory_mb,
             told.sockets,
             told.feed,
