--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -14,6 +14,8 @@
 use record::Record;
 use std::fs;
 use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::Duration;
 
 /// The result of a case.
 pub enum Verdict {
@@ -42,6 +44,21 @@
     }
 }
 
+/// Ends the run as one that could not take place if it is not over in time; `run.sh` may take 120 s.
+fn end_in_time(record: Record, temporary: PathBuf) {
+    let limit = std::env::var("REVIEW_LIMIT_S").ok().and_then(|text| text.parse().ok());
+    let limit = Duration::from_secs(limit.unwrap_or(110));
+    thread::spawn(move || {
+        thread::sleep(limit);
+        manager::kill_all();
+        let _ = fs::remove_dir_all(&temporary);
+        let text = format!("could not run: not over after {} s", limit.as_secs());
+        record.line(&text);
+        println!("{text}");
+        std::process::exit(2);
+    });
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
@@ -58,6 +75,7 @@
         record: record.clone(),
         trouble,
     };
+    end_in_time(record.clone(), temporary.clone());
     record.line(format!("case {case}, trouble {}", if trouble { "on" } else { "off" }));
     let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| cases::run(case, &bench)));
     let verdict = verdict.unwrap_or_else(|_| Verdict::CouldNotRun("the harness failed".to_owned()));
--- a/review/harness/src/manager.rs
+++ b/review/harness/src/manager.rs
@@ -7,6 +7,7 @@
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -46,6 +47,16 @@
     format!("{text:016x}")
 }
 
+/// Ids of the processes that were started and not yet waited for.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills every process that still runs.
+pub fn kill_all() {
+    for pid in RUNNING.lock().unwrap().iter() {
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {pid}")).status();
+    }
+}
+
 /// Writes a process id to the file that `run.sh` names, from which it ends what is left if it is interrupted.
 fn note_pid(pid: u32) {
     let Some(file) = std::env::var_os("REVIEW_PIDS") else { return };
@@ -111,6 +122,7 @@
         let child = start.spawn().expect("the program");
         record.line(format!("{label} started, pid {}", child.id()));
         note_pid(child.id());
+        RUNNING.lock().unwrap().push(child.id());
         Manager { child, name: label.to_owned() }
     }
 
@@ -139,6 +151,8 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let pid = self.child.id();
+        RUNNING.lock().unwrap().retain(|running| *running != pid);
     }
 }
 
