--- a/src/front/accept.rs
+++ b/src/front/accept.rs
@@ -78,8 +78,11 @@
 
     async fn spawn_connection(self: &Rc<Self>, stream: TcpStream) {
         let open_connection = OpenConnection::new(self);
-        let connection = Rc::clone(self).handle_connection(stream, open_connection);
-        drop(tokio::task::spawn_local(connection));
+        let front = Rc::clone(self);
+        drop(tokio::task::spawn_local(async move {
+            let connection = Rc::clone(&front).handle_connection(stream, open_connection);
+            front.turn_timer.run(connection).await;
+        }));
         if self.open_connections.get() >= self.config.max_sessions {
             // Lets a connection that the new one evicts be closed before another connection is accepted.
             tokio::task::yield_now().await;
--- a/src/front/client_connection/input.rs
+++ b/src/front/client_connection/input.rs
@@ -12,9 +12,9 @@
 
 /// Maximum number of bytes of one read, into a buffer on the stack; most messages are shorter.
 pub(super) const READ_CHUNK_BYTES: usize = 8 * 1024;
-/// Maximum number of bytes that are read for one client before its task yields, so that a flood does not
-/// delay other tasks.
-const MAX_BYTES_PER_TURN: usize = 128 * 1024;
+/// Maximum number of bytes that are read and handled for one client before its task yields, so that a flood
+/// does not delay other tasks.
+const MAX_BYTES_PER_TURN: usize = 16 * 1024;
 /// Maximum number of input bytes that are discarded in one session. Beyond it the session ends together with
 /// its open request: otherwise a client that never stops writing would keep the session forever.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
@@ -94,8 +94,8 @@
         }
     }
 
-    /// Yields to other tasks when this connection has read [`MAX_BYTES_PER_TURN`].
-    pub(super) async fn yield_if_due(&mut self) {
+    /// Yields to other tasks when this connection has read and handled [`MAX_BYTES_PER_TURN`].
+    pub async fn yield_if_due(&mut self) {
         if self.bytes_this_turn >= MAX_BYTES_PER_TURN {
             self.bytes_this_turn = 0;
             yield_now().await;
--- a/src/front/client_connection/mod.rs
+++ b/src/front/client_connection/mod.rs
@@ -36,7 +36,7 @@
     discarded_bytes: usize,
     /// Whether the stream has ended or failed.
     is_at_end: bool,
-    /// Number of bytes that were read since this connection last yielded to other tasks.
+    /// Number of bytes that were read and consumed since this connection last yielded to other tasks.
     bytes_this_turn: usize,
     output: Option<Buffer>,
     arrivals: Arrivals,
@@ -80,6 +80,7 @@
     /// Marks `count` more bytes at the front of the input as consumed.
     pub fn consume(&mut self, count: usize) {
         self.consumed += count;
+        self.bytes_this_turn += count;
         self.arrivals.record_consumed(count);
         if self.input().is_empty() {
             self.input = None;
--- a/src/front/extended/prepared.rs
+++ b/src/front/extended/prepared.rs
@@ -60,13 +60,10 @@
     /// If the fields are invalid, the statement is not supported, or it has too many parameters.
     pub(super) fn new(sql: &str, mut types: Vec<u32>) -> Result<PreparedStatement, ErrorResponse> {
         let (comment, statement) = fields::split_comment(sql).map_err(ErrorResponse::from)?;
-        let field_pairs: Vec<(String, String)> =
-            fields::pairs(comment).map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
         // Values in the text are checked now, and values of parameters when they are bound.
-        let text_pairs = field_pairs.iter().filter(|(_, value)| !value.starts_with('$'));
-        fields::read(text_pairs.map(|(name, value)| (name.as_str(), value.as_str())))
-            .map_err(ErrorResponse::from)?;
-        let references = field_pairs.iter().filter_map(|(_, value)| value.strip_prefix('$'));
+        let text_pairs = fields::pairs(comment).filter(|(_, value)| !value.starts_with('$'));
+        fields::read(text_pairs).map_err(ErrorResponse::from)?;
+        let references = fields::pairs(comment).filter_map(|(_, value)| value.strip_prefix('$'));
         let max_reference = references.map(|number| number.parse::<usize>().unwrap_or(usize::MAX)).max();
         let count = literal::max_parameter(statement).max(max_reference.unwrap_or(0)).max(types.len());
         if count > MAX_PARAMETERS {
@@ -79,6 +76,7 @@
         }
         let kind = classify(statement)?;
         let statement = statement.to_owned();
+        let field_pairs = used_pairs(comment);
         Ok(PreparedStatement { field_pairs, statement, types, kind, is_key_used: Cell::new(false) })
     }
 
@@ -137,6 +135,13 @@
     }
 }
 
+/// The fields of a comment that a request uses. Others are dropped: each could refer to the same parameter,
+/// and a portal would then hold a copy of its value for each.
+fn used_pairs(comment: &str) -> Vec<(String, String)> {
+    let used = fields::pairs(comment).filter(|(name, _)| fields::is_known(name));
+    used.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
 fn wrong_count(name: &str, count: usize, expected: usize) -> ErrorResponse {
     ErrorResponse::malformed(format!("field {name} is {count}, but the statement wants {expected}"))
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -22,6 +22,7 @@
 mod session_end;
 pub mod sessionless;
 mod startup;
+mod turn_time;
 
 use crate::core::Core;
 use cancel_signal::CancelSignal;
@@ -35,6 +36,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio_rustls::TlsAcceptor;
+use turn_time::TurnTimer;
 
 pub use config::{ClassConfig, FrontConfig};
 
@@ -54,6 +56,7 @@
     /// Cancel signals of the sessions, by the process id in BackendKeyData.
     sessions: RefCell<BTreeMap<u32, Rc<CancelSignal>>>,
     session_ends: SessionEndCounters,
+    turn_timer: TurnTimer,
     slots: Rc<ConnectionSlots>,
     sessionless: Rc<SessionlessConnections>,
     read_ahead: Rc<ReadAheadBudget>,
@@ -84,6 +87,7 @@
         Rc::new(Front {
             sessions: RefCell::default(),
             session_ends: SessionEndCounters::new(core.metrics()),
+            turn_timer: TurnTimer::new(core.metrics()),
             slots: ConnectionSlots::new(
                 config.max_sessions,
                 config.max_evicted,
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -133,6 +133,7 @@
             // Many short messages that were sent at once are handled without waiting for input. Consuming the
             // budget lets other tasks run in between.
             consume_budget().await;
+            connection.yield_if_due().await;
             match self.handle_message(connection).await? {
                 SessionFlow::Continue => {}
                 SessionFlow::End(end) => return Ok(end),
--- a/src/proto/fields.rs
+++ b/src/proto/fields.rs
@@ -2,6 +2,7 @@
 //! `/* name=value,name=value */ SELECT ...`.
 
 use super::pg::ErrorResponse;
+use std::collections::HashSet;
 use thiserror::Error;
 
 /// Names of the fields on the wire.
@@ -24,6 +25,18 @@
     pub const MEMORY_MB: &str = "heap_mb";
 }
 
+/// The names of all fields that are used; any other name is ignored.
+const KNOWN_NAMES: [&str; 8] = [
+    name::CLASS,
+    name::REQUEST_ID,
+    name::TIMEOUT,
+    name::TENANT,
+    name::RETRY,
+    name::IDEMPOTENCY_KEY,
+    name::WORK_MS,
+    name::MEMORY_MB,
+];
+
 /// The only valid value of the field [`name::RETRY`].
 const IS_RETRY: &str = "1";
 /// Number of hexadecimal digits of a request's id.
@@ -128,6 +141,11 @@
     comment.split(',').filter_map(|pair| pair.trim().split_once('='))
 }
 
+/// Whether a field of this name is used, rather than ignored.
+pub fn is_known(name: &str) -> bool {
+    KNOWN_NAMES.contains(&name)
+}
+
 /// Whether a part of a comment is `name=value`, with no white space in the name. A comment with any other
 /// part holds no fields.
 fn is_pair(part: &str) -> bool {
@@ -143,12 +161,12 @@
 /// values is meant.
 pub fn read<'a>(pairs: impl Iterator<Item = (&'a str, &'a str)>) -> Result<Fields, FieldError> {
     let mut fields = Fields::default();
-    let mut names_read = Vec::new();
+    // A set, because a client chooses how many names there are: the cost must stay proportional to the text.
+    let mut names_read = HashSet::new();
     for (name, value) in pairs {
-        if names_read.contains(&name) {
+        if !names_read.insert(name) {
             return Err(FieldError::Duplicate(name.to_owned()));
         }
-        names_read.push(name);
         match name {
             name::CLASS => fields.class = Some(value.to_owned()),
             name::REQUEST_ID => fields.request_id = Some(read_id(value)?),
--- a/src/proto/tables.rs
+++ b/src/proto/tables.rs
@@ -84,16 +84,18 @@
 }
 
 /// Checks that a text holds at most one statement. Text after a semicolon counts as another statement unless
-/// it is empty (see [`is_empty`]).
+/// it is empty (see [`is_empty`]). Each token is read once, however many semicolons there are.
 ///
 /// # Errors
 /// If the text holds more than one statement.
 pub fn check_single_statement(mut text: &str) -> Result<(), SeveralStatements> {
+    let mut is_after_semicolon = false;
     while let Some((kind, length)) = first_token(text) {
         let (head, tail) = text.split_at_checked(length).unwrap_or((text, ""));
-        if head == ";" && kind == Token::Other && !is_empty(tail) {
+        if is_after_semicolon && !is_ignored(kind, head) {
             return Err(SeveralStatements);
         }
+        is_after_semicolon |= is_semicolon(kind, head);
         text = tail;
     }
     Ok(())
@@ -103,12 +105,7 @@
 pub fn is_empty(mut text: &str) -> bool {
     while let Some((kind, length)) = first_token(text) {
         let (Some(head), Some(rest)) = (text.get(..length), text.get(length..)) else { return false };
-        let is_ignored = match kind {
-            Token::Space => true,
-            Token::Opaque => is_comment(head),
-            _ => head == ";",
-        };
-        if !is_ignored {
+        if !is_ignored(kind, head) {
             return false;
         }
         text = rest;
@@ -116,6 +113,19 @@
     true
 }
 
+/// Whether a token belongs to no statement: it is white space, a comment or a semicolon.
+fn is_ignored(kind: Token, token: &str) -> bool {
+    match kind {
+        Token::Space => true,
+        Token::Opaque => is_comment(token),
+        _ => is_semicolon(kind, token),
+    }
+}
+
+fn is_semicolon(kind: Token, token: &str) -> bool {
+    kind == Token::Other && token == ";"
+}
+
 /// Whether an opaque token is a comment rather than a string.
 pub fn is_comment(token: &str) -> bool {
     token.starts_with("--") || token.starts_with("/*")
