--- a/src/core/attempt.rs
+++ b/src/core/attempt.rs
@@ -298,7 +298,7 @@
         if body.len() > MAX_PAGE_BYTES || !is_page(body) {
             return Err(EngineAnswerError::InvalidPage);
         }
-        if self.result.len() + body.len() > MAX_RESULT_BYTES {
+        if self.result.byte_count() + body.len() > MAX_RESULT_BYTES {
             return Err(EngineAnswerError::ResultTooLong);
         }
         Ok(())
--- a/src/core/buffer_pool.rs
+++ b/src/core/buffer_pool.rs
@@ -1,94 +1,254 @@
-//! A pool of reusable buffers of one size.
+//! A pool of reusable buffers, bounded by the bytes that they hold together.
 //!
-//! The pool is bounded: a request that finds it empty is rejected, so that overload leads to rejections and
-//! does not exhaust the memory of the process.
+//! A request that finds the pool exhausted is rejected, so that overload leads to rejections and does not
+//! exhaust the memory of the process. Everything that a client can make the process hold is charged to the
+//! pool: input, statements, commands for engines, results, output, and prepared statements. Only short buffers
+//! are available beyond the limit, a fixed number for each connection; `run::memory_budget` sets the memory for
+//! them aside.
 
-use bytes::BufMut;
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
-use std::io;
 use std::ops::{Deref, DerefMut};
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Poll};
-use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
 
-/// Size of every buffer in bytes. The largest result and its framing fit into one buffer.
+/// Size of the largest buffer in bytes. The longest message and the largest result fit into one buffer.
 pub const BUFFER_BYTES: usize = 64 * 1024;
-
-/// Size of the stack buffer of the first read, in bytes; most messages are shorter. A buffer is taken from
-/// the pool only if the read returns bytes.
-const FIRST_READ_BYTES: usize = 2_048;
+/// Size of the smallest buffer in bytes; most messages and answers are shorter.
+pub const SMALL_BUFFER_BYTES: usize = 4 * 1024;
+/// Sizes of buffers in bytes, in ascending order. There are few, because free memory between buffers of one size
+/// does not always serve another.
+const SIZES: [usize; 3] = [SMALL_BUFFER_BYTES, MAX_SHORT_BYTES, BUFFER_BYTES];
+/// Size of the buffers in bytes above which memory counts as long.
+const MAX_SHORT_BYTES: usize = 8 * 1024;
+/// Fraction of the pool that only buffers of up to [`MAX_SHORT_BYTES`] may use: requests of usual length find
+/// memory while long ones wait for engines.
+const SHORT_FRACTION: usize = 8;
+/// Fraction of the pool that sessions may hold between requests: prepared statements and portals.
+const RETAINED_FRACTION: usize = 4;
+/// Maximum number of bytes in free buffers that are kept for reuse.
+const MAX_FREE_BYTES: usize = 1 << 20;
 
 #[derive(Debug)]
 struct PoolState {
-    free: RefCell<Vec<Vec<u8>>>,
-    in_use: Cell<usize>,
-    max_buffers: usize,
+    /// Free buffers, by the position of their size in [`SIZES`].
+    free: RefCell<[Vec<Vec<u8>>; SIZES.len()]>,
+    free_bytes: Cell<usize>,
+    /// Number of bytes that are charged to the pool.
+    used_bytes: Cell<usize>,
+    /// Number of bytes, of those that are charged, that sessions hold between requests.
+    retained_bytes: Cell<usize>,
+    /// Number of buffers beyond the limit.
+    beyond_limit: Cell<usize>,
+    /// Number of times that the pool was exhausted.
+    refusals: Cell<u64>,
+    max_bytes: usize,
 }
 
 /// A handle to a pool of buffers; clones share the pool.
 #[derive(Clone, Debug)]
 pub struct BufferPool(Rc<PoolState>);
 
-/// A buffer that returns to its pool when dropped. Writers must not exceed [`BUFFER_BYTES`]: a buffer that
-/// has grown is freed instead.
+/// A buffer that returns to its pool when dropped. Writers must not exceed [`Buffer::free_bytes`]: a buffer
+/// that has grown otherwise than by [`Buffer::reserve`] is freed instead.
 #[derive(Debug)]
 pub struct Buffer {
     bytes: Vec<u8>,
+    size: usize,
+    /// The memory that the buffer is charged for; `None` for a buffer beyond the limit.
+    charge: Option<MemoryCharge>,
     pool: Rc<PoolState>,
 }
 
+/// A number of bytes that are charged to the pool until this value is dropped.
+#[derive(Debug)]
+pub struct MemoryCharge {
+    bytes: usize,
+    /// Whether a session holds the memory between requests.
+    is_retained: bool,
+    pool: Rc<PoolState>,
+}
+
+/// How a pool is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PoolUsage {
+    /// Number of bytes that are charged to the pool.
+    pub used_bytes: usize,
+    /// Number of buffers beyond the limit that are in use.
+    pub buffers_beyond_limit: usize,
+    /// Number of times that the pool was exhausted so far.
+    pub refusals: u64,
+}
+
 impl BufferPool {
-    /// Creates a pool with at most `max_buffers` in use at a time.
-    pub fn new(max_buffers: usize) -> BufferPool {
-        BufferPool(Rc::new(PoolState { free: RefCell::new(Vec::new()), in_use: Cell::new(0), max_buffers }))
+    /// Creates a pool whose buffers hold at most `max_bytes` together.
+    pub fn new(max_bytes: usize) -> BufferPool {
+        BufferPool(Rc::new(PoolState {
+            free: RefCell::default(),
+            free_bytes: Cell::new(0),
+            used_bytes: Cell::new(0),
+            retained_bytes: Cell::new(0),
+            beyond_limit: Cell::new(0),
+            refusals: Cell::new(0),
+            max_bytes,
+        }))
     }
 
-    /// An empty buffer, or `None` if the limit on buffers in use is reached.
-    pub fn get(&self) -> Option<Buffer> {
-        if self.0.in_use.get() >= self.0.max_buffers {
+    /// An empty buffer for at least `bytes` bytes; `None` if the pool is exhausted, or no buffer is that
+    /// large.
+    pub fn get(&self, bytes: usize) -> Option<Buffer> {
+        let size = fitting_size(bytes)?;
+        let charge = self.charge(size)?;
+        Some(Buffer { bytes: self.0.take(size), size, charge: Some(charge), pool: Rc::clone(&self.0) })
+    }
+
+    /// An empty buffer of [`SMALL_BUFFER_BYTES`], even if the pool is exhausted: for data that cannot be
+    /// rejected, such as a cancellation, an error to a client or received bytes. Each connection has at most
+    /// two of these buffers, so the limits on connections also bound their number.
+    pub fn get_beyond_limit(&self) -> Buffer {
+        self.0.get_beyond_limit(SMALL_BUFFER_BYTES)
+    }
+
+    /// Charges `bytes` to the pool; `None` if it is exhausted.
+    pub fn charge(&self, bytes: usize) -> Option<MemoryCharge> {
+        let state = &self.0;
+        let reserved = if bytes > MAX_SHORT_BYTES { state.max_bytes / SHORT_FRACTION } else { 0 };
+        let used = state.used_bytes.get() + bytes;
+        if used > state.max_bytes - reserved {
+            state.refusals.set(state.refusals.get() + 1);
             return None;
         }
-        Some(self.get_beyond_limit())
+        state.used_bytes.set(used);
+        Some(MemoryCharge { bytes, is_retained: false, pool: Rc::clone(state) })
     }
 
-    /// An empty buffer, even if the limit on buffers in use is reached: for data that cannot be rejected,
-    /// such as a cancellation, an error to a client or received bytes. Each connection and each session has
-    /// at most two of these buffers, so the limits on connections and sessions also bound their number. They
-    /// count as in use, so that new requests are rejected until buffers are returned.
-    pub fn get_beyond_limit(&self) -> Buffer {
-        self.0.in_use.set(self.0.in_use.get() + 1);
-        let bytes = self.0.free.borrow_mut().pop().unwrap_or_else(|| Vec::with_capacity(BUFFER_BYTES));
-        Buffer { bytes, pool: Rc::clone(&self.0) }
+    /// As [`BufferPool::charge`], for memory that a session holds between requests. All sessions together may
+    /// hold a fraction of the pool, so that requests always find some.
+    pub fn charge_retained(&self, bytes: usize) -> Option<MemoryCharge> {
+        let retained = self.0.retained_bytes.get() + bytes;
+        if retained > self.0.max_bytes / RETAINED_FRACTION {
+            self.0.refusals.set(self.0.refusals.get() + 1);
+            return None;
+        }
+        let mut charge = self.charge(bytes)?;
+        charge.is_retained = true;
+        self.0.retained_bytes.set(retained);
+        Some(charge)
     }
 
-    /// Limit on the buffers in use at a time, beyond which [`BufferPool::get`] returns `None`.
-    pub fn max_buffers(&self) -> usize {
-        self.0.max_buffers
+    /// Limit on the bytes that are charged to the pool.
+    pub fn max_bytes(&self) -> usize {
+        self.0.max_bytes
     }
 
-    /// The number of buffers in use, including those beyond the limit.
-    pub fn in_use(&self) -> usize {
-        self.0.in_use.get()
+    /// How the pool is used now.
+    pub fn usage(&self) -> PoolUsage {
+        PoolUsage {
+            used_bytes: self.0.used_bytes.get(),
+            buffers_beyond_limit: self.0.beyond_limit.get(),
+            refusals: self.0.refusals.get(),
+        }
     }
 }
 
+impl PoolState {
+    fn get_beyond_limit(self: &Rc<Self>, size: usize) -> Buffer {
+        self.beyond_limit.set(self.beyond_limit.get() + 1);
+        Buffer { bytes: self.take(size), size, charge: None, pool: Rc::clone(self) }
+    }
+
+    /// Takes a free buffer of a size, or allocates one.
+    fn take(&self, size: usize) -> Vec<u8> {
+        let free = self.free.borrow_mut()[position_of(size)].pop();
+        match free {
+            Some(bytes) => {
+                self.free_bytes.set(self.free_bytes.get() - size);
+                bytes
+            }
+            None => Vec::with_capacity(size),
+        }
+    }
+
+    /// Keeps a buffer for reuse, or frees it if enough buffers are free.
+    fn put_back(&self, mut bytes: Vec<u8>, size: usize) {
+        if bytes.capacity() == size && self.free_bytes.get() + size <= MAX_FREE_BYTES {
+            bytes.clear();
+            self.free_bytes.set(self.free_bytes.get() + size);
+            self.free.borrow_mut()[position_of(size)].push(bytes);
+        }
+    }
+}
+
+/// The smallest size that holds `bytes` bytes; `None` if there is none.
+fn fitting_size(bytes: usize) -> Option<usize> {
+    SIZES.into_iter().find(|size| *size >= bytes)
+}
+
+fn position_of(size: usize) -> usize {
+    SIZES.iter().position(|other| *other == size).unwrap_or(SIZES.len() - 1)
+}
+
 impl Buffer {
-    /// Whether `bytes` more bytes fit into [`BUFFER_BYTES`].
+    /// Number of bytes that still fit the buffer.
+    pub fn free_bytes(&self) -> usize {
+        self.size.saturating_sub(self.bytes.len())
+    }
+
+    /// Whether `bytes` more bytes fit the buffer as it is.
     pub fn has_capacity(&self, bytes: usize) -> bool {
-        self.bytes.len() + bytes <= BUFFER_BYTES
+        bytes <= self.free_bytes()
+    }
+
+    /// Enlarges the buffer so that `bytes` more bytes fit; returns false if they don't, because the pool is
+    /// exhausted or no buffer is that large.
+    pub fn reserve(&mut self, bytes: usize) -> bool {
+        if self.has_capacity(bytes) {
+            return true;
+        }
+        let pool = BufferPool(Rc::clone(&self.pool));
+        let Some(mut larger) = pool.get(self.bytes.len() + bytes) else { return false };
+        larger.extend_from_slice(&self.bytes);
+        *self = larger;
+        true
+    }
+
+    /// As [`Buffer::reserve`], and if the pool is exhausted, the buffer is enlarged beyond its limit to
+    /// `max_bytes` at most. To be used only where the number of these buffers is bounded.
+    pub fn reserve_beyond_limit(&mut self, bytes: usize, max_bytes: usize) -> bool {
+        if self.reserve(bytes) {
+            return true;
+        }
+        let Some(size) = fitting_size(self.bytes.len() + bytes).filter(|size| *size <= max_bytes) else {
+            return false;
+        };
+        let mut larger = self.pool.get_beyond_limit(size);
+        larger.extend_from_slice(&self.bytes);
+        *self = larger;
+        true
+    }
+
+    /// Appends the bytes that fit, enlarging the buffer if possible, and returns the remaining bytes.
+    pub fn append<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
+        let wanted = bytes.len().min(BUFFER_BYTES.saturating_sub(self.bytes.len()));
+        self.reserve(wanted);
+        let (fitting, rest) = bytes.split_at(wanted.min(self.free_bytes()));
+        self.bytes.extend_from_slice(fitting);
+        rest
     }
 }
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        self.pool.in_use.set(self.pool.in_use.get() - 1);
-        let mut bytes = std::mem::take(&mut self.bytes);
-        // A buffer that grew beyond its size is freed, so that the pool's memory stays bounded.
-        if bytes.capacity() <= BUFFER_BYTES {
-            bytes.clear();
-            self.pool.free.borrow_mut().push(bytes);
+        if self.charge.is_none() {
+            self.pool.beyond_limit.set(self.pool.beyond_limit.get() - 1);
+        }
+        self.pool.put_back(std::mem::take(&mut self.bytes), self.size);
+    }
+}
+
+impl Drop for MemoryCharge {
+    fn drop(&mut self) {
+        self.pool.used_bytes.set(self.pool.used_bytes.get() - self.bytes);
+        if self.is_retained {
+            self.pool.retained_bytes.set(self.pool.retained_bytes.get() - self.bytes);
         }
     }
 }
@@ -106,32 +266,5 @@
     }
 }
 
-/// Reads the bytes that have arrived and returns their number, 0 at the end of the stream. A buffer is taken
-/// from the pool only once there are bytes: idle connections would occupy every buffer otherwise.
-///
-/// # Errors
-/// The errors of the stream, and a full buffer: a reader that paused on a full buffer would never see the end
-/// of the stream.
-pub async fn read_into<S: AsyncRead + Unpin>(
-    pool: &BufferPool,
-    stream: &mut S,
-    buffer: &mut Option<Buffer>,
-) -> io::Result<usize> {
-    if let Some(buffer) = buffer {
-        let capacity = BUFFER_BYTES.saturating_sub(buffer.len());
-        if capacity == 0 {
-            return Err(io::Error::new(io::ErrorKind::StorageFull, "the buffer is full"));
-        }
-        return stream.read_buf(&mut (&mut **buffer).limit(capacity)).await;
-    }
-    poll_fn(|cx| {
-        let mut stack_buffer = [0; FIRST_READ_BYTES];
-        let mut read = ReadBuf::new(&mut stack_buffer);
-        ready!(Pin::new(&mut *stream).poll_read(cx, &mut read))?;
-        if !read.filled().is_empty() {
-            buffer.insert(pool.get_beyond_limit()).extend_from_slice(read.filled());
-        }
-        Poll::Ready(Ok(read.filled().len()))
-    })
-    .await
-}
+#[cfg(test)]
+mod tests;
--- a/src/core/connection_task.rs
+++ b/src/core/connection_task.rs
@@ -4,20 +4,25 @@
 //! commands, in order, and calls of the [`ConnectionOwner`] for each answer and for the end of the
 //! connection. State: the buffer that is being written and the answer that is being read.
 
-use super::buffer_pool::{read_into, Buffer, BufferPool, BUFFER_BYTES};
+use super::buffer_pool::{Buffer, BufferPool, BUFFER_BYTES};
 use super::clock::{now, to_duration};
 use super::engine_connection::{ConnectionLimits, EngineConnection, QueuedBuffer};
 use super::socket::{retry_interrupted, SocketReader};
 use super::system_error::is_local_dial_failure;
 use crate::proto::engine_answer::EngineAnswerError;
 use crate::proto::resp;
+use bytes::BufMut;
 use socket2::SockRef;
 use sprucelink_policy::{TimeDelta, Timestamp};
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{ready, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, ReadBuf};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
@@ -32,6 +37,12 @@
 /// Time without a further byte of an incomplete answer after which the connection is closed. Engines write an
 /// answer in one piece, so the rest of a stalled answer will not arrive.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes that are read of an answer even if the pool is exhausted: the longest answer that the protocol allows,
+/// a page of 6,000 bytes with its fields and framing, fits.
+const ANSWER_BYTES: usize = 8 * 1024;
+/// Size of the stack buffer of the first read, in bytes; most answers are shorter. A buffer is taken from the
+/// pool only if the read returns bytes.
+const FIRST_READ_BYTES: usize = 2_048;
 /// Time from the first byte of an answer until the answer must be complete, because all other answers on the
 /// connection wait behind it.
 const ANSWER_TIMEOUT: TimeDelta = TimeDelta::from_secs(2);
@@ -264,7 +275,7 @@
         if buffer.is_empty() {
             received = None;
             answer_began_at = None;
-        } else if !buffer.has_capacity(1) {
+        } else if buffer.len() >= BUFFER_BYTES {
             return ConnectionEnd::unreadable("answer exceeds the maximum length");
         } else if consumed > 0 || answer_began_at.is_none() {
             answer_began_at = Some(now());
@@ -272,6 +283,36 @@
     }
 }
 
+/// Reads the bytes that have arrived and returns their number, 0 at the end of the stream. A buffer is taken
+/// from the pool only once there are bytes: idle connections would occupy many buffers otherwise.
+///
+/// # Errors
+/// The errors of the stream, and `StorageFull` if the buffer is full and cannot be enlarged: a reader that
+/// paused would never see the end of the stream.
+async fn read_into<S: AsyncRead + Unpin>(
+    pool: &BufferPool,
+    stream: &mut S,
+    buffer: &mut Option<Buffer>,
+) -> io::Result<usize> {
+    if let Some(buffer) = buffer {
+        if !buffer.reserve_beyond_limit(1, ANSWER_BYTES) {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the buffer is full"));
+        }
+        let free_bytes = buffer.free_bytes();
+        return stream.read_buf(&mut (&mut **buffer).limit(free_bytes)).await;
+    }
+    poll_fn(|cx| {
+        let mut stack_buffer = [0; FIRST_READ_BYTES];
+        let mut read = ReadBuf::new(&mut stack_buffer);
+        ready!(Pin::new(&mut *stream).poll_read(cx, &mut read))?;
+        if !read.filled().is_empty() {
+            buffer.insert(pool.get_beyond_limit()).extend_from_slice(read.filled());
+        }
+        Poll::Ready(Ok(read.filled().len()))
+    })
+    .await
+}
+
 /// Passes the complete answers in a buffer to the owner; returns their total length in bytes.
 fn process_answers<O: ConnectionOwner>(
     owner: &Rc<O>,
--- a/src/core/coordinator.rs
+++ b/src/core/coordinator.rs
@@ -253,8 +253,8 @@
         self.policy.observe_wall_clock();
         if self.statistics.is_log_due(now()) {
             let capture_losses = self.policy.recorder_counters().map_or(0, |counters| counters.lost);
-            let buffers_in_use = runtime.pool().in_use();
-            self.statistics.log(now(), self.requests.len(), buffers_in_use, capture_losses);
+            let memory = runtime.pool().usage();
+            self.statistics.log(now(), self.requests.len(), memory, capture_losses);
         }
         let commands = self.policy.fire_timers(now());
         self.execute(runtime, commands);
--- a/src/core/coordinator/attempts.rs
+++ b/src/core/coordinator/attempts.rs
@@ -41,6 +41,16 @@
     load_report: EngineLoadReport,
 }
 
+/// Whether the command of an attempt that is about to be sent is queued again.
+enum Requeue {
+    /// The command is recent enough to be sent.
+    NotNeeded,
+    /// The command was queued again.
+    Queued,
+    /// The pool has no buffer for the new command.
+    NoBuffer,
+}
+
 impl AttemptEnd {
     /// The end of an attempt that was never queued to a connection.
     fn unsent(attempt: u32, outcome: AttemptOutcome) -> AttemptEnd {
@@ -121,11 +131,17 @@
             self.withdraw_unauthorized(now, connection, id, attempt, reason);
             return false;
         }
-        if self.requeue_if_delayed(now, pool, connection, id) {
-            return false;
+        match self.requeue_if_delayed(now, pool, connection, id) {
+            Requeue::NotNeeded => {
+                self.record_first_byte(now, connection, id, &outgoing);
+                true
+            }
+            Requeue::Queued => false,
+            Requeue::NoBuffer => {
+                self.withdraw_unauthorized(now, connection, id, attempt, SendRejection::NoBuffer);
+                false
+            }
         }
-        self.record_first_byte(now, connection, id, &outgoing);
-        true
     }
 
     /// The current state of an attempt that is about to be sent; `None` if it is no longer in flight on this
@@ -178,27 +194,29 @@
     }
 
     /// Queues the command of an attempt again, with the time that is left, if the deadline in the command
-    /// exceeds the client's deadline by more than [`MAX_DEADLINE_EXCESS`]. Returns whether it was queued
-    /// again.
+    /// exceeds the client's deadline by more than [`MAX_DEADLINE_EXCESS`].
     fn requeue_if_delayed(
         &mut self,
         now: Timestamp,
         pool: &BufferPool,
         connection: &EngineConnection,
         id: u64,
-    ) -> bool {
-        let Some(request) = self.requests.get_mut(id) else { return false };
+    ) -> Requeue {
+        let Some(request) = self.requests.get_mut(id) else { return Requeue::NotNeeded };
         let time_left = request.deadline - now;
-        let Some(in_flight) = &mut request.in_flight else { return false };
+        let Some(in_flight) = &mut request.in_flight else { return Requeue::NotNeeded };
         if in_flight.sent_time_left - time_left <= MAX_DEADLINE_EXCESS {
-            return false;
+            return Requeue::NotNeeded;
         }
         in_flight.sent_time_left = time_left;
         let attempt = in_flight.number;
         let name = format_request_id(id);
         let fields = format_fields(request, time_left);
-        connection.requeue(pool, id, attempt, &query_command(request, &name, &fields));
-        true
+        if connection.requeue(pool, id, attempt, &query_command(request, &name, &fields)) {
+            Requeue::Queued
+        } else {
+            Requeue::NoBuffer
+        }
     }
 
     /// Records that the first byte of an attempt is about to be sent. May be called again for the same
--- a/src/core/engine_connection.rs
+++ b/src/core/engine_connection.rs
@@ -216,11 +216,11 @@
     /// run concurrently with the request's next attempt.
     pub fn command(&self, pool: &BufferPool, parts: &[&[u8]]) {
         if !self.is_closed() {
-            self.queue_command(parts, || Some(pool.get_beyond_limit()));
+            self.queue_command(parts, |_| Some(pool.get_beyond_limit()));
         }
     }
 
-    fn queue_command(&self, parts: &[&[u8]], take_buffer: impl FnOnce() -> Option<Buffer>) -> bool {
+    fn queue_command(&self, parts: &[&[u8]], take_buffer: impl FnOnce(usize) -> Option<Buffer>) -> bool {
         let is_queued = self.send_queue.borrow_mut().push_command(parts, take_buffer);
         if is_queued {
             self.wake.notify_one();
@@ -231,7 +231,7 @@
     /// Queues the command that sends an attempt; returns false if the pool has no buffer for it.
     pub fn send(&self, pool: &BufferPool, id: u64, attempt: u32, parts: &[&[u8]]) -> bool {
         let start = self.queued_end();
-        if !self.queue_command(parts, || pool.get()) {
+        if !self.queue_command(parts, |bytes| pool.get(bytes)) {
             return false;
         }
         let end = self.queued_end();
@@ -242,15 +242,14 @@
     }
 
     /// Replaces the command of an attempt by a new command at the end of the queue; returns false if the
-    /// connection is closed or a byte of the old command was sent. The new command may take a buffer beyond
-    /// the limit of the pool, because the buffer of the old command is released once the old command is
-    /// skipped.
+    /// connection is closed, a byte of the old command was sent, or the pool has no buffer for the new one.
+    /// The attempt is then withdrawn unless a byte of it was sent.
     pub fn requeue(&self, pool: &BufferPool, id: u64, attempt: u32, parts: &[&[u8]]) -> bool {
         if self.is_closed() || self.withdraw(id) != Withdrawal::Complete {
             return false;
         }
         let start = self.queued_end();
-        if !self.queue_command(parts, || Some(pool.get_beyond_limit())) {
+        if !self.queue_command(parts, |bytes| pool.get(bytes)) {
             return false;
         }
         let end = self.queued_end();
--- a/src/core/engine_connection/send_queue.rs
+++ b/src/core/engine_connection/send_queue.rs
@@ -63,15 +63,17 @@
 
 impl SendQueue {
     /// Queues a command, in the last buffer if that buffer has capacity and otherwise in a buffer that
-    /// `buffer` returns; returns false if neither has capacity.
+    /// `take_buffer` returns for the command's length; returns false if neither has capacity.
     pub(super) fn push_command(
         &mut self,
         parts: &[&[u8]],
-        take_buffer: impl FnOnce() -> Option<Buffer>,
+        take_buffer: impl FnOnce(usize) -> Option<Buffer>,
     ) -> bool {
         let size = FRAMING_BYTES + parts.iter().map(|part| part.len() + FRAMING_BYTES).sum::<usize>();
         if !self.buffers.back().is_some_and(|last| last.has_capacity(size)) {
-            let Some(buffer) = take_buffer().filter(|buffer| buffer.has_capacity(size)) else { return false };
+            let Some(buffer) = take_buffer(size).filter(|buffer| buffer.has_capacity(size)) else {
+                return false;
+            };
             self.buffers.push_back(buffer);
         }
         if let Some(buffer) = self.buffers.back_mut() {
--- a/src/core/outcome_counters.rs
+++ b/src/core/outcome_counters.rs
@@ -23,12 +23,13 @@
     (AttemptOutcome::NeverRan, "attempts.ended.never_ran"),
 ];
 /// The reasons why attempts are withdrawn before their first byte, and the names of their counters.
-const WITHDRAWALS: [(SendRejection, &str); 5] = [
+const WITHDRAWALS: [(SendRejection, &str); 6] = [
     (SendRejection::RequestOver, "attempts.withdrawn.request_over"),
     (SendRejection::DeadlinePassed, "attempts.withdrawn.deadline_passed"),
     (SendRejection::EngineNotReady, "attempts.withdrawn.engine_not_ready"),
     (SendRejection::NotRetryable, "attempts.withdrawn.not_retryable"),
     (SendRejection::RetryBudgetSpent, "attempts.withdrawn.retry_budget_spent"),
+    (SendRejection::NoBuffer, "attempts.withdrawn.no_buffer"),
 ];
 /// The reasons why requests are rejected, and the names of their counters.
 const REJECTIONS: [(UnservedReason, &str); 2] = [
--- a/src/core/request_counters.rs
+++ b/src/core/request_counters.rs
@@ -1,6 +1,7 @@
 //! Counters of requests and attempts between two log lines. Input: increments by `request_statistics`.
 //! Output: a log line. State: the counters.
 
+use super::buffer_pool::PoolUsage;
 use tracing::info;
 
 /// The counters since the last log line.
@@ -22,7 +23,7 @@
 
 impl RequestCounters {
     /// Logs the counters, unless nothing was submitted and nothing is pending.
-    pub(super) fn log(&self, pending: usize, buffers_in_use: usize) {
+    pub(super) fn log(&self, pending: usize, memory: PoolUsage) {
         if self.submitted == 0 && pending == 0 {
             return;
         }
@@ -34,7 +35,9 @@
             abandoned = self.abandoned,
             attempts = self.attempts,
             pending,
-            buffers_in_use,
+            pool_bytes = memory.used_bytes,
+            buffers_beyond_limit = memory.buffers_beyond_limit,
+            pool_refusals = memory.refusals,
             "request counters"
         );
     }
--- a/src/core/request_statistics.rs
+++ b/src/core/request_statistics.rs
@@ -4,6 +4,7 @@
 //! counters in each interval. State: the counters since the last log line.
 
 use super::attempt::AttemptOutcome;
+use super::buffer_pool::PoolUsage;
 use super::outcome_counters::OutcomeCounters;
 use super::request::Response;
 use super::request_counters::RequestCounters;
@@ -99,9 +100,9 @@
         now >= self.next_log_at
     }
 
-    /// Logs the counters of the last interval and resets them. `pending`: pending requests; `buffers_in_use`:
-    /// buffers of the pool in use; `capture_losses`: events that the recorder has lost so far.
-    pub(super) fn log(&mut self, now: Timestamp, pending: usize, buffers_in_use: usize, capture_losses: u64) {
+    /// Logs the counters of the last interval and resets them. `pending`: pending requests; `memory`: how the
+    /// pool of buffers is used; `capture_losses`: events that the recorder has lost so far.
+    pub(super) fn log(&mut self, now: Timestamp, pending: usize, memory: PoolUsage, capture_losses: u64) {
         self.next_log_at = now + LOG_INTERVAL;
         if capture_losses > self.logged_capture_losses {
             let lost = capture_losses - self.logged_capture_losses;
@@ -110,6 +111,6 @@
             warn!(lost, interval_s, "capture lost events");
         }
         let counters = std::mem::take(&mut self.counters);
-        counters.log(pending, buffers_in_use);
+        counters.log(pending, memory);
     }
 }
--- a/src/core/result_buffer.rs
+++ b/src/core/result_buffer.rs
@@ -58,7 +58,7 @@
     /// Stores the expected page with number `page`; returns false if the pool has no buffer for it.
     pub(super) fn insert_page(&mut self, pool: &BufferPool, page: usize, body: &[u8]) -> bool {
         if !self.buffers.last().is_some_and(|buffer| buffer.has_capacity(body.len())) {
-            let Some(buffer) = pool.get() else { return false };
+            let Some(buffer) = pool.get(body.len()) else { return false };
             self.buffers.push(buffer);
         }
         let buffer = self.buffers.len() - 1;
@@ -69,7 +69,7 @@
     }
 
     /// The length of the pages that have arrived, in bytes.
-    pub(super) fn len(&self) -> usize {
+    pub fn byte_count(&self) -> usize {
         self.pages.iter().flatten().map(|page| page.bytes.len()).sum()
     }
 
--- a/src/core/send_guard.rs
+++ b/src/core/send_guard.rs
@@ -35,6 +35,8 @@
     NotRetryable,
     /// The retry budget is exhausted.
     RetryBudgetSpent,
+    /// The command has to be written anew with the time that is left, and the pool has no buffer for it.
+    NoBuffer,
 }
 
 /// The current state of an attempt that is about to be sent.
--- a/src/front/accept.rs
+++ b/src/front/accept.rs
@@ -1,6 +1,7 @@
 //! The accept loop of a front, which keeps the number of open descriptors within its bound.
 
 use super::connection_slots::EvictionScope;
+use super::turn_time::TimedTask;
 use super::Front;
 use crate::core::now;
 use crate::core::system_error::is_out_of_resources;
@@ -78,11 +79,8 @@
 
     async fn spawn_connection(self: &Rc<Self>, stream: TcpStream) {
         let open_connection = OpenConnection::new(self);
-        let front = Rc::clone(self);
-        drop(tokio::task::spawn_local(async move {
-            let connection = Rc::clone(&front).handle_connection(stream, open_connection);
-            front.turn_timer.run(connection).await;
-        }));
+        let connection = Rc::clone(self).handle_connection(stream, open_connection);
+        drop(tokio::task::spawn_local(TimedTask::new(connection, Rc::clone(&self.turn_timer))));
         if self.open_connections.get() >= self.config.max_sessions {
             // Lets a connection that the new one evicts be closed before another connection is accepted.
             tokio::task::yield_now().await;
--- a/src/front/client_connection/input.rs
+++ b/src/front/client_connection/input.rs
@@ -132,12 +132,17 @@
         if self.read_ahead.is_empty() {
             bytes = self.extend_input(bytes);
         }
-        self.store_ahead(bytes, received);
+        if bytes.is_empty() || !self.read_ahead.is_empty() || self.input().len() >= BUFFER_BYTES {
+            bytes = self.store_ahead(bytes);
+        } else {
+            // The input buffer could not be enlarged.
+            self.discard(bytes, ReadAheadOverrun::Shared);
+        }
+        self.arrivals.record_received(received - bytes.len(), now());
     }
 
-    /// Stores the bytes that do not fit the input buffer as read ahead; `received` is the length of the whole
-    /// read.
-    fn store_ahead(&mut self, mut bytes: &[u8], received: usize) {
+    /// Stores the bytes that do not fit the input buffer as read ahead; returns the bytes that were discarded.
+    fn store_ahead<'a>(&mut self, mut bytes: &'a [u8]) -> &'a [u8] {
         while !bytes.is_empty() {
             if let Some(last) = self.read_ahead.back_mut().filter(|buffer| buffer.has_capacity()) {
                 bytes = last.append(bytes);
@@ -151,7 +156,7 @@
                 }
             }
         }
-        self.arrivals.record_received(received - bytes.len(), now());
+        bytes
     }
 
     fn discard(&mut self, bytes: &[u8], overrun: ReadAheadOverrun) {
--- a/src/front/client_connection/mod.rs
+++ b/src/front/client_connection/mod.rs
@@ -9,7 +9,7 @@
 mod input;
 mod output;
 
-use super::read_ahead::{append, ReadAheadBudget, ReadAheadBuffer, ReadAheadOverrun};
+use super::read_ahead::{ReadAheadBudget, ReadAheadBuffer, ReadAheadOverrun};
 use crate::core::buffer_pool::{Buffer, BufferPool};
 use crate::core::now;
 use arrivals::Arrivals;
@@ -115,12 +115,19 @@
         self.budget.max_buffered()
     }
 
-    /// Appends the bytes that fit to the input buffer, and returns the remaining bytes.
+    /// Whether bytes that were read ahead are left. After [`ClientConnection::promote_read_ahead`] has moved
+    /// none, there is no memory for the message that they complete.
+    pub fn has_read_ahead(&self) -> bool {
+        !self.read_ahead.is_empty()
+    }
+
+    /// Appends the bytes that fit to the input buffer, and returns the remaining bytes. The buffer is enlarged
+    /// as needed, as long as the pool permits.
     fn extend_input<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
         let input = self.input.get_or_insert_with(|| self.pool.get_beyond_limit());
         if !input.has_capacity(bytes.len()) {
             input.drain(..std::mem::take(&mut self.consumed));
         }
-        append(input, bytes)
+        input.append(bytes)
     }
 }
--- a/src/front/client_connection/output.rs
+++ b/src/front/client_connection/output.rs
@@ -2,12 +2,13 @@
 
 use super::input::READ_CHUNK_BYTES;
 use super::ClientConnection;
+use crate::core::buffer_pool::{Buffer, SMALL_BUFFER_BYTES};
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// Maximum time in which a client accepts no bytes; after it the client is disconnected, since its answer
@@ -16,8 +17,6 @@
 /// Maximum number of bytes that are read and discarded after the final message, so that no client is read
 /// forever.
 const MAX_LINGER_BYTES: usize = 64 << 20;
-/// Maximum number of bytes of one read while lingering.
-const LINGER_CHUNK_BYTES: usize = 32 * 1024;
 
 /// How long a connection lingers after its final message: its input is read and discarded until the client
 /// closes its side. A socket that is closed with unread input sends a reset, and the client may lose a
@@ -31,11 +30,36 @@
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> ClientConnection<S> {
-    /// The output buffer; its bytes are sent by [`ClientConnection::flush`].
+    /// The output buffer; its bytes are sent by [`ClientConnection::flush`]. At most as many bytes may be
+    /// appended as were reserved by [`ClientConnection::reserve_output`].
     pub fn output(&mut self) -> &mut Vec<u8> {
+        self.output_buffer()
+    }
+
+    fn output_buffer(&mut self) -> &mut Buffer {
         self.output.get_or_insert_with(|| self.pool.get_beyond_limit())
     }
 
+    /// Enlarges the output buffer so that `count` more bytes fit; returns whether they do.
+    pub fn try_reserve_output(&mut self, count: usize) -> bool {
+        self.output_buffer().reserve(count)
+    }
+
+    /// Appends bytes of any length to the output. Whenever the buffer is full and cannot be enlarged, it is
+    /// flushed.
+    ///
+    /// # Errors
+    /// As [`ClientConnection::flush`].
+    pub async fn write_output(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        loop {
+            bytes = self.output_buffer().append(bytes);
+            if bytes.is_empty() {
+                return Ok(());
+            }
+            self.flush().await?;
+        }
+    }
+
     /// Writes all output. While the write has to wait, further input is read ahead, so that a close by the
     /// client is noticed before the client's next pipelined request is admitted.
     ///
@@ -59,12 +83,14 @@
         timeout(WRITE_TIMEOUT, self.stream.flush()).await?
     }
 
-    /// Ensures that `count` more bytes fit the output buffer, by flushing the buffer if necessary.
+    /// Ensures that `count` more bytes, at most [`SMALL_BUFFER_BYTES`], fit the output buffer, by flushing
+    /// the buffer if it cannot be enlarged.
     ///
     /// # Errors
     /// As [`ClientConnection::flush`].
     pub async fn reserve_output(&mut self, count: usize) -> io::Result<()> {
-        if self.output.as_ref().is_none_or(|buffer| buffer.has_capacity(count)) {
+        debug_assert!(count <= SMALL_BUFFER_BYTES, "a longer message is written by write_output");
+        if self.try_reserve_output(count) {
             return Ok(());
         }
         self.flush().await
@@ -90,10 +116,9 @@
 
     async fn linger(&mut self, max_idle: Duration) -> io::Result<()> {
         self.stream.shutdown().await?;
-        let mut chunk = vec![0; LINGER_CHUNK_BYTES];
         let mut remaining = MAX_LINGER_BYTES;
         while remaining > 0 && !self.is_at_end {
-            match timeout(max_idle, self.stream.read(&mut chunk)).await?? {
+            match timeout(max_idle, poll_fn(|context| self.poll_discard(context))).await?? {
                 0 => break,
                 count => remaining = remaining.saturating_sub(count),
             }
@@ -101,6 +126,15 @@
         Ok(())
     }
 
+    /// Reads and discards available input; returns the number of bytes, 0 at the end of the stream. The chunk
+    /// is on the stack: hundreds of connections may linger at a time.
+    fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let mut read = ReadBuf::new(&mut chunk);
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut read))?;
+        Poll::Ready(Ok(read.filled().len()))
+    }
+
     /// Writes some bytes (`Some`), or reads available input if none can be written (`None`).
     fn poll_write(&mut self, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<Option<usize>>> {
         if let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(context, bytes) {
--- a/src/front/client_error.rs
+++ b/src/front/client_error.rs
@@ -73,16 +73,23 @@
     ErrorResponse::new("08P01", format!("field {field} {reason}")).hint(format!("Write {example}"))
 }
 
-/// The final error of a session whose client sent more after an open request than may be buffered. SQLSTATE
-/// 54000 (program limit exceeded) if the session's own limit was exceeded: the same input would fail again.
-/// SQLSTATE 53200 (out of memory) if all sessions together buffer too much: a retry may succeed.
+/// The final error of a session whose client sent more than may be buffered. SQLSTATE 54000 (program limit
+/// exceeded) if the session's own limit was exceeded: the same input would fail again. SQLSTATE 53200 (out of
+/// memory) if all sessions together hold too much: a retry may succeed.
 pub(super) fn read_ahead_overrun(overrun: ReadAheadOverrun, max_bytes: usize) -> ErrorResponse {
-    let (code, excess) = match overrun {
-        ReadAheadOverrun::Session => ("54000", format!("more than {max_bytes} bytes")),
-        ReadAheadOverrun::Shared => ("53200", "more than there is room for in all sessions".to_owned()),
-    };
-    let message = format!("{excess} came behind an open request: what came behind them was not read");
-    ErrorResponse::new(code, message).hint("Wait for answers before writing more, and connect again.")
+    match overrun {
+        ReadAheadOverrun::Session => {
+            let message = format!(
+                "more than {max_bytes} bytes came behind an open request: what came behind them was not read"
+            );
+            ErrorResponse::new("54000", message)
+                .hint("Wait for answers before writing more, and connect again.")
+        }
+        ReadAheadOverrun::Shared => {
+            let message = "refused: more came than there is room for in all sessions, the last was not read";
+            with_retry_after(ErrorResponse::new("53200", message), RETRY_AFTER_EXHAUSTION)
+        }
+    }
 }
 
 /// Quotes a client's text for a message, truncated to [`MAX_SHOWN_CHARACTERS`].
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -55,17 +55,21 @@
             slot.map_or_else(|| self.enter_sessionless(SessionlessPhase::Handshaking), ConnectionGuard::Slot);
         match self.start(&mut connection, &guard, Transport::Plain).await {
             StartupOutcome::StartTls(acceptor) => {
-                let Some(stream) = accept_tls(&acceptor, connection.into_stream(), &guard).await else {
-                    return;
-                };
-                let mut connection = self.buffered(stream);
-                let outcome = self.start(&mut connection, &guard, Transport::Tls).await;
-                self.finish_startup(connection, outcome, guard).await;
+                // In an allocation of its own, since it is several times larger than a session without TLS.
+                Box::pin(self.handle_tls(acceptor, connection.into_stream(), guard)).await;
             }
             outcome => self.finish_startup(connection, outcome, guard).await,
         }
     }
 
+    /// Serves a connection from its TLS handshake on.
+    async fn handle_tls(self: &Rc<Self>, acceptor: TlsAcceptor, stream: Socket, guard: ConnectionGuard) {
+        let Some(stream) = accept_tls(&acceptor, stream, &guard).await else { return };
+        let mut connection = self.buffered(stream);
+        let outcome = self.start(&mut connection, &guard, Transport::Tls).await;
+        self.finish_startup(connection, outcome, guard).await;
+    }
+
     /// Runs the session that was started, or closes the connection.
     async fn finish_startup<S: AsyncRead + AsyncWrite + Unpin>(
         self: &Rc<Self>,
@@ -158,13 +162,15 @@
             drop(timeout(FINAL_WRITE_TIMEOUT, connection.close_unread()).await);
             return;
         }
-        if let Some(error) = error {
-            pg::write_error_response(connection.output(), &error.fatal());
-        }
         let _closing = CountGuard::new(&self.closing_connections);
         let (guard, linger) = self.guard_for_closing(guard);
         let close = async {
-            if matches!(timeout(FINAL_WRITE_TIMEOUT, connection.flush()).await, Ok(Ok(()))) {
+            let message = error.map(final_message).unwrap_or_default();
+            let write = async {
+                connection.write_output(&message).await?;
+                connection.flush().await
+            };
+            if matches!(timeout(FINAL_WRITE_TIMEOUT, write).await, Ok(Ok(()))) {
                 connection.close(linger).await;
             }
         };
@@ -200,6 +206,13 @@
     }
 }
 
+/// The ErrorResponse that ends a session.
+fn final_message(error: ErrorResponse) -> Vec<u8> {
+    let mut message = Vec::new();
+    pg::write_error_response(&mut message, &error.fatal());
+    message
+}
+
 /// Runs the server's side of a TLS handshake; `None` if it fails, takes too long, or the connection is
 /// evicted.
 async fn accept_tls<S: AsyncRead + AsyncWrite + Unpin>(
--- a/src/front/extended/objects.rs
+++ b/src/front/extended/objects.rs
@@ -3,17 +3,20 @@
 
 use super::prepared::{Portal, PortalState, PreparedStatement};
 use super::statement_kind::{classify, Setting, StatementKind};
+use crate::core::buffer_pool::{BufferPool, MemoryCharge};
 use crate::core::result_buffer::{ResultSet, RowPosition};
-use crate::front::client_error::quoted;
+use crate::front::client_error::{no_buffer, quoted};
 use crate::front::result_rows::COLUMNS;
 use crate::proto::pg::{self, ErrorResponse, Message, ObjectKind};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Maximum total length of the texts of a session's statements and portals, in bytes.
+/// Maximum total length of the names and texts of a session's statements and portals, in bytes.
 const MAX_TEXT_BYTES: usize = 256 * 1024;
 /// Maximum number of statements of a session; the number of its portals has the same limit.
 const MAX_OBJECTS_PER_KIND: usize = 256;
+/// Memory of a statement or portal beside its texts, in bytes: its fields and its entry in a map.
+const OBJECT_BYTES: usize = 1024;
 /// Maximum number of a session's suspended portals, each of which retains a result in memory.
 const MAX_SUSPENDED_PORTALS: usize = 4;
 
@@ -31,8 +34,9 @@
 }
 
 /// Prepared statements, portals and settings of a session.
-#[derive(Default)]
 pub(crate) struct SessionObjects {
+    /// Pool that the statements and portals are charged to.
+    pool: BufferPool,
     statements: BTreeMap<String, Rc<PreparedStatement>>,
     pub(crate) portals: BTreeMap<String, Portal>,
     /// Time-out of requests that set none, in milliseconds; if `None`, the default of the request's class
@@ -42,8 +46,8 @@
 
 impl SessionObjects {
     /// Creates the state of a session without statements and portals.
-    pub(crate) fn new(statement_timeout_ms: Option<u64>) -> SessionObjects {
-        SessionObjects { statement_timeout_ms, ..SessionObjects::default() }
+    pub(crate) fn new(pool: BufferPool, statement_timeout_ms: Option<u64>) -> SessionObjects {
+        SessionObjects { pool, statements: BTreeMap::new(), portals: BTreeMap::new(), statement_timeout_ms }
     }
 
     /// Handles a message of the extended query protocol, and appends the answer to `reply`. Work that needs
@@ -129,7 +133,8 @@
     /// if all rows were sent.
     ///
     /// # Errors
-    /// If too many portals are already suspended. The rows that were not sent are then lost.
+    /// If too many portals are already suspended, or there is no memory for another. The rows that were not
+    /// sent are then lost.
     pub(crate) fn finish_execution(
         &mut self,
         name: &str,
@@ -140,16 +145,14 @@
         let suspended = self.portals.values().filter(is_suspended).count();
         let Some(portal) = self.portals.get_mut(name) else { return Ok(()) };
         portal.prepared.set_key_used();
-        portal.state = match next {
-            Some(next) if suspended < MAX_SUSPENDED_PORTALS => PortalState::Suspended { result, next },
-            Some(_) => {
-                portal.state = PortalState::Completed;
-                let error =
-                    ErrorResponse::new("53200", "too many portals of this session wait to be fetched");
-                return Err(error.hint("Close some, or fetch all rows at once."));
-            }
-            None => PortalState::Completed,
-        };
+        portal.state = PortalState::Completed;
+        let Some(next) = next else { return Ok(()) };
+        if suspended >= MAX_SUSPENDED_PORTALS {
+            let error = ErrorResponse::new("53200", "too many portals of this session wait to be fetched");
+            return Err(error.hint("Close some, or fetch all rows at once."));
+        }
+        let memory = self.pool.charge_retained(result.byte_count()).ok_or_else(no_buffer)?;
+        portal.state = PortalState::Suspended { result, next, _memory: memory };
         Ok(())
     }
 
@@ -158,35 +161,39 @@
             return Err(ErrorResponse::new("42P05", format!("statement {} exists already", quoted(name))));
         }
         self.statements.remove(name);
-        let prepared = PreparedStatement::new(sql, types)?;
-        self.check_limits(self.statements.len(), prepared.size())?;
+        let mut prepared = PreparedStatement::new(sql, types)?;
+        prepared.memory = Some(self.charge(self.statements.len(), name.len() + prepared.size())?);
         self.statements.insert(name.to_owned(), Rc::new(prepared));
         Ok(())
     }
 
-    fn add_portal(&mut self, name: &str, portal: Portal) -> Result<(), ErrorResponse> {
+    fn add_portal(&mut self, name: &str, mut portal: Portal) -> Result<(), ErrorResponse> {
         if !name.is_empty() && self.portals.contains_key(name) {
             return Err(ErrorResponse::new("42P03", format!("portal {} exists already", quoted(name))));
         }
         self.portals.remove(name);
-        self.check_limits(self.portals.len(), portal.size())?;
+        portal.memory = Some(self.charge(self.portals.len(), name.len() + portal.size())?);
         self.portals.insert(name.to_owned(), portal);
         Ok(())
     }
 
-    /// Checks that one more object of `added_bytes` stays within the limits; `count` is the number of
-    /// existing objects of its kind.
-    fn check_limits(&self, count: usize, added_bytes: usize) -> Result<(), ErrorResponse> {
+    /// Charges the memory of one more object, which has `added_bytes`; `count` is the number of existing
+    /// objects of its kind.
+    ///
+    /// # Errors
+    /// If the object exceeds the session's limits, or the memory that all sessions may hold.
+    fn charge(&self, count: usize, added_bytes: usize) -> Result<MemoryCharge, ErrorResponse> {
         if count < MAX_OBJECTS_PER_KIND && self.total_bytes() + added_bytes <= MAX_TEXT_BYTES {
-            return Ok(());
+            return self.pool.charge_retained(OBJECT_BYTES + added_bytes).ok_or_else(no_buffer);
         }
         let error = ErrorResponse::new("53200", "this session holds too many statements and portals");
         Err(error.hint("Close some, or use the unnamed ones."))
     }
 
     fn total_bytes(&self) -> usize {
-        let statements = self.statements.values().map(|prepared| prepared.size());
-        statements.chain(self.portals.values().map(Portal::size)).sum()
+        let statements = self.statements.iter().map(|(name, prepared)| name.len() + prepared.size());
+        let portals = self.portals.iter().map(|(name, portal)| name.len() + portal.size());
+        statements.chain(portals).sum()
     }
 
     fn statement(&self, name: &str) -> Result<&Rc<PreparedStatement>, ErrorResponse> {
--- a/src/front/extended/prepared.rs
+++ b/src/front/extended/prepared.rs
@@ -1,6 +1,7 @@
 //! Prepared statements and portals.
 
 use super::statement_kind::{classify, StatementKind};
+use crate::core::buffer_pool::MemoryCharge;
 use crate::core::result_buffer::{ResultSet, RowPosition};
 use crate::core::MAX_STATEMENT_BYTES;
 use crate::front::result_rows::COLUMNS;
@@ -24,6 +25,8 @@
     pub(crate) kind: StatementKind,
     /// Whether a request was served with the idempotency key in the text; later requests get generated keys.
     is_key_used: Cell<bool>,
+    /// The memory that the statement is charged for; `None` until the session keeps it.
+    pub(super) memory: Option<MemoryCharge>,
 }
 
 /// Execution state of a portal.
@@ -36,6 +39,8 @@
         result: ResultSet,
         /// Position of the first row that was not sent.
         next: RowPosition,
+        /// Charge for the result, which the session holds between requests.
+        _memory: MemoryCharge,
     },
     /// All rows have been sent.
     Completed,
@@ -51,6 +56,8 @@
     /// Format codes of the result's columns: none, one for all, or one per column.
     pub(super) formats: Vec<u16>,
     pub(crate) state: PortalState,
+    /// The memory that the portal is charged for; `None` until the session keeps it.
+    pub(super) memory: Option<MemoryCharge>,
 }
 
 impl PreparedStatement {
@@ -77,13 +84,14 @@
         let kind = classify(statement)?;
         let statement = statement.to_owned();
         let field_pairs = used_pairs(comment);
-        Ok(PreparedStatement { field_pairs, statement, types, kind, is_key_used: Cell::new(false) })
+        let is_key_used = Cell::new(false);
+        Ok(PreparedStatement { field_pairs, statement, types, kind, is_key_used, memory: None })
     }
 
-    /// Length in bytes of the statement's text and of its fields.
+    /// Length in bytes of the statement's text, of its fields and of the types of its parameters.
     pub(super) fn size(&self) -> usize {
         let field_bytes = self.field_pairs.iter().map(|(name, value)| name.len() + value.len());
-        self.statement.len() + field_bytes.sum::<usize>()
+        self.statement.len() + field_bytes.sum::<usize>() + size_of_val(self.types.as_slice())
     }
 
     /// Records that a request was served with the idempotency key in the text.
@@ -129,6 +137,7 @@
             statement,
             formats: result_formats,
             state: PortalState::Ready,
+            memory: None,
         };
         portal.request_fields()?;
         Ok(portal)
@@ -178,9 +187,11 @@
         Ok(fields)
     }
 
-    /// Length in bytes of the statement's text with its parameters.
+    /// Length in bytes of the statement's text with its parameters, and of its fields.
     pub(super) fn size(&self) -> usize {
-        self.statement.len()
+        let value_bytes = |value: &Option<String>| value.as_ref().map_or(0, String::len);
+        let field_bytes = self.field_pairs.iter().map(|(name, value)| name.len() + value_bytes(value));
+        self.statement.len() + field_bytes.sum::<usize>()
     }
 
     /// Takes the portal's state with the rows that were not sent, and marks the portal as completed. A portal
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -24,6 +24,7 @@
 mod startup;
 mod turn_time;
 
+use crate::core::buffer_pool::BUFFER_BYTES;
 use crate::core::Core;
 use cancel_signal::CancelSignal;
 use connection_slots::ConnectionSlots;
@@ -44,7 +45,7 @@
 /// write complete batches before they read. The platform's clients write one query at a time, for which the
 /// input buffer is enough.
 const MAX_READ_AHEAD_BUFFERS: usize = 15;
-/// The sessions of a front together read ahead at most the number of buffers in the pool divided by this.
+/// The sessions of a front together read ahead at most the memory of the pool divided by this.
 const READ_AHEAD_POOL_DIVISOR: usize = 8;
 
 /// A front: it accepts clients' connections, runs their sessions, and submits their requests to the core.
@@ -56,7 +57,7 @@
     /// Cancel signals of the sessions, by the process id in BackendKeyData.
     sessions: RefCell<BTreeMap<u32, Rc<CancelSignal>>>,
     session_ends: SessionEndCounters,
-    turn_timer: TurnTimer,
+    turn_timer: Rc<TurnTimer>,
     slots: Rc<ConnectionSlots>,
     sessionless: Rc<SessionlessConnections>,
     read_ahead: Rc<ReadAheadBudget>,
@@ -83,11 +84,11 @@
     /// Creates a front that submits its requests to `core`.
     pub fn new(core: Rc<Core>, config: FrontConfig) -> Rc<Front> {
         let max_buffers = if config.allows_extended_queries { MAX_READ_AHEAD_BUFFERS } else { 0 };
-        let total_buffers = core.pool().max_buffers() / READ_AHEAD_POOL_DIVISOR;
+        let total_buffers = core.pool().max_bytes() / BUFFER_BYTES / READ_AHEAD_POOL_DIVISOR;
         Rc::new(Front {
             sessions: RefCell::default(),
             session_ends: SessionEndCounters::new(core.metrics()),
-            turn_timer: TurnTimer::new(core.metrics()),
+            turn_timer: Rc::new(TurnTimer::new(core.metrics())),
             slots: ConnectionSlots::new(
                 config.max_sessions,
                 config.max_evicted,
--- a/src/front/read_ahead.rs
+++ b/src/front/read_ahead.rs
@@ -56,7 +56,7 @@
             return Err(ReadAheadOverrun::Session);
         }
         let free_buffers = self.free_buffers.get().checked_sub(1).ok_or(ReadAheadOverrun::Shared)?;
-        let buffer = pool.get().ok_or(ReadAheadOverrun::Shared)?;
+        let buffer = pool.get(BUFFER_BYTES).ok_or(ReadAheadOverrun::Shared)?;
         self.free_buffers.set(free_buffers);
         Ok(ReadAheadBuffer { buffer, promoted: 0, budget: Rc::clone(self) })
     }
@@ -65,7 +65,7 @@
 impl ReadAheadBuffer {
     /// Appends the bytes that fit the buffer, and returns the remaining bytes.
     pub(super) fn append<'a>(&mut self, bytes: &'a [u8]) -> &'a [u8] {
-        append(&mut self.buffer, bytes)
+        self.buffer.append(bytes)
     }
 
     /// Whether one more byte fits.
@@ -85,11 +85,3 @@
         self.budget.free_buffers.set(free_buffers + 1);
     }
 }
-
-/// Appends the bytes that fit one buffer, and returns the remaining bytes.
-pub(super) fn append<'a>(buffer: &mut Buffer, bytes: &'a [u8]) -> &'a [u8] {
-    let free_bytes = BUFFER_BYTES.saturating_sub(buffer.len());
-    let (fitting, rest) = bytes.split_at(bytes.len().min(free_bytes));
-    buffer.extend_from_slice(fitting);
-    rest
-}
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -1,4 +1,4 @@
-//! Builds a request of the core from a statement and its fields, and submits it.
+//! Prepares a request of the core from a statement and its fields, and submits it.
 
 use super::client_error::{cancelled, invalid_field, no_buffer};
 use super::config::ClassConfig;
@@ -11,28 +11,33 @@
 use crate::proto::tables;
 use sprucelink_time::{TimeDelta, Timestamp};
 
-/// A statement that a session submits.
-pub(super) struct Submission<'a> {
-    /// Fields of the statement's comment.
-    pub(super) fields: &'a Fields,
-    /// Text of the statement without the comment.
-    pub(super) statement: &'a str,
-    /// Time from which the statement's time-out counts.
-    pub(super) started: Timestamp,
-    /// The session's time-out in milliseconds, if it has one.
-    pub(super) session_timeout_ms: Option<u64>,
-    /// Whether the client cancelled the statement before it was submitted.
-    pub(super) is_cancelled: bool,
+/// A request whose fields and statement were read and checked. It holds a copy of the statement in a buffer of
+/// the pool, so that the message need not be kept.
+pub(super) struct PreparedRequest {
+    id: u64,
+    class: usize,
+    tenant: usize,
+    tables: u64,
+    timeout: TimeDelta,
+    cost_ms: Option<f64>,
+    memory_mb: Option<f64>,
+    idempotency_key: Option<String>,
+    statement: Buffer,
 }
 
 impl Front {
-    /// Submits a statement to the core.
+    /// Checks the fields of a statement's comment, and copies the statement. `statement` is the text without
+    /// the comment; `session_timeout_ms` is the session's time-out, if it has one.
     ///
     /// # Errors
-    /// The error for the client: a field is missing or wrong, the client cancelled the request, the statement
-    /// is too long, no buffer is free, or the request id is in use.
-    pub(super) fn submit(&self, submission: Submission<'_>) -> Result<RequestHandle, ErrorResponse> {
-        let Submission { fields, statement, started, session_timeout_ms, is_cancelled } = submission;
+    /// The error for the client: a field is missing or wrong, the statement is too long, or there is no
+    /// memory for it.
+    pub(super) fn prepare_request(
+        &self,
+        fields: &Fields,
+        statement: &str,
+        session_timeout_ms: Option<u64>,
+    ) -> Result<PreparedRequest, ErrorResponse> {
         let class = self.class_index(fields)?;
         let class_config = &self.config.classes[class];
         let tenant = self.tenant_index(fields)?;
@@ -42,24 +47,54 @@
             Some(millis) => TimeDelta::from_micros(millis as i64 * 1000),
             None => class_config.default_timeout,
         };
-        let spec = RequestSpec {
+        let tables = tables::group(statement);
+        let statement = self
+            .copy_statement(statement)
+            .inspect_err(|_| self.core.metrics().start_request(class).reject())?;
+        Ok(PreparedRequest {
             id,
             class,
             tenant,
-            tables: tables::group(statement),
-            time_left: started + timeout - now(),
+            tables,
+            timeout,
             cost_ms: fields.work_ms,
             memory_mb: fields.memory_mb,
-        };
+            idempotency_key,
+            statement,
+        })
+    }
+
+    /// Submits a request to the core. Its time-out counts from `started`; `is_cancelled` tells whether the
+    /// client has cancelled it already.
+    ///
+    /// # Errors
+    /// The error for the client: it cancelled the request, or the request id is in use.
+    pub(super) fn submit(
+        &self,
+        request: PreparedRequest,
+        started: Timestamp,
+        is_cancelled: bool,
+    ) -> Result<RequestHandle, ErrorResponse> {
+        let PreparedRequest { id, class, .. } = request;
         if is_cancelled {
             self.core.metrics().start_request(class).abort();
             return Err(cancelled());
         }
-        let statement = self
-            .copy_statement(statement)
-            .inspect_err(|_| self.core.metrics().start_request(class).reject())?;
-        let request = Request { spec, class_name: class_config.name.clone(), idempotency_key, statement };
-        let handle = self.core.submit(request);
+        let spec = RequestSpec {
+            id,
+            class,
+            tenant: request.tenant,
+            tables: request.tables,
+            time_left: started + request.timeout - now(),
+            cost_ms: request.cost_ms,
+            memory_mb: request.memory_mb,
+        };
+        let handle = self.core.submit(Request {
+            spec,
+            class_name: self.config.classes[class].name.clone(),
+            idempotency_key: request.idempotency_key,
+            statement: request.statement,
+        });
         handle.ok_or_else(|| {
             ErrorResponse::new("42710", format!("field req: {id:016x} was given to a request before"))
         })
@@ -110,7 +145,7 @@
                 format!("a statement holds at most {MAX_STATEMENT_BYTES} bytes"),
             ));
         }
-        let mut buffer = self.core.pool().get().ok_or_else(no_buffer)?;
+        let mut buffer = self.core.pool().get(statement.len()).ok_or_else(no_buffer)?;
         buffer.extend_from_slice(statement.as_bytes());
         Ok(buffer)
     }
--- a/src/front/result_rows.rs
+++ b/src/front/result_rows.rs
@@ -31,10 +31,26 @@
         if max_rows > 0 && count == u64::from(max_rows) {
             return Ok(WrittenRows { count, next: Some(position) });
         }
-        connection.reserve_output(pg::data_row_size(line)).await?;
-        pg::write_data_row(connection.output(), line);
+        write_row(connection, line).await?;
         count += 1;
         position = next;
     }
     Ok(WrittenRows { count, next: None })
 }
+
+/// Writes one row. If the output buffer cannot hold all of it, the row is sent in parts.
+async fn write_row<S: AsyncRead + AsyncWrite + Unpin>(
+    connection: &mut ClientConnection<S>,
+    line: &[u8],
+) -> io::Result<()> {
+    if connection.try_reserve_output(pg::data_row_size(line)) {
+        pg::write_data_row(connection.output(), line);
+        return Ok(());
+    }
+    connection.write_output(&pg::data_row_header(line)).await?;
+    for column in pg::columns(line) {
+        connection.write_output(&pg::column_length(column)).await?;
+        connection.write_output(column).await?;
+    }
+    Ok(())
+}
--- a/src/front/session/execute.rs
+++ b/src/front/session/execute.rs
@@ -8,7 +8,6 @@
 use crate::front::client_error::cancelled;
 use crate::front::extended::prepared::PortalState;
 use crate::front::extended::statement_kind::StatementKind;
-use crate::front::request::Submission;
 use crate::front::result_rows::write_rows;
 use crate::proto::pg;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -27,11 +26,13 @@
         let Some(portal) = self.objects.portals.get(name) else { return Ok(()) };
         match portal.prepared.kind {
             StatementKind::Empty => {
+                connection.reserve_output(COMPLETION_BYTES).await?;
                 pg::write_empty_message(connection.output(), pg::EMPTY_QUERY);
                 return Ok(());
             }
             StatementKind::Set(setting) => {
                 self.objects.apply(setting);
+                connection.reserve_output(COMPLETION_BYTES).await?;
                 pg::write_command_complete(connection.output(), "SET");
                 return Ok(());
             }
@@ -39,6 +40,7 @@
         }
         let is_cancelled = self.cancel.take();
         let Some((result, position)) = self.portal_result(connection, name, is_cancelled).await? else {
+            connection.reserve_output(COMPLETION_BYTES).await?;
             pg::write_command_complete(connection.output(), "SELECT 0");
             return Ok(());
         };
@@ -68,7 +70,7 @@
         }
         match portal.take_state() {
             PortalState::Completed => return Ok(None),
-            PortalState::Suspended { result, next } => return Ok(Some((result, next))),
+            PortalState::Suspended { result, next, .. } => return Ok(Some((result, next))),
             PortalState::Ready => {}
         }
         let request_fields = portal.request_fields()?;
@@ -76,16 +78,12 @@
         // session or the class counts from the start of this execution, so that earlier messages of the batch
         // do not shorten it.
         let started = if request_fields.timeout_ms.is_some() { connection.arrived() } else { now() };
+        let timeout_ms = self.objects.statement_timeout_ms;
+        let request = self.front.prepare_request(&request_fields, &portal.statement, timeout_ms)?;
         if connection.read_available().await? {
             return Err(session_ended(connection));
         }
-        let request = self.front.submit(Submission {
-            fields: &request_fields,
-            statement: &portal.statement,
-            started,
-            session_timeout_ms: self.objects.statement_timeout_ms,
-            is_cancelled,
-        })?;
+        let request = self.front.submit(request, started, is_cancelled)?;
         let result = self.wait_for_response(connection, request).await?;
         Ok(Some((result, RowPosition::default())))
     }
--- a/src/front/session/input.rs
+++ b/src/front/session/input.rs
@@ -3,6 +3,7 @@
 use super::state::{Session, SessionFlow};
 use crate::front::client_connection::ClientConnection;
 use crate::front::client_error::{incomplete_in_time, read_ahead_overrun, too_many_sessions};
+use crate::front::read_ahead::ReadAheadOverrun;
 use crate::front::session_end::{SessionEnd, SessionEndReason};
 use crate::proto::pg::ErrorResponse;
 use std::io;
@@ -24,7 +25,10 @@
         if connection.promote_read_ahead() {
             return Ok(SessionFlow::Continue);
         }
-        if let Some(overrun) = connection.overrun() {
+        // Bytes that were read ahead and cannot be moved to the input belong to a message for which there is no
+        // memory.
+        let exhausted = connection.has_read_ahead().then_some(ReadAheadOverrun::Shared);
+        if let Some(overrun) = connection.overrun().or(exhausted) {
             let error = read_ahead_overrun(overrun, connection.max_buffered());
             return Ok(SessionFlow::End(SessionEnd::with_error(SessionEndReason::Overrun, error)));
         }
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -11,7 +11,7 @@
 use super::connection_slots::ConnectionSlot;
 use super::count_guard::CountGuard;
 use super::extended::objects::ExtendedAction;
-use super::extended::statement_timeout::timeout_of_startup;
+use super::request::PreparedRequest;
 use super::session_end::{check_request_end, SessionEnd, SessionEndReason};
 use super::startup::SessionStart;
 use super::Front;
@@ -24,8 +24,6 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::coop::consume_budget;
 
-/// Start-up parameters with this prefix are protocol options, none of which is supported.
-const PROTOCOL_OPTION_PREFIX: &str = "_pq_.";
 /// Server parameters that a session reports at its start.
 const SERVER_PARAMETERS: [(&str, &str); 7] = [
     ("server_version", "15.0"),
@@ -41,8 +39,8 @@
 enum MessageAction {
     /// No further work.
     None,
-    /// Answer a simple query.
-    Query(String),
+    /// Submit the request of a simple query, and answer with its result.
+    Query(Box<PreparedRequest>),
     /// End a batch.
     Sync,
     /// Write all output now.
@@ -91,15 +89,15 @@
     front.sessions.borrow_mut().insert(process_id, Rc::clone(&cancel));
     let _registration = SessionRegistration { front: &front, process_id };
     let statement_timeout_ms = if front.config.allows_extended_queries {
-        match timeout_of_startup(&start.parameters) {
-            Ok(timeout) => timeout,
+        match start.statement_timeout_ms {
+            Ok(timeout_ms) => timeout_ms,
             Err(error) => return Ok(Some(error)),
         }
     } else {
         None
     };
     slot.set_executing(false);
-    greet(connection.output(), &start, process_id, secret);
+    connection.write_output(&greeting(start.minor, start.unknown_options, process_id, secret)).await?;
     connection.flush().await?;
     let mut session = Session::new(Rc::clone(&front), process_id, cancel, slot, statement_timeout_ms);
     let end = session.run(connection).await;
@@ -108,19 +106,20 @@
     end.map(|end| end.error)
 }
 
-/// Writes the messages from the start of a session to its first ReadyForQuery.
-fn greet(output: &mut Vec<u8>, start: &SessionStart, process_id: u32, secret: u32) {
-    let names = start.parameters.iter().map(|(name, _)| name.as_str());
-    let unknown_options: Vec<&str> = names.filter(|name| name.starts_with(PROTOCOL_OPTION_PREFIX)).collect();
-    if start.minor > 0 || !unknown_options.is_empty() {
-        pg::write_negotiate_protocol_version(output, &unknown_options);
+/// The messages from the start of a session to its first ReadyForQuery.
+fn greeting(minor: u16, unknown_options: Vec<String>, process_id: u32, secret: u32) -> Vec<u8> {
+    let mut output = Vec::new();
+    if minor > 0 || !unknown_options.is_empty() {
+        let names: Vec<&str> = unknown_options.iter().map(String::as_str).collect();
+        pg::write_negotiate_protocol_version(&mut output, &names);
     }
-    pg::write_authentication_ok(output);
+    pg::write_authentication_ok(&mut output);
     for (name, value) in SERVER_PARAMETERS {
-        pg::write_parameter_status(output, name, value);
+        pg::write_parameter_status(&mut output, name, value);
     }
-    pg::write_backend_key_data(output, process_id, secret);
-    pg::write_ready_for_query(output);
+    pg::write_backend_key_data(&mut output, process_id, secret);
+    pg::write_ready_for_query(&mut output);
+    output
 }
 
 impl Session<'_> {
@@ -151,7 +150,7 @@
         let (action, length) = match next {
             NextMessage::Complete { action, length } => (action, length),
             NextMessage::Incomplete => {
-                self.scratch = reply;
+                self.keep_scratch(reply);
                 return self.await_input(connection).await;
             }
             NextMessage::End(end) => return Ok(SessionFlow::End(end)),
@@ -160,11 +159,8 @@
         self.slot.set_executing(true);
         let is_simple = pg::is_simple_query(connection.input());
         connection.consume(length);
-        if !reply.is_empty() {
-            connection.reserve_output(reply.len()).await?;
-            connection.output().append(&mut reply);
-        }
-        self.scratch = reply;
+        connection.write_output(&reply).await?;
+        self.keep_scratch(reply);
         // The request is counted until its answer is written: a graceful shutdown waits for it.
         let front = Rc::clone(&self.front);
         let _open_request = CountGuard::new(&front.open_requests);
@@ -213,7 +209,7 @@
             Message::Sync => Ok(MessageAction::Sync),
             Message::Flush => Ok(MessageAction::Flush),
             _ if self.skips_to_sync => Ok(MessageAction::None),
-            Message::Query(text) => Ok(MessageAction::Query(text.to_owned())),
+            Message::Query(text) => self.read_simple_query(reply, text),
             message if self.front.config.allows_extended_queries => {
                 self.objects.handle_message(reply, message).map(MessageAction::Extended)
             }
@@ -234,7 +230,7 @@
                 self.write_ready(connection).await?;
             }
             MessageAction::Flush => connection.flush().await?,
-            MessageAction::Query(text) => self.answer_simple_query(connection, &text).await?,
+            MessageAction::Query(request) => self.answer_simple_query(connection, *request).await?,
             MessageAction::Extended(ExtendedAction::Execute { portal, max_rows }) => {
                 self.execute(connection, &portal, max_rows).await?;
             }
@@ -248,6 +244,7 @@
         &self,
         connection: &mut ClientConnection<S>,
     ) -> io::Result<()> {
+        connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
         pg::write_ready_for_query(connection.output());
         connection.flush().await?;
         self.cancel.take();
--- a/src/front/session/state.rs
+++ b/src/front/session/state.rs
@@ -15,7 +15,9 @@
 use tokio::time::Instant;
 
 /// Maximum number of output bytes of a message other than a row: an error, or a description.
-pub(super) const CONTROL_MESSAGE_BYTES: usize = 4096;
+pub(super) const CONTROL_MESSAGE_BYTES: usize = 2048;
+/// Largest allocation of [`Session::scratch`] that is kept between messages, in bytes.
+const MAX_SCRATCH_BYTES: usize = 1024;
 
 /// State of a session.
 pub(super) struct Session<'a> {
@@ -54,6 +56,7 @@
         slot: &'a ConnectionSlot,
         statement_timeout_ms: Option<u64>,
     ) -> Session<'a> {
+        let pool = front.core.pool().clone();
         Session {
             front,
             process_id,
@@ -61,12 +64,20 @@
             slot,
             partial_since: None,
             skips_to_sync: false,
-            objects: SessionObjects::new(statement_timeout_ms),
+            objects: SessionObjects::new(pool, statement_timeout_ms),
             scratch: Vec::new(),
             has_answered: false,
         }
     }
 
+    /// Keeps a buffer for the reply to the next message, unless it is large.
+    pub(super) fn keep_scratch(&mut self, mut reply: Vec<u8>) {
+        reply.clear();
+        if reply.capacity() <= MAX_SCRATCH_BYTES {
+            self.scratch = reply;
+        }
+    }
+
     /// Waits for a request's response, a CancelRequest, or the end of the connection. Input is read ahead
     /// meanwhile, since the end of the stream may follow further input. A client of which too many
     /// bytes were discarded (`is_flooding`) is disconnected with an error.
--- a/src/front/startup.rs
+++ b/src/front/startup.rs
@@ -3,6 +3,7 @@
 
 use super::client_connection::ClientConnection;
 use super::client_error::{incomplete_in_time, too_many_sessions};
+use super::extended::statement_timeout::timeout_of_startup;
 use super::sessionless::ConnectionGuard;
 use super::Front;
 use crate::proto::pg::{self, ErrorResponse, StartupPacket};
@@ -20,12 +21,26 @@
 /// Answer to a request for encryption that is not offered.
 const ENCRYPTION_REJECTED: u8 = b'N';
 
-/// The content of a StartupMessage.
+/// Start-up parameters with this prefix are protocol options, none of which is supported.
+const PROTOCOL_OPTION_PREFIX: &str = "_pq_.";
+
+/// What a session uses of its StartupMessage.
 pub struct SessionStart {
     /// The minor version of the protocol that the client asks for; only 0 is supported.
     pub minor: u16,
-    /// Names and values of the start-up parameters.
-    pub parameters: Vec<(String, String)>,
+    /// Names of the protocol options that the client asks for; none is supported.
+    pub unknown_options: Vec<String>,
+    /// The session's time-out in milliseconds, if the parameters set one; or the error of its value.
+    pub statement_timeout_ms: Result<Option<u64>, ErrorResponse>,
+}
+
+impl SessionStart {
+    fn new(minor: u16, parameters: &[(String, String)]) -> SessionStart {
+        let names = parameters.iter().map(|(name, _)| name);
+        let unknown_options =
+            names.filter(|name| name.starts_with(PROTOCOL_OPTION_PREFIX)).cloned().collect();
+        SessionStart { minor, unknown_options, statement_timeout_ms: timeout_of_startup(parameters) }
+    }
 }
 
 /// How the packets of a connection are transported.
@@ -114,7 +129,7 @@
                     return Ok(StartupOutcome::reject(tls_required(acceptor.is_some())));
                 }
                 (StartupPacket::Startup { minor, parameters }, _) => {
-                    return Ok(StartupOutcome::Session(SessionStart { minor, parameters }));
+                    return Ok(StartupOutcome::Session(SessionStart::new(minor, &parameters)));
                 }
             }
         }
--- a/src/front/turn_time.rs
+++ b/src/front/turn_time.rs
@@ -4,8 +4,10 @@
 //! Input: a connection's task. Output: a counter and a log line for each poll that took too long.
 
 use sprucelink_metrics::{Counter, Metrics};
-use std::future::{poll_fn, Future};
-use std::pin::pin;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tracing::warn;
 
@@ -24,18 +26,6 @@
         TurnTimer(metrics.counter(COUNTER_NAME).unwrap_or_else(|_| Counter::noop()))
     }
 
-    /// Runs a connection's task, and reports each of its polls that took too long.
-    pub(super) async fn run<F: Future>(&self, task: F) -> F::Output {
-        let mut task = pin!(task);
-        poll_fn(|context| {
-            let started = Instant::now();
-            let poll = task.as_mut().poll(context);
-            self.record(started.elapsed());
-            poll
-        })
-        .await
-    }
-
     fn record(&self, turn: Duration) {
         if turn > MAX_TURN {
             self.0.increment(1);
@@ -43,3 +33,27 @@
         }
     }
 }
+
+/// The task of a connection, each poll of which is timed.
+pub(super) struct TimedTask<F> {
+    task: Pin<Box<F>>,
+    timer: Rc<TurnTimer>,
+}
+
+impl<F: Future> TimedTask<F> {
+    /// Creates a task that runs `task`.
+    pub(super) fn new(task: F, timer: Rc<TurnTimer>) -> TimedTask<F> {
+        TimedTask { task: Box::pin(task), timer }
+    }
+}
+
+impl<F: Future> Future for TimedTask<F> {
+    type Output = F::Output;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<F::Output> {
+        let started = Instant::now();
+        let poll = self.task.as_mut().poll(context);
+        self.timer.record(started.elapsed());
+        poll
+    }
+}
--- a/src/proto/pg/backend.rs
+++ b/src/proto/pg/backend.rs
@@ -5,6 +5,10 @@
 
 /// Bytes of a DataRow before its columns: type, length and number of columns.
 const DATA_ROW_HEADER_BYTES: usize = 7;
+/// Bytes of the length field before each column of a DataRow.
+const COLUMN_LENGTH_BYTES: usize = 4;
+/// Bytes of a message's type, which its length field does not count.
+const MESSAGE_TYPE_BYTES: usize = 1;
 /// Separates the columns in a line of a result page.
 const COLUMN_SEPARATOR: u8 = b'\t';
 
@@ -139,19 +143,37 @@
 
 /// Appends DataRow for one line of a result page; tabs separate the columns of the line.
 pub fn write_data_row(output: &mut Vec<u8>, line: &[u8]) {
-    write_message(output, message_type::DATA_ROW, |body| {
-        let columns = line.split(|byte| *byte == COLUMN_SEPARATOR).count() as u16;
-        body.extend_from_slice(&columns.to_be_bytes());
-        for column in line.split(|byte| *byte == COLUMN_SEPARATOR) {
-            body.extend_from_slice(&(column.len() as u32).to_be_bytes());
-            body.extend_from_slice(column);
-        }
-    });
+    output.extend_from_slice(&data_row_header(line));
+    for column in columns(line) {
+        output.extend_from_slice(&column_length(column));
+        output.extend_from_slice(column);
+    }
 }
 
-/// Upper bound on the number of bytes that [`write_data_row`] appends.
+/// Number of bytes that [`write_data_row`] appends.
 pub fn data_row_size(line: &[u8]) -> usize {
-    DATA_ROW_HEADER_BYTES + line.len() + 4 * line.split(|byte| *byte == COLUMN_SEPARATOR).count()
+    let separators = columns(line).count() - 1;
+    DATA_ROW_HEADER_BYTES + line.len() - separators + COLUMN_LENGTH_BYTES * (separators + 1)
+}
+
+/// The beginning of DataRow for one line of a result page: its type, its length, and the number of columns.
+pub fn data_row_header(line: &[u8]) -> [u8; DATA_ROW_HEADER_BYTES] {
+    let length = (data_row_size(line) - MESSAGE_TYPE_BYTES) as u32;
+    let mut header = [0; DATA_ROW_HEADER_BYTES];
+    header[0] = message_type::DATA_ROW;
+    header[1..5].copy_from_slice(&length.to_be_bytes());
+    header[5..].copy_from_slice(&(columns(line).count() as u16).to_be_bytes());
+    header
+}
+
+/// The columns of one line of a result page.
+pub fn columns(line: &[u8]) -> impl Iterator<Item = &[u8]> {
+    line.split(|byte| *byte == COLUMN_SEPARATOR)
+}
+
+/// The length field before a column in DataRow.
+pub fn column_length(column: &[u8]) -> [u8; COLUMN_LENGTH_BYTES] {
+    (column.len() as u32).to_be_bytes()
 }
 
 /// Appends CommandComplete with a command tag such as `SELECT 3`.
--- a/src/proto/pg/error.rs
+++ b/src/proto/pg/error.rs
@@ -42,6 +42,9 @@
     UnknownObjectKind,
 }
 
+/// Maximum length of an error's primary message in bytes. Some quote what the client wrote.
+const MAX_MESSAGE_BYTES: usize = 1024;
+
 /// An error as a client receives it, in an ErrorResponse message.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{code}: {message}")]
@@ -59,9 +62,16 @@
 }
 
 impl ErrorResponse {
-    /// Creates an error without detail and hint, after which the session continues.
+    /// Creates an error without detail and hint, after which the session continues. A message that is too long
+    /// is cut.
     pub fn new(code: &'static str, message: impl Into<String>) -> ErrorResponse {
-        ErrorResponse { code, message: message.into(), detail: None, hint: None, fatal: false }
+        let mut message = message.into();
+        if message.len() > MAX_MESSAGE_BYTES {
+            let end = (0..=MAX_MESSAGE_BYTES).rev().find(|end| message.is_char_boundary(*end));
+            message.truncate(end.unwrap_or(0));
+            message.shrink_to_fit();
+        }
+        ErrorResponse { code, message, detail: None, hint: None, fatal: false }
     }
 
     /// Creates the error for a malformed message or field (SQLSTATE 08P01, protocol violation).
--- a/src/proto/pg/mod.rs
+++ b/src/proto/pg/mod.rs
@@ -8,10 +8,11 @@
 mod startup_packet;
 
 pub use backend::{
-    data_row_size, write_authentication_ok, write_backend_key_data, write_command_complete, write_data_row,
-    write_empty_message, write_error_response, write_negotiate_protocol_version, write_parameter_description,
-    write_parameter_status, write_ready_for_query, write_row_description, BIND_COMPLETE, CLOSE_COMPLETE,
-    EMPTY_QUERY, NO_DATA, PARSE_COMPLETE, PORTAL_SUSPENDED,
+    column_length, columns, data_row_header, data_row_size, write_authentication_ok, write_backend_key_data,
+    write_command_complete, write_data_row, write_empty_message, write_error_response,
+    write_negotiate_protocol_version, write_parameter_description, write_parameter_status,
+    write_ready_for_query, write_row_description, BIND_COMPLETE, CLOSE_COMPLETE, EMPTY_QUERY, NO_DATA,
+    PARSE_COMPLETE, PORTAL_SUSPENDED,
 };
 pub use error::{ErrorResponse, PgError};
 pub use message::{is_simple_query, read_message, MalformedMessage, Message, ObjectKind};
--- a/src/run/config.rs
+++ b/src/run/config.rs
@@ -4,6 +4,7 @@
 
 use super::admin;
 use super::descriptor_budget::{DescriptorBudget, TooFewDescriptors};
+use super::memory_budget;
 use crate::core::engine_connection::ConnectionLimits;
 use crate::front::{ClassConfig, FrontConfig};
 use crate::proto::events::{self, ListEvent};
@@ -15,10 +16,10 @@
 const DEFAULT_SOCKETS: usize = 1024;
 /// Memory limit in megabytes if the configuration has none.
 const DEFAULT_MEMORY_MB: u64 = 192;
-/// Lower bound of the memory limit in megabytes when the number of buffers is computed.
+/// Lower bound of the memory limit in megabytes when the size of the pool is computed.
 const MIN_MEMORY_MB: usize = 16;
-/// Buffers of 64 KiB per megabyte of the memory limit: half of the memory.
-const BUFFERS_PER_MB: usize = 8;
+/// Bytes in a megabyte of the memory limit.
+const MEGABYTE: usize = 1 << 20;
 /// Maximum number of concurrent attempts on one engine connection if the configuration has no limit.
 const DEFAULT_MAX_STREAMS: f64 = 32.0;
 /// Connect timeout of an engine connection in seconds if the configuration has none.
@@ -70,8 +71,8 @@
     pub connection_limits: ConnectionLimits,
     /// Limits, classes and tenants of the platform's front.
     pub front: FrontConfig,
-    /// Maximum number of buffers, of 64 KiB each, within the memory limit.
-    pub buffers: usize,
+    /// Maximum number of bytes in the pool of buffers.
+    pub pool_bytes: usize,
 }
 
 impl Config {
@@ -105,7 +106,7 @@
         let reason = ErrorReason::TooFewDescriptors { limit: error.limit, needed: error.sufficient };
         Error::at_path("limits.sockets", reason)
     })?;
-    let buffers = buffer_count(platform.limits.memory_mb.0)?;
+    let pool_bytes = memory_budget::pool_bytes(memory_bytes(platform.limits.memory_mb.0)?, sockets);
     Ok(Config {
         connection_limits: connection_limits(&platform, &settings, sockets, &descriptors),
         front: front_config(&platform, &settings, &descriptors),
@@ -124,7 +125,7 @@
         seed: platform.seed.0,
         sockets,
         descriptors,
-        buffers,
+        pool_bytes,
     })
 }
 
@@ -133,13 +134,13 @@
     texts.iter().filter(|text| !text.0.is_empty()).map(|text| text.0.clone()).collect()
 }
 
-/// Maximum number of buffers for a memory limit in megabytes.
-fn buffer_count(memory_mb: Option<u64>) -> Result<usize, Error> {
+/// The memory that the process may use, in bytes.
+fn memory_bytes(memory_mb: Option<u64>) -> Result<usize, Error> {
     if memory_mb == Some(0) {
         return Err(Error::at_path("limits.memory_mb", ErrorReason::NoMemory));
     }
     let memory_mb = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) as usize;
-    Ok(memory_mb.max(MIN_MEMORY_MB).saturating_mul(BUFFERS_PER_MB))
+    Ok(memory_mb.max(MIN_MEMORY_MB).saturating_mul(MEGABYTE))
 }
 
 fn connection_limits(
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -16,6 +16,7 @@
 pub mod listen;
 pub mod logging;
 pub mod membership_driver;
+pub mod memory_budget;
 pub mod second_front;
 pub mod serve;
 pub mod socket_activation;
--- a/src/run/serve/startup.rs
+++ b/src/run/serve/startup.rs
@@ -98,7 +98,7 @@
         zones: config.zone_names.clone(),
         kinds: config.kind_names.clone(),
         limits: config.connection_limits,
-        pool: BufferPool::new(config.buffers),
+        pool: BufferPool::new(config.pool_bytes),
         metrics,
     });
     if let Some(startup) = startup {
