--- a/crates/hot-restart/examples/cost.rs
+++ b/crates/hot-restart/examples/cost.rs
@@ -46,6 +46,7 @@
         retry_budget: counters.retry_budget(now),
         warmup: counters.warmup(now),
         last_event: 1,
+        ..StateSnapshot::default()
     }
 }
 
--- a/crates/hot-restart/src/codec.rs
+++ b/crates/hot-restart/src/codec.rs
@@ -31,6 +31,9 @@
 /// Bytes reserved for the tag and length of the field of engine id hashes.
 const IDS_HEADER_BYTES: usize = 8;
 
+/// Bytes that hashes of engine ids may take before CancelRequests are left out for them.
+const RESERVED_ID_BYTES: usize = 1_024 * size_of::<u64>();
+
 /// An encoded state file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EncodedFile {
@@ -40,13 +43,17 @@
     pub ids_left_out: usize,
 }
 
-/// Encodes a state file. If the contents do not fit, only hashes of engine ids are left out.
+/// Encodes a state file. If the contents do not fit, hashes of engine ids are left out, and beside very many
+/// cordons the oldest CancelRequests.
 ///
 /// # Errors
 /// [`StateFileError::TooLarge`] if the contents do not fit even without any hashes.
 pub fn encode(file: &StateFile) -> Result<EncodedFile, StateFileError> {
     let mut message = StateFileMessage::from(file);
     let ids = std::mem::take(&mut message.known_ids);
+    let wanted_id_bytes = RESERVED_ID_BYTES.min(ids.len() * size_of::<u64>()) + IDS_HEADER_BYTES;
+    let bytes = HEADER_BYTES + message.encoded_len();
+    message.drop_oldest_cancels((bytes + wanted_id_bytes).saturating_sub(MAX_FILE_BYTES));
     let bytes_without_ids = HEADER_BYTES + message.encoded_len();
     if bytes_without_ids > MAX_FILE_BYTES {
         return Err(StateFileError::TooLarge { bytes: bytes_without_ids });
--- a/crates/hot-restart/src/lib.rs
+++ b/crates/hot-restart/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`usable_state`](mod@usable_state): the part of another process's file that still applies, given the
 //!   file's age.
 //! - [`WindowCounters`]: retries, admitted requests and work sent to warming engines, in buckets of 250 ms.
+//! - [`CancelOutbox`], [`CancelInbox`]: CancelRequests that reached the process which does not serve their
+//!   session.
 //! - [`PeerTable`]: which files belong to live processes, and which may be removed.
 //! - [`PhaseMachine`]: the phases of a process and the permissions that follow from them ([`PhaseStatus`]).
 //!
@@ -23,6 +25,7 @@
 //! All timestamps are Unix times. docs/design/hot-restart.md describes the rules,
 //! docs/operators/hot-restart.md the log lines and the operator's response to them.
 
+mod cancel_requests;
 mod codec;
 mod error;
 mod faulty_folder;
@@ -37,6 +40,9 @@
 mod usable_state;
 mod window_counters;
 
+pub use cancel_requests::{
+    CancelInbox, CancelOutbox, ForwardedCancel, CANCEL_RETENTION, MAX_CANCEL_REQUESTS,
+};
 pub use codec::{decode, encode, EncodedFile};
 pub use error::{InvalidState, StateFileError, WriteError};
 pub use faulty_folder::{FaultyFolder, FolderFault};
@@ -48,10 +54,13 @@
 pub use phase::{PhaseMachine, PhaseStatus, ACCEPT_GRACE, ACK_TIMEOUT, IDLE_GRACE, MIN_IDLE_TIME};
 pub use sprucelink_time::{TimeDelta, Timestamp};
 pub use state::{
-    ClockReference, Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot, WarmupBucket,
-    WarmupLoad,
+    ClockReference, FeedChange, Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot,
+    WarmupBucket, WarmupLoad,
 };
 pub use state::{BUCKET_SPAN, MAX_BUCKETS, MAX_NAME_BYTES, MAX_SHARING_PEERS, MAX_WARMING_ENGINES};
-pub use state_file_driver::{FolderScan, StateFileDriver, WriteReport, SCAN_INTERVAL, WRITE_INTERVAL};
+pub use state_file_driver::{
+    FolderScan, StateFileDriver, WriteReport, SCAN_INTERVAL, SCAN_INTERVAL_WITH_PEERS,
+};
+pub use state_file_driver::{MIN_WRITE_INTERVAL, WRITE_INTERVAL};
 pub use usable_state::{usable_state, FileAge, SentWarmupWork, UsableState, WindowSpans, CLOCK_SLACK};
 pub use window_counters::WindowCounters;
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -3,12 +3,14 @@
 //! The meaning and tag of a field never change; new fields get new tags, which older builds skip. A change
 //! that an older build would misread needs a new [`crate::FORMAT_VERSION`].
 
+use crate::cancel_requests::{ForwardedCancel, MAX_CANCEL_REQUESTS};
 use crate::error::InvalidState;
 use crate::state::{
-    ClockReference, Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot, WarmupBucket,
-    WarmupLoad, MAX_BUCKETS, MAX_NAME_BYTES, MAX_SHARING_PEERS, MAX_WARMING_ENGINES,
+    ClockReference, FeedChange, Instance, Phase, Process, RetryBudgetBucket, StateFile, StateSnapshot,
+    WarmupBucket, WarmupLoad, MAX_BUCKETS, MAX_NAME_BYTES, MAX_SHARING_PEERS, MAX_WARMING_ENGINES,
 };
 use crate::{TimeDelta, Timestamp};
+use prost::Message;
 use sprucelink_cordon::{Cause, CordonEntry, CordonRecord, Target};
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -46,6 +48,10 @@
     clock_offset: Option<i64>,
     #[prost(string, tag = "16")]
     boot_id: String,
+    #[prost(message, repeated, tag = "17")]
+    cancel_requests: Vec<CancelMessage>,
+    #[prost(message, optional, tag = "18")]
+    feed_change: Option<FeedChangeMessage>,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -98,6 +104,43 @@
     work_ms: Vec<u32>,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct FeedChangeMessage {
+    #[prost(string, tag = "1")]
+    address: String,
+    #[prost(int64, tag = "2")]
+    changed_at: i64,
+}
+
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct CancelMessage {
+    #[prost(uint64, tag = "1")]
+    sequence: u64,
+    #[prost(fixed32, tag = "2")]
+    process_id: u32,
+    #[prost(fixed32, tag = "3")]
+    secret: u32,
+    #[prost(int64, tag = "4")]
+    received_at: i64,
+}
+
+/// Bytes of the tag and the length before each CancelRequest.
+const CANCEL_HEADER_BYTES: usize = 3;
+
+impl StateFileMessage {
+    /// Leaves out the oldest CancelRequests, until the message is shorter by `bytes` or none is left.
+    pub(crate) fn drop_oldest_cancels(&mut self, bytes: usize) {
+        let mut dropped_bytes = 0;
+        let is_dropped = |cancel: &&CancelMessage| {
+            let is_needed = dropped_bytes < bytes;
+            dropped_bytes += CANCEL_HEADER_BYTES + cancel.encoded_len();
+            is_needed
+        };
+        let count = self.cancel_requests.iter().take_while(is_dropped).count();
+        self.cancel_requests.drain(..count);
+    }
+}
+
 /// Phases by their number in the format.
 const PHASES: [Phase; 6] = [
     Phase::Starting,
@@ -164,6 +207,44 @@
     }
 }
 
+impl From<&FeedChange> for FeedChangeMessage {
+    fn from(change: &FeedChange) -> FeedChangeMessage {
+        FeedChangeMessage { address: change.address.clone(), changed_at: change.changed_at.as_micros() }
+    }
+}
+
+impl TryFrom<FeedChangeMessage> for FeedChange {
+    type Error = InvalidState;
+
+    fn try_from(message: FeedChangeMessage) -> Result<FeedChange, InvalidState> {
+        check_bytes("feed_change.address", &message.address)?;
+        let changed_at = Timestamp::from_micros(message.changed_at);
+        Ok(FeedChange { address: message.address, changed_at })
+    }
+}
+
+impl From<&ForwardedCancel> for CancelMessage {
+    fn from(cancel: &ForwardedCancel) -> CancelMessage {
+        CancelMessage {
+            sequence: cancel.sequence,
+            process_id: cancel.process_id,
+            secret: cancel.secret,
+            received_at: cancel.received_at.as_micros(),
+        }
+    }
+}
+
+impl From<CancelMessage> for ForwardedCancel {
+    fn from(message: CancelMessage) -> ForwardedCancel {
+        ForwardedCancel {
+            sequence: message.sequence,
+            process_id: message.process_id,
+            secret: message.secret,
+            received_at: Timestamp::from_micros(message.received_at),
+        }
+    }
+}
+
 impl From<&RetryBudgetBucket> for RetryBudgetMessage {
     fn from(bucket: &RetryBudgetBucket) -> RetryBudgetMessage {
         RetryBudgetMessage {
@@ -230,6 +311,8 @@
             retry_budget: snapshot.retry_budget.iter().map(RetryBudgetMessage::from).collect(),
             warmup: snapshot.warmup.iter().map(WarmupMessage::from).collect(),
             last_event: snapshot.last_event,
+            cancel_requests: snapshot.cancel_requests.iter().map(CancelMessage::from).collect(),
+            feed_change: snapshot.feed_change.as_ref().map(FeedChangeMessage::from),
             clock_offset: file.clock_reference.as_ref().map(|clock| clock.offset.as_micros()),
             boot_id: file.clock_reference.as_ref().map_or_else(String::new, |clock| clock.boot_id.clone()),
         }
@@ -249,6 +332,7 @@
         check_count("ration", message.retry_budget.len(), MAX_BUCKETS, "buckets")?;
         check_count("room_for", message.sharing_peers.len(), MAX_SHARING_PEERS, "processes")?;
         check_count("cold", message.warmup.len(), MAX_WARMING_ENGINES, "engines")?;
+        check_count("cancels", message.cancel_requests.len(), MAX_CANCEL_REQUESTS, "requests")?;
         let process = message.process.ok_or(InvalidState::MissingProcess)?;
         let phase = PHASES.get(message.phase as usize).ok_or(InvalidState::UnknownPhase)?;
         let cordons: Vec<CordonRecord> = message.cordons.into_iter().map(CordonRecord::from).collect();
@@ -261,6 +345,8 @@
             known_ids: message.known_ids,
             retry_budget: message.retry_budget.into_iter().map(RetryBudgetBucket::from).collect(),
             warmup,
+            cancel_requests: message.cancel_requests.into_iter().map(ForwardedCancel::from).collect(),
+            feed_change: message.feed_change.map(FeedChange::try_from).transpose()?,
             last_event: message.last_event,
         };
         let boot_id = message.boot_id;
--- a/crates/hot-restart/src/state.rs
+++ b/crates/hot-restart/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that a process passes to its successor.
 
+use crate::cancel_requests::ForwardedCancel;
 use crate::{TimeDelta, Timestamp};
 use sprucelink_cordon::CordonRecord;
 use std::fmt;
@@ -116,11 +117,24 @@
     pub retry_budget: Vec<RetryBudgetBucket>,
     /// Work sent to warming engines, by engine ([`crate::WindowCounters::warmup`]).
     pub warmup: Vec<WarmupLoad>,
+    /// CancelRequests for sessions of other processes, oldest first ([`crate::CancelOutbox::export`]).
+    pub cancel_requests: Vec<ForwardedCancel>,
+    /// The control feed's last change of address by SIGHUP; `None` if it has not changed since the start.
+    pub feed_change: Option<FeedChange>,
     /// Number of the last endpoint event read. It is only for log lines, because each process numbers the
     /// events anew.
     pub last_event: u64,
 }
 
+/// A change of the control feed's address, which a process learned by SIGHUP.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FeedChange {
+    /// The new address, at most [`MAX_NAME_BYTES`].
+    pub address: String,
+    /// Time of the change.
+    pub changed_at: Timestamp,
+}
+
 /// Relation of a process's clock to the machine's monotonic clock. It allows a reader to convert the times in
 /// a file correctly even if the wall clock was stepped between the starts of the two processes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -180,6 +194,12 @@
         for bucket in self.snapshot.warmup.iter_mut().flat_map(|load| &mut load.buckets) {
             bucket.start = bucket.start + shift;
         }
+        if let Some(change) = &mut self.snapshot.feed_change {
+            change.changed_at = change.changed_at + shift;
+        }
+        for cancel in &mut self.snapshot.cancel_requests {
+            cancel.received_at = cancel.received_at + shift;
+        }
         self.clock_reference = Some(reader.clone());
     }
 }
--- a/crates/hot-restart/src/state_file_driver.rs
+++ b/crates/hot-restart/src/state_file_driver.rs
@@ -17,6 +17,12 @@
 /// Interval of scans of other processes' files. A cordon that another process has accepted takes effect in
 /// this process within the drain's grace period of 500 ms, with headroom for a late scan.
 pub const SCAN_INTERVAL: TimeDelta = TimeDelta::from_millis(100);
+/// Interval of scans while another process is alive. A CancelRequest that the other process received takes
+/// effect within the 100 ms that the platform allows between a client's departure and the last attempt.
+pub const SCAN_INTERVAL_WITH_PEERS: TimeDelta = TimeDelta::from_millis(20);
+/// Minimum time between two writes of the process's own file because of CancelRequests, which a client can
+/// send at any rate.
+pub const MIN_WRITE_INTERVAL: TimeDelta = TimeDelta::from_millis(20);
 /// Interval of writes of the process's own file, which is also written at once after each cordon and each
 /// change of the phase.
 pub const WRITE_INTERVAL: TimeDelta = TimeDelta::from_millis(250);
@@ -65,8 +71,8 @@
     pub removed_files: usize,
 }
 
-/// One process's part of the hot restart. The caller makes these calls in order, every [`SCAN_INTERVAL`] and
-/// at SIGTERM: [`StateFileDriver::scan`], after which it merges all files read, [`StateFileDriver::step`],
+/// One process's part of the hot restart. The caller makes these calls in order, after each
+/// [`StateFileDriver::scan_interval`] and at SIGTERM: [`StateFileDriver::scan`], after which it merges all files read, [`StateFileDriver::step`],
 /// and [`StateFileDriver::write`] if [`StateFileDriver::is_write_due`]. After a cordon whose operator waits
 /// for the result it calls [`StateFileDriver::write`] at once.
 #[derive(Debug)]
@@ -156,6 +162,23 @@
         self.status.has_served && self.has_announced_serving
     }
 
+    /// Time until the next scan.
+    pub fn scan_interval(&self, now: Timestamp) -> TimeDelta {
+        if self.peers.live_peers(now).is_empty() {
+            SCAN_INTERVAL
+        } else {
+            SCAN_INTERVAL_WITH_PEERS
+        }
+    }
+
+    /// Whether the process's own file may be written because of new CancelRequests: another process is alive
+    /// to read it, and the last write is long enough ago.
+    pub fn may_write_cancels(&self, now: Timestamp) -> bool {
+        let is_early =
+            |last: &WriteAttempt| now >= last.attempted_at && now - last.attempted_at < MIN_WRITE_INTERVAL;
+        !self.peers.live_peers(now).is_empty() && !self.last_attempt.as_ref().is_some_and(is_early)
+    }
+
     /// Reads the files of other processes that are new or have changed.
     pub fn scan(&mut self, now: Timestamp) -> FolderScan {
         let mut scan = FolderScan::default();
--- a/crates/hot-restart/tests/codec.rs
+++ b/crates/hot-restart/tests/codec.rs
@@ -65,20 +65,38 @@
         .prop_map(|(start, work_ms)| WarmupBucket { start: Timestamp::from_micros(start), work_ms });
     let warmup_load = ("[a-z]{0,20}", prop::collection::vec(warmup_bucket, 0..MAX_BUCKETS))
         .prop_map(|(engine, buckets)| WarmupLoad { engine, buckets });
+    let cancel = (any::<u64>(), any::<u32>(), any::<u32>(), any::<i64>()).prop_map(
+        |(sequence, process_id, secret, received_at)| ForwardedCancel {
+            sequence,
+            process_id,
+            secret,
+            received_at: Timestamp::from_micros(received_at),
+        },
+    );
+    let feed_change = ("[a-z0-9.:]{0,40}", any::<i64>())
+        .prop_map(|(address, at)| FeedChange { address, changed_at: Timestamp::from_micros(at) });
     (
         prop::collection::vec(arbitrary_cordon(), 0..12),
         prop::collection::vec(any::<u64>(), 0..40),
         prop::collection::vec(retry_bucket, 0..MAX_BUCKETS),
         prop::collection::vec(warmup_load, 0..6),
+        prop::collection::vec(cancel, 0..MAX_CANCEL_REQUESTS),
+        prop::option::of(feed_change),
         any::<u64>(),
     )
-        .prop_map(|(cordons, known_ids, retry_budget, warmup, last_event)| StateSnapshot {
-            cordons,
-            known_ids,
-            retry_budget,
-            warmup,
-            last_event,
-        })
+        .prop_map(
+            |(cordons, known_ids, retry_budget, warmup, cancel_requests, feed_change, last_event)| {
+                StateSnapshot {
+                    cordons,
+                    known_ids,
+                    retry_budget,
+                    warmup,
+                    cancel_requests,
+                    feed_change,
+                    last_event,
+                }
+            },
+        )
 }
 
 fn config(seed: u64, cases: u32) -> ProptestConfig {
@@ -184,6 +202,7 @@
             ],
             warmup: vec![WarmupLoad { engine: "s-3".into(), buckets: warmup_buckets }],
             last_event: 1234,
+            ..StateSnapshot::default()
         })
     }
 }
@@ -250,11 +269,15 @@
         buckets: vec![WarmupBucket { start: now, work_ms: u32::MAX }; 18],
     };
     let retry_bucket = RetryBudgetBucket { start: now, retries: u32::MAX, admitted: u32::MAX };
+    let cancel =
+        ForwardedCancel { sequence: u64::MAX, process_id: u32::MAX, secret: u32::MAX, received_at: now };
     let file = state_file(StateSnapshot {
         cordons: cordons.export_records(),
         known_ids: cordons.export_known_ids(usize::MAX),
         retry_budget: vec![retry_bucket; MAX_BUCKETS],
         warmup: (0..MAX_WARMING_ENGINES).map(warmup_load).collect(),
+        cancel_requests: vec![cancel; MAX_CANCEL_REQUESTS],
+        feed_change: Some(FeedChange { address: "f".repeat(MAX_NAME_BYTES), changed_at: now }),
         last_event: u64::MAX,
     });
     let encoded = encode(&file).expect("fits");
@@ -262,6 +285,8 @@
     assert!(length <= MAX_FILE_BYTES && length > MAX_FILE_BYTES - 32, "{length}");
     let decoded = decode(&encoded.bytes, &instance()).expect("valid");
     assert_eq!(decoded.snapshot.cordons, file.snapshot.cordons);
+    let cancels = decoded.snapshot.cancel_requests.len();
+    assert!(cancels > 0 && cancels < MAX_CANCEL_REQUESTS, "{cancels} cancel requests");
     let encoded_ids = limits.max_known_ids - encoded.ids_left_out;
     let first_ids = &file.snapshot.known_ids[..encoded_ids];
     assert!(
--- a/crates/hot-restart/tests/golden.rs
+++ b/crates/hot-restart/tests/golden.rs
@@ -83,6 +83,9 @@
                 },
             ],
             last_event: 812,
+            // Fields of later releases.
+            cancel_requests: Vec::new(),
+            feed_change: None,
         },
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -23,6 +23,7 @@
 pub mod sessionless;
 mod startup;
 mod turn_time;
+mod unknown_cancels;
 
 use crate::core::buffer_pool::BUFFER_BYTES;
 use crate::core::Core;
@@ -38,8 +39,10 @@
 use tokio::sync::Notify;
 use tokio_rustls::TlsAcceptor;
 use turn_time::TurnTimer;
+use unknown_cancels::UnknownCancels;
 
 pub use config::{ClassConfig, FrontConfig};
+pub use unknown_cancels::UnknownCancel;
 
 /// Buffers that a session of an `extended` front may read ahead, in addition to its input buffer: its clients
 /// write complete batches before they read. The platform's clients write one query at a time, for which the
@@ -56,6 +59,7 @@
     pub config: FrontConfig,
     /// Cancel signals of the sessions, by the process id in BackendKeyData.
     sessions: RefCell<BTreeMap<u32, Rc<CancelSignal>>>,
+    unknown_cancels: UnknownCancels,
     session_ends: SessionEndCounters,
     turn_timer: Rc<TurnTimer>,
     slots: Rc<ConnectionSlots>,
@@ -87,6 +91,7 @@
         let total_buffers = core.pool().max_bytes() / BUFFER_BYTES / READ_AHEAD_POOL_DIVISOR;
         Rc::new(Front {
             sessions: RefCell::default(),
+            unknown_cancels: UnknownCancels::new(core.metrics()),
             session_ends: SessionEndCounters::new(core.metrics()),
             turn_timer: Rc::new(TurnTimer::new(core.metrics())),
             slots: ConnectionSlots::new(
--- a/src/front/session/execute.rs
+++ b/src/front/session/execute.rs
@@ -83,6 +83,7 @@
         if connection.read_available().await? {
             return Err(session_ended(connection));
         }
+        self.cancel.record_request(connection.arrived());
         let request = self.front.submit(request, started, is_cancelled)?;
         let result = self.wait_for_response(connection, request).await?;
         Ok(Some((result, RowPosition::default())))
--- a/src/front/session/simple_query.rs
+++ b/src/front/session/simple_query.rs
@@ -53,6 +53,7 @@
         if connection.read_available().await? {
             return Err(session_ended(connection));
         }
+        self.cancel.record_request(started);
         let request = self.front.submit(request, started, self.cancel.take())?;
         self.slot.record_request();
         let result = self.wait_for_response(connection, request).await?;
--- /dev/null
+++ b/src/front/unknown_cancels.rs
@@ -0,0 +1,85 @@
+//! CancelRequests for sessions that this process does not serve. During a hot restart, another process that
+//! accepts from the same listening socket may serve them.
+//!
+//! Input: the CancelRequests. Output: the same, for the driver of the hot restart. State: those that it has
+//! not taken yet.
+
+use sprucelink_metrics::{Counter, Metrics};
+use sprucelink_time::Timestamp;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use tokio::sync::Notify;
+
+/// Maximum number of CancelRequests that are kept; beyond it the oldest are dropped.
+const MAX_KEPT: usize = 256;
+
+/// A CancelRequest for a session that this process does not serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownCancel {
+    /// The session's process id, from its BackendKeyData.
+    pub process_id: u32,
+    /// The session's secret key, from its BackendKeyData.
+    pub secret: u32,
+    /// Time at which the CancelRequest was received.
+    pub received_at: Timestamp,
+}
+
+/// The CancelRequests that were not taken yet.
+pub(super) struct UnknownCancels {
+    kept: RefCell<VecDeque<UnknownCancel>>,
+    /// Whether the requests are kept; otherwise they are only counted.
+    is_enabled: Cell<bool>,
+    received: Notify,
+    /// CancelRequests for sessions that this process does not serve.
+    unknown: Counter,
+    /// CancelRequests that another process received for sessions of this process.
+    taken_over: Counter,
+}
+
+impl UnknownCancels {
+    /// Creates the counters in `metrics`; no requests are kept until [`UnknownCancels::enable`].
+    pub(super) fn new(metrics: &Metrics) -> UnknownCancels {
+        let counter = |name| metrics.counter(name).unwrap_or_else(|_| Counter::noop());
+        UnknownCancels {
+            kept: RefCell::default(),
+            is_enabled: Cell::new(false),
+            received: Notify::new(),
+            unknown: counter("cancels.unknown_session"),
+            taken_over: counter("cancels.taken_over"),
+        }
+    }
+
+    /// Keeps requests from now on.
+    pub(super) fn enable(&self) {
+        self.is_enabled.set(true);
+    }
+
+    /// Adds a request.
+    pub(super) fn push(&self, cancel: UnknownCancel) {
+        self.unknown.increment(1);
+        if !self.is_enabled.get() {
+            return;
+        }
+        let mut kept = self.kept.borrow_mut();
+        if kept.len() >= MAX_KEPT {
+            kept.pop_front();
+        }
+        kept.push_back(cancel);
+        self.received.notify_one();
+    }
+
+    /// Takes all requests.
+    pub(super) fn take(&self) -> VecDeque<UnknownCancel> {
+        self.kept.take()
+    }
+
+    /// Completes when a request was added.
+    pub(super) async fn received(&self) {
+        self.received.notified().await;
+    }
+
+    /// Counts a request that another process received and that took effect in this process.
+    pub(super) fn record_taken_over(&self) {
+        self.taken_over.increment(1);
+    }
+}
--- a/src/run/hot_restart_driver.rs
+++ b/src/run/hot_restart_driver.rs
@@ -5,18 +5,19 @@
 //! spend, and maintains the state files through which the processes discover each other; this driver applies
 //! its decisions.
 
-use crate::core::{machine_clock_offset, now, Core};
-use crate::front::Front;
+use super::feed_address::FeedAddress;
+use crate::core::{machine_clock_offset, now, to_duration, Core};
+use crate::front::{Front, UnknownCancel};
 use sprucelink_hot_restart::{
-    usable_state, ClockReference, DiskFolder, FolderScan, Instance, Phase, PhaseStatus, StateFile,
-    StateFileDriver, StateSnapshot, WindowCounters, WindowSpans, WriteError, SCAN_INTERVAL,
+    usable_state, CancelInbox, CancelOutbox, ClockReference, DiskFolder, FolderScan, ForwardedCancel,
+    Instance, Phase, PhaseStatus, Process, StateFile, StateFileDriver, StateSnapshot, WindowCounters,
+    WindowSpans, WriteError,
 };
 use sprucelink_policy::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 use tracing::{debug, error, info, warn, Level};
@@ -75,13 +76,25 @@
     /// Ids of the other processes that announced their termination.
     terminated_peers: RefCell<BTreeSet<u32>>,
     step_requested: Notify,
+    feed: Rc<FeedAddress>,
+    /// CancelRequests for sessions of other processes.
+    cancel_outbox: RefCell<CancelOutbox>,
+    /// Whether there are CancelRequests that the state file does not hold.
+    has_unwritten_cancels: Cell<bool>,
+    cancel_inbox: RefCell<CancelInbox>,
 }
 
 impl HotRestartDriver {
     /// Creates the driver and merges the state files of earlier processes into the core. Must be called
     /// before serving begins. `name` and `listen` distinguish this manager from other managers that share the
     /// folder.
-    pub fn start(core: Rc<Core>, name: &str, listen: &str, windows: WindowSpans) -> Rc<HotRestartDriver> {
+    pub fn start(
+        core: Rc<Core>,
+        feed: Rc<FeedAddress>,
+        name: &str,
+        listen: &str,
+        windows: WindowSpans,
+    ) -> Rc<HotRestartDriver> {
         let instance = Instance { name: name.to_owned(), listen: listen.to_owned() };
         let pid = std::process::id();
         let build = env!("CARGO_PKG_VERSION");
@@ -101,6 +114,10 @@
             live_peers: RefCell::default(),
             terminated_peers: RefCell::default(),
             step_requested: Notify::new(),
+            feed,
+            cancel_outbox: RefCell::default(),
+            has_unwritten_cancels: Cell::new(false),
+            cancel_inbox: RefCell::default(),
         });
         driver.merge_files(scan, Level::INFO);
         driver
@@ -133,11 +150,16 @@
 
     /// Scans the state files periodically and applies the resulting phase, until the process exits.
     pub async fn run(self: Rc<Self>, front: Rc<Front>) {
+        front.keep_unknown_cancels();
         loop {
             self.step(&front);
+            let scan_interval = self.state_files.borrow().scan_interval(now());
+            // Otherwise the requests wait for the next scan: a client can send them at any rate.
+            let may_write_cancels = self.state_files.borrow().may_write_cancels(now());
             tokio::select! {
-                () = sleep(Duration::from_micros(SCAN_INTERVAL.as_micros() as u64)) => {}
+                () = sleep(to_duration(scan_interval)) => {}
                 () = self.step_requested.notified() => {}
+                () = front.unknown_cancel_received(), if may_write_cancels => {}
             }
         }
     }
@@ -152,6 +174,8 @@
 
     fn step(&self, front: &Front) {
         let scan = self.state_files.borrow_mut().scan(now());
+        self.apply_cancels(front, &scan);
+        self.collect_cancels(front);
         self.merge_files(scan, Level::DEBUG);
         self.core.expire_cordons();
         let is_stopping = self.is_stopping.get();
@@ -166,12 +190,44 @@
         if let Some(idle) = status.close_idle_after {
             front.drain_sessions(idle);
         }
-        if self.state_files.borrow().is_write_due(now()) {
+        let state_files = self.state_files.borrow();
+        let writes_cancels = self.has_unwritten_cancels.get() && state_files.may_write_cancels(now());
+        let is_write_due = writes_cancels || state_files.is_write_due(now());
+        drop(state_files);
+        if is_write_due {
             // `write` logs a failure, and the next refresh repeats the write.
             let _ = self.write(WriteReason::Refresh);
         }
     }
 
+    /// Applies the CancelRequests that other processes received for sessions of this process.
+    fn apply_cancels(&self, front: &Front, scan: &FolderScan) {
+        let mut inbox = self.cancel_inbox.borrow_mut();
+        for file in &scan.files {
+            let cancels = inbox.take_new(now(), file.process, &file.snapshot.cancel_requests);
+            let is_applied = |cancel: &&ForwardedCancel| {
+                let ForwardedCancel { process_id, secret, received_at, .. } = **cancel;
+                front.apply_forwarded_cancel(UnknownCancel { process_id, secret, received_at })
+            };
+            let applied = cancels.iter().filter(is_applied).count();
+            if applied > 0 {
+                info!(pid = file.process.pid, applied, "hot restart cancel requests applied");
+            }
+        }
+        let live: Vec<Process> =
+            self.state_files.borrow().live_peers(now()).iter().map(|peer| peer.process).collect();
+        inbox.retain(&live);
+    }
+
+    /// Takes the CancelRequests of unknown sessions from the front, for the next state file.
+    fn collect_cancels(&self, front: &Front) {
+        let mut outbox = self.cancel_outbox.borrow_mut();
+        for cancel in front.take_unknown_cancels() {
+            outbox.push(cancel.process_id, cancel.secret, cancel.received_at);
+            self.has_unwritten_cancels.set(true);
+        }
+    }
+
     /// Merges the state of other processes, with a log line at `level` for each file.
     fn merge_files(&self, scan: FolderScan, level: Level) {
         for error in &scan.folder_errors {
@@ -191,6 +247,12 @@
         if file.phase == Phase::Terminated {
             self.terminated_peers.borrow_mut().insert(pid);
         }
+        if let Some(change) = file.snapshot.feed_change.clone() {
+            let feed_address = change.address.clone();
+            if self.feed.apply(change) {
+                info!(pid, feed_address, "control feed changed by another process");
+            }
+        }
         let age_s = (now() - file.written_at).as_secs_f64();
         let usable = usable_state(now(), self.windows, file);
         let cordons = usable.cordons.len();
@@ -286,6 +348,8 @@
             known_ids,
             retry_budget: counters.retry_budget(now()),
             warmup: counters.warmup(now()),
+            cancel_requests: self.cancel_outbox.borrow_mut().export(now()),
+            feed_change: self.feed.last_change(),
             last_event: self.core.last_event(),
         }
     }
@@ -295,6 +359,7 @@
         let result = self.state_files.borrow_mut().write(now(), snapshot);
         match result {
             Ok(written) => {
+                self.has_unwritten_cancels.set(false);
                 if written.ids_left_out > 0 {
                     let engine_ids = written.ids_left_out;
                     warn!(engine_ids, "engine ids left out of the hot restart state file");
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod descriptor_budget;
 pub mod error;
+pub mod feed_address;
 pub mod hot_restart_driver;
 pub mod listen;
 pub mod logging;
--- a/src/run/serve/reload.rs
+++ b/src/run/serve/reload.rs
@@ -1,12 +1,15 @@
 //! Reads the configuration again at SIGHUP.
 
+use crate::core::now;
 use crate::run::cli::ServeOptions;
 use crate::run::config::Config;
 use crate::run::error::with_causes;
+use crate::run::feed_address::FeedAddress;
 use crate::run::startup_files::StartupFileError;
+use sprucelink_hot_restart::FeedChange;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
 use tokio::task::spawn_blocking;
 use tokio::time::{timeout, Instant};
 use tracing::{info, warn};
@@ -47,13 +50,13 @@
 }
 
 impl Reloader {
-    /// Handles each SIGHUP until the signal stream ends, and sends the control feed's address to
-    /// `feed_address` if it has changed. Signals that arrive while a file is being read are merged into one,
+    /// Handles each SIGHUP until the signal stream ends, and sets the control feed's address in
+    /// `feed_address`. Signals that arrive while a file is being read are merged into one,
     /// so the last version of the file is always read.
     ///
     /// Only the feed's address changes in a running process: sessions, requests and engine connections are
     /// not affected.
-    pub async fn run(mut self, feed_address: watch::Sender<Option<String>>) {
+    pub async fn run(mut self, feed_address: Rc<FeedAddress>) {
         while self.hangup.recv().await.is_some() {
             self.reload(&feed_address).await;
         }
@@ -62,14 +65,14 @@
     /// Reads the file repeatedly until it is readable and valid, for [`RETRY_PERIOD`] at most. Another
     /// program may still be writing it, or it may fail to open for a moment, and no second signal announces
     /// that it is complete.
-    async fn reload(&mut self, feed_address: &watch::Sender<Option<String>>) {
+    async fn reload(&mut self, feed_address: &FeedAddress) {
         let mut deadline = Instant::now() + RETRY_PERIOD;
         let mut was_logged = false;
         loop {
             match self.read_feed_address().await {
                 Ok(address) => {
                     info!(feed_address = address, "configuration reloaded");
-                    feed_address.send_if_modified(|current| replace_address(current, address));
+                    feed_address.apply(FeedChange { address, changed_at: now() });
                     return;
                 }
                 // An invalid file must not disturb a serving process: its settings stay as they were.
@@ -103,13 +106,6 @@
     }
 }
 
-/// Stores the new address; returns whether it differs from the previous one.
-fn replace_address(current: &mut Option<String>, address: String) -> bool {
-    let changed = current.as_ref() != Some(&address);
-    *current = Some(address);
-    changed
-}
-
 /// Whether an address has a host, and a port other than 0.
 fn has_host_and_port(address: &str) -> bool {
     let (host, port) = address.rsplit_once(':').unwrap_or_default();
--- a/src/run/serve/startup.rs
+++ b/src/run/serve/startup.rs
@@ -8,6 +8,7 @@
 use crate::run::admin::{self, AdminOperations};
 use crate::run::certificates;
 use crate::run::config::Config;
+use crate::run::feed_address::FeedAddress;
 use crate::run::hot_restart_driver::HotRestartDriver;
 use crate::run::membership_driver::{self, FleetSettings, MembershipHandle};
 use crate::run::second_front::SecondFrontConfig;
@@ -22,7 +23,6 @@
 use sprucelink_zone_failover::config::FailoverConfig;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle};
 use tracing::{info, warn};
 
@@ -60,12 +60,12 @@
         start_failover(&core, server.failover, &config);
         let membership = start_membership(&core, server.membership, &config).await?;
         let core_task = spawn_local(Rc::clone(&core).run());
-        let (feed_sender, feed_address) = watch::channel(config.feed.clone());
-        spawn_local(endpoint_client::follow(Rc::clone(&core), feed_address, poller));
-        spawn_local(reloader.run(feed_sender));
+        let feed = Rc::new(FeedAddress::new(config.feed.clone(), now()));
+        spawn_local(endpoint_client::follow(Rc::clone(&core), feed.subscribe(), poller));
+        spawn_local(reloader.run(Rc::clone(&feed)));
         let is_shared = server.inherited_listener.is_some();
         let listener = open_listener(server.inherited_listener, &config.listen).await?;
-        let hot_restart = is_shared.then(|| start_hot_restart(&core, &config));
+        let hot_restart = is_shared.then(|| start_hot_restart(&core, &config, feed));
         let admin = AdminOperations::new(Rc::clone(&core), hot_restart.clone());
         if let Some(address) = server.admin_address {
             admin.listen(&address, admin::limits(config.sockets)).await?;
@@ -172,13 +172,13 @@
     }
 }
 
-fn start_hot_restart(core: &Rc<Core>, config: &Config) -> Rc<HotRestartDriver> {
+fn start_hot_restart(core: &Rc<Core>, config: &Config, feed: Rc<FeedAddress>) -> Rc<HotRestartDriver> {
     let retry_budget = config.settings.retry_budget.as_ref();
     let windows = WindowSpans {
         retry_budget: retry_budget.map_or(TimeDelta::ZERO, |budget| budget.window),
         slow_start: config.settings.slow_start_window,
     };
-    HotRestartDriver::start(Rc::clone(core), &config.name, &config.listen, windows)
+    HotRestartDriver::start(Rc::clone(core), feed, &config.name, &config.listen, windows)
 }
 
 async fn open_second_front(core: &Rc<Core>, config: SecondFrontConfig) -> Result<OpenFront, ServeError> {
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -249,3 +249,89 @@
     assert_eq!(rows(&RawClient::connect(to).ask(&sql(1, 1))).len(), 1);
     assert!(folder.join("notes.txt").exists());
 }
+
+/// A counter of CancelRequests that reached the wrong process.
+fn cancels(program: &Program, name: &str) -> u64 {
+    metric(program.operators.expect("an address"), &format!("cancels.{name}"))
+}
+
+/// Guards against a CancelRequest that the process which received it drops, since the other one serves the
+/// session (review, case 3).
+#[test]
+fn cancel_request_reaches_its_session_in_the_old_process() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let engines = [("s-1", engine.address)];
+    let (listener, to) = shared_listener();
+    let folder = scratch_dir();
+    let first = Program::start_on_shared_listener(&listener, &folder, &engines);
+    wait_until(|| is_healthy(&first).then_some(()));
+    let mut client = RawClient::connect(to);
+    client.send(&query(&sql(1, 1)));
+    engine.wait_for("do", 1);
+    let second = Program::start_on_shared_listener(&listener, &folder, &engines);
+    wait_until(|| is_healthy(&second).then_some(()));
+    first.terminate();
+    first.wait_line("hot restart phase changed phase=Draining");
+    client.cancel(to);
+    assert_eq!(error_fields(&client.until_ready())[0], "57014");
+    engine.wait_for("undo", 1);
+    assert_eq!((cancels(&second, "unknown_session"), cancels(&second, "taken_over")), (1, 0));
+}
+
+/// The same in the other direction: the new process is told to stop, and the old one accepts again.
+#[test]
+fn cancel_request_reaches_its_session_in_a_new_process_that_stops() {
+    let engine = Engine::start(|_| Reply::Hold);
+    let engines = [("s-1", engine.address)];
+    let (listener, to) = shared_listener();
+    let folder = scratch_dir();
+    let first = Program::start_on_shared_listener(&listener, &folder, &engines);
+    wait_until(|| is_healthy(&first).then_some(()));
+    let second = Program::start_on_shared_listener(&listener, &folder, &engines);
+    wait_until(|| is_healthy(&second).then_some(()));
+    let has_request = |program: &Program| metric(program.operators.expect("an address"), "outstanding") == 1;
+    let mut next_id = 0;
+    let mut client = wait_until(|| {
+        next_id += 1;
+        let mut client = RawClient::connect(to);
+        client.send(&query(&sql(next_id, 1)));
+        wait_until(|| (has_request(&first) || has_request(&second)).then_some(()));
+        // The old process may still accept a connection, whose client then goes.
+        has_request(&second).then_some(client)
+    });
+    second.terminate();
+    second.wait_line("hot restart phase changed phase=Draining");
+    // The new process accepts for 0.7 s after SIGTERM.
+    thread::sleep(Duration::from_millis(800));
+    client.cancel(to);
+    assert_eq!(error_fields(&client.until_ready())[0], "57014");
+    assert_eq!((cancels(&first, "unknown_session"), cancels(&first, "taken_over")), (1, 0));
+}
+
+/// Guards against a process that follows a feed which has ended, because the other one got the SIGHUP that
+/// moved it.
+#[test]
+fn feed_that_one_process_is_told_of_is_followed_by_both() {
+    let engine = Engine::echo();
+    let engines = [("s-1", engine.address)];
+    let feeds = [Feed::start(), Feed::start(), Feed::start()];
+    for feed in &feeds {
+        feed.send(list_event(1, true, &[("s-1", engine.address, "ready")]));
+    }
+    let (listener, _) = shared_listener();
+    let folder = scratch_dir();
+    let start = || {
+        let folder = folder.to_str().expect("a name in UTF-8");
+        let vars = [("EDGE_OPERATOR", "127.0.0.1:0"), ("EDGE_FD", "5"), ("TMPDIR", folder)];
+        let limits = (192, 1024);
+        Program::launch_in(&vars, Some(&listener), &engines, Some(&feeds[0]), None, limits, SETTINGS, &[])
+    };
+    let first = start();
+    wait_until(|| is_healthy(&first).then_some(()));
+    let second = start();
+    wait_until(|| is_healthy(&second).then_some(()));
+    for (told, feed) in [(&second, &feeds[1]), (&first, &feeds[2])] {
+        told.reload(&told.config_with_feed(feed.address));
+        wait_until(|| (feed.open_calls() == 2).then_some(()));
+    }
+}
