Admin descriptors test: it waits until the silent connections are gone before it counts the next

Cause: the test dropped 200 silent clients and connected four at once, then waited until "four more than before" descriptors pairs were open. The server's ends of the old connections count as well while they close, so the condition held before the server had accepted any of the four; the shortage then met the test at another point.

Change: the test waits until the old connections are closed, and then for the four.

--- a/crates/admin/tests/descriptors.rs
+++ b/crates/admin/tests/descriptors.rs
@@ -17,6 +17,15 @@
     std::fs::read_dir("/proc/self/fd").unwrap().count() - 1
 }
 
+/// Waits until this process has `count` descriptors open.
+fn wait_for_descriptors(count: usize) {
+    let start = Instant::now();
+    while open_descriptors() != count {
+        assert!(start.elapsed() < Duration::from_secs(20), "{} open, {count} expected", open_descriptors());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn descriptors_are_bounded_and_a_shortage_is_survived() {
     let limits = Limits { max_connections: 8, request_timeout: Duration::from_secs(20), ..Limits::default() };
@@ -30,16 +39,12 @@
     assert!(held < limits.descriptors(), "{held} held besides the listener");
     assert!(held >= limits.max_connections - 1, "{held} held of {} slots", limits.max_connections);
     drop(silent);
+    wait_for_descriptors(before);
 
     let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE).unwrap();
     let mut waiting: Vec<TcpStream> = (0..4).map(|_| connect(address)).collect();
-    // Wait until the server has closed the silent connections and accepted the four waiting ones, both ends
-    // of which are in this process.
-    let start = Instant::now();
-    while open_descriptors() != before + 2 * waiting.len() {
-        assert!(start.elapsed() < Duration::from_secs(20), "{} open, {before} before", open_descriptors());
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    // The server accepts the four connections, both ends of which are in this process.
+    wait_for_descriptors(before + 2 * waiting.len());
     setrlimit(Resource::RLIMIT_NOFILE, (open_descriptors() + 6) as u64, hard).unwrap();
     // Use up the remaining descriptors, except one for the new client's own end.
     let spare = File::open("/dev/null").unwrap();
