Warm-up admission: a fraction of the limit admits no further request

Seen: 6 threads in place of at most 5 in starting_fleet_admits_only_what_its_warm_up_allows, once beside builds.

Cause: "pending < limit" admits a third request at a limit of 2.01, which one served request makes of 2; two managers then have up to six on one engine. The module's own words are that at most `limit` requests are pending.

Change: a request is admitted if it and the pending ones are at most the limit. crates/startup/tests/admission.rs: fraction_of_the_limit_admits_no_further_request fails before and passes now.

--- a/crates/startup/src/admission.rs
+++ b/crates/startup/src/admission.rs
@@ -122,7 +122,7 @@
     /// Returns the Retry-After if the request is rejected.
     pub fn admit(&mut self, now: Timestamp, pending: usize) -> Result<(), TimeDelta> {
         self.is_finished |= now >= self.warmup_ends_at;
-        if self.is_finished || (pending as f64) < self.limit {
+        if self.is_finished || (pending + 1) as f64 <= self.limit {
             return Ok(());
         }
         self.rejected += 1;
--- a/crates/startup/tests/admission.rs
+++ b/crates/startup/tests/admission.rs
@@ -26,6 +26,17 @@
     assert_eq!(admission.rejected(), 2);
 }
 
+/// Guards against a limit of a little over two that admits a third pending request.
+#[test]
+fn fraction_of_the_limit_admits_no_further_request() {
+    let config = AdmissionConfig { initial_limit: 2.0, increase: 0.01, ..AdmissionConfig::default() };
+    let mut admission = WarmupAdmission::new(config, 1, at_millis(0));
+    admission.record_served(TimeDelta::from_millis(50));
+    assert!((admission.limit() - 2.01).abs() < 1e-9);
+    assert!(admission.admit(at_millis(0), 1).is_ok());
+    assert!(admission.admit(at_millis(0), 2).is_err());
+}
+
 #[test]
 fn engine_failures_lower_the_limit_but_never_below_one() {
     let mut admission = new_admission(1);
