--- a/crates/hot-restart/src/cancel_requests.rs
+++ b/crates/hot-restart/src/cancel_requests.rs
@@ -62,11 +62,20 @@
     }
 }
 
+/// The CancelRequests of one other process that were applied.
+#[derive(Clone, Copy, Debug)]
+struct AppliedCancels {
+    /// The highest sequence number.
+    last_sequence: u64,
+    /// Time at which a file of that process was last read.
+    read_at: Timestamp,
+}
+
 /// Which CancelRequests of other processes were applied.
 #[derive(Debug, Default)]
 pub struct CancelInbox {
-    /// The highest sequence number applied, by the process that received the requests.
-    applied: BTreeMap<Process, u64>,
+    /// By the process that received the requests.
+    applied: BTreeMap<Process, AppliedCancels>,
 }
 
 impl CancelInbox {
@@ -77,18 +86,16 @@
         writer: Process,
         requests: &[ForwardedCancel],
     ) -> Vec<ForwardedCancel> {
+        // What a process wrote longer ago is outdated and not taken again.
+        self.applied.retain(|_, applied| now - applied.read_at <= CANCEL_RETENTION);
         let Some(newest) = requests.iter().map(|request| request.sequence).max() else { return Vec::new() };
-        let applied = self.applied.entry(writer).or_default();
+        let last_sequence = self.applied.get(&writer).map_or(0, |applied| applied.last_sequence);
         let is_new = |request: &&ForwardedCancel| {
-            request.sequence > *applied && now - request.received_at <= CANCEL_RETENTION
+            request.sequence > last_sequence && now - request.received_at <= CANCEL_RETENTION
         };
         let new = requests.iter().filter(is_new).copied().collect();
-        *applied = newest.max(*applied);
+        let applied = AppliedCancels { last_sequence: newest.max(last_sequence), read_at: now };
+        self.applied.insert(writer, applied);
         new
     }
-
-    /// Forgets all writers except these, whose files are gone.
-    pub fn retain(&mut self, writers: &[Process]) {
-        self.applied.retain(|writer, _| writers.contains(writer));
-    }
 }
--- a/src/front/startup.rs
+++ b/src/front/startup.rs
@@ -5,9 +5,7 @@
 use super::client_error::{incomplete_in_time, too_many_sessions};
 use super::extended::statement_timeout::timeout_of_startup;
 use super::sessionless::ConnectionGuard;
-use super::unknown_cancels::UnknownCancel;
 use super::Front;
-use crate::core::now;
 use crate::proto::pg::{self, ErrorResponse, StartupPacket};
 use std::io;
 use std::time::Duration;
@@ -136,44 +134,6 @@
             }
         }
     }
-
-    /// Handles a CancelRequest. The client gets no answer, whether the session exists or not. If it does not
-    /// exist in this process, another process of this manager may serve it.
-    fn request_cancel(&self, process_id: u32, secret: u32) {
-        let is_known = self.sessions.borrow().get(&process_id).is_some_and(|cancel| cancel.request(secret));
-        if !is_known {
-            self.unknown_cancels.push(UnknownCancel { process_id, secret, received_at: now() });
-        }
-    }
-
-    /// Handles a CancelRequest that another process received; returns whether it is for a session of this
-    /// process.
-    pub fn apply_forwarded_cancel(&self, cancel: UnknownCancel) -> bool {
-        let UnknownCancel { process_id, secret, received_at } = cancel;
-        let sessions = self.sessions.borrow();
-        let signal = sessions.get(&process_id);
-        let is_known = signal.is_some_and(|signal| signal.request_forwarded(secret, received_at));
-        if is_known {
-            self.unknown_cancels.record_taken_over();
-        }
-        is_known
-    }
-
-    /// Keeps CancelRequests for sessions of other processes from now on, for
-    /// [`Front::take_unknown_cancels`].
-    pub fn keep_unknown_cancels(&self) {
-        self.unknown_cancels.enable();
-    }
-
-    /// Takes the CancelRequests for sessions that this process does not serve.
-    pub fn take_unknown_cancels(&self) -> impl Iterator<Item = UnknownCancel> {
-        self.unknown_cancels.take().into_iter()
-    }
-
-    /// Completes when a CancelRequest for an unknown session was received.
-    pub async fn unknown_cancel_received(&self) {
-        self.unknown_cancels.received().await;
-    }
 }
 
 /// Accepts an SSLRequest. Bytes that arrive before the handshake are rejected: an attacker could have
--- a/src/front/unknown_cancels.rs
+++ b/src/front/unknown_cancels.rs
@@ -1,9 +1,11 @@
-//! CancelRequests for sessions that this process does not serve. During a hot restart, another process that
-//! accepts from the same listening socket may serve them.
+//! CancelRequests, which cancel a session's request. During a hot restart a CancelRequest may reach a process
+//! that does not serve the session: another process that accepts from the same listening socket may serve it.
 //!
-//! Input: the CancelRequests. Output: the same, for the driver of the hot restart. State: those that it has
-//! not taken yet.
+//! Input: the CancelRequests of clients and of other processes. Output: signals to sessions, and the
+//! CancelRequests of unknown sessions for the driver of the hot restart. State: those that it has not taken.
 
+use super::Front;
+use crate::core::now;
 use sprucelink_metrics::{Counter, Metrics};
 use sprucelink_time::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -83,3 +85,43 @@
         self.taken_over.increment(1);
     }
 }
+
+impl Front {
+    /// Handles a CancelRequest. The client gets no answer, whether the session exists or not. If it does not
+    /// exist in this process, another process of this manager may serve it.
+    pub(super) fn request_cancel(&self, process_id: u32, secret: u32) {
+        let is_known = self.sessions.borrow().get(&process_id).is_some_and(|cancel| cancel.request(secret));
+        if !is_known {
+            self.unknown_cancels.push(UnknownCancel { process_id, secret, received_at: now() });
+        }
+    }
+
+    /// Handles a CancelRequest that another process received; returns whether it is for a session of this
+    /// process.
+    pub fn apply_forwarded_cancel(&self, cancel: UnknownCancel) -> bool {
+        let UnknownCancel { process_id, secret, received_at } = cancel;
+        let sessions = self.sessions.borrow();
+        let signal = sessions.get(&process_id);
+        let is_known = signal.is_some_and(|signal| signal.request_forwarded(secret, received_at));
+        if is_known {
+            self.unknown_cancels.record_taken_over();
+        }
+        is_known
+    }
+
+    /// Keeps CancelRequests for sessions of other processes from now on, for
+    /// [`Front::take_unknown_cancels`].
+    pub fn keep_unknown_cancels(&self) {
+        self.unknown_cancels.enable();
+    }
+
+    /// Takes the CancelRequests for sessions that this process does not serve.
+    pub fn take_unknown_cancels(&self) -> impl Iterator<Item = UnknownCancel> {
+        self.unknown_cancels.take().into_iter()
+    }
+
+    /// Completes when a CancelRequest for an unknown session was received.
+    pub async fn unknown_cancel_received(&self) {
+        self.unknown_cancels.received().await;
+    }
+}
--- a/src/run/hot_restart_driver.rs
+++ b/src/run/hot_restart_driver.rs
@@ -5,13 +5,13 @@
 //! spend, and maintains the state files through which the processes discover each other; this driver applies
 //! its decisions.
 
+use super::cancel_forwarding::CancelForwarding;
 use super::feed_address::FeedAddress;
 use crate::core::{machine_clock_offset, now, to_duration, Core};
-use crate::front::{Front, UnknownCancel};
+use crate::front::Front;
 use sprucelink_hot_restart::{
-    usable_state, CancelInbox, CancelOutbox, ClockReference, DiskFolder, FolderScan, ForwardedCancel,
-    Instance, Phase, PhaseStatus, Process, StateFile, StateFileDriver, StateSnapshot, WindowCounters,
-    WindowSpans, WriteError,
+    usable_state, ClockReference, DiskFolder, FolderScan, Instance, Phase, PhaseStatus, StateFile,
+    StateFileDriver, StateSnapshot, WindowCounters, WindowSpans, WriteError,
 };
 use sprucelink_policy::Timestamp;
 use std::cell::{Cell, RefCell};
@@ -77,11 +77,7 @@
     terminated_peers: RefCell<BTreeSet<u32>>,
     step_requested: Notify,
     feed: Rc<FeedAddress>,
-    /// CancelRequests for sessions of other processes.
-    cancel_outbox: RefCell<CancelOutbox>,
-    /// Whether there are CancelRequests that the state file does not hold.
-    has_unwritten_cancels: Cell<bool>,
-    cancel_inbox: RefCell<CancelInbox>,
+    cancels: RefCell<CancelForwarding>,
 }
 
 impl HotRestartDriver {
@@ -115,9 +111,7 @@
             terminated_peers: RefCell::default(),
             step_requested: Notify::new(),
             feed,
-            cancel_outbox: RefCell::default(),
-            has_unwritten_cancels: Cell::new(false),
-            cancel_inbox: RefCell::default(),
+            cancels: RefCell::default(),
         });
         driver.merge_files(scan, Level::INFO);
         driver
@@ -174,8 +168,7 @@
 
     fn step(&self, front: &Front) {
         let scan = self.state_files.borrow_mut().scan(now());
-        self.apply_cancels(front, &scan);
-        self.collect_cancels(front);
+        self.cancels.borrow_mut().exchange(now(), front, &scan);
         self.merge_files(scan, Level::DEBUG);
         self.core.expire_cordons();
         let is_stopping = self.is_stopping.get();
@@ -191,7 +184,7 @@
             front.drain_sessions(idle);
         }
         let state_files = self.state_files.borrow();
-        let writes_cancels = self.has_unwritten_cancels.get() && state_files.may_write_cancels(now());
+        let writes_cancels = self.cancels.borrow().has_unwritten() && state_files.may_write_cancels(now());
         let is_write_due = writes_cancels || state_files.is_write_due(now());
         drop(state_files);
         if is_write_due {
@@ -200,34 +193,6 @@
         }
     }
 
-    /// Applies the CancelRequests that other processes received for sessions of this process.
-    fn apply_cancels(&self, front: &Front, scan: &FolderScan) {
-        let mut inbox = self.cancel_inbox.borrow_mut();
-        for file in &scan.files {
-            let cancels = inbox.take_new(now(), file.process, &file.snapshot.cancel_requests);
-            let is_applied = |cancel: &&ForwardedCancel| {
-                let ForwardedCancel { process_id, secret, received_at, .. } = **cancel;
-                front.apply_forwarded_cancel(UnknownCancel { process_id, secret, received_at })
-            };
-            let applied = cancels.iter().filter(is_applied).count();
-            if applied > 0 {
-                info!(pid = file.process.pid, applied, "hot restart cancel requests applied");
-            }
-        }
-        let live: Vec<Process> =
-            self.state_files.borrow().live_peers(now()).iter().map(|peer| peer.process).collect();
-        inbox.retain(&live);
-    }
-
-    /// Takes the CancelRequests of unknown sessions from the front, for the next state file.
-    fn collect_cancels(&self, front: &Front) {
-        let mut outbox = self.cancel_outbox.borrow_mut();
-        for cancel in front.take_unknown_cancels() {
-            outbox.push(cancel.process_id, cancel.secret, cancel.received_at);
-            self.has_unwritten_cancels.set(true);
-        }
-    }
-
     /// Merges the state of other processes, with a log line at `level` for each file.
     fn merge_files(&self, scan: FolderScan, level: Level) {
         for error in &scan.folder_errors {
@@ -348,7 +313,7 @@
             known_ids,
             retry_budget: counters.retry_budget(now()),
             warmup: counters.warmup(now()),
-            cancel_requests: self.cancel_outbox.borrow_mut().export(now()),
+            cancel_requests: self.cancels.borrow_mut().export(now()),
             feed_change: self.feed.last_change(),
             last_event: self.core.last_event(),
         }
@@ -359,7 +324,7 @@
         let result = self.state_files.borrow_mut().write(now(), snapshot);
         match result {
             Ok(written) => {
-                self.has_unwritten_cancels.set(false);
+                self.cancels.borrow_mut().record_written();
                 if written.ids_left_out > 0 {
                     let engine_ids = written.ids_left_out;
                     warn!(engine_ids, "engine ids left out of the hot restart state file");
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -6,6 +6,7 @@
 //! [`admin`].
 
 pub mod admin;
+pub mod cancel_forwarding;
 pub mod certificates;
 pub mod cli;
 pub mod commands;
