--- a/src/core/buffer_pool.rs
+++ b/src/core/buffer_pool.rs
@@ -14,11 +14,11 @@
 pub const BUFFER_BYTES: usize = 64 * 1024;
 /// Size of the smallest buffer in bytes; most messages and answers are shorter.
 pub const SMALL_BUFFER_BYTES: usize = 4 * 1024;
+/// Length in bytes up to which a buffer counts as short.
+const MAX_SHORT_BYTES: usize = 8 * 1024;
 /// Sizes of buffers in bytes, in ascending order. There are few, because free memory between buffers of one size
 /// does not always serve another.
 const SIZES: [usize; 3] = [SMALL_BUFFER_BYTES, MAX_SHORT_BYTES, BUFFER_BYTES];
-/// Size of the buffers in bytes above which memory counts as long.
-const MAX_SHORT_BYTES: usize = 8 * 1024;
 /// Fraction of the pool that only buffers of up to [`MAX_SHORT_BYTES`] may use: requests of usual length find
 /// memory while long ones wait for engines.
 const SHORT_FRACTION: usize = 8;
@@ -204,9 +204,8 @@
             return true;
         }
         let pool = BufferPool(Rc::clone(&self.pool));
-        let Some(mut larger) = pool.get(self.bytes.len() + bytes) else { return false };
-        larger.extend_from_slice(&self.bytes);
-        *self = larger;
+        let Some(larger) = pool.get(self.bytes.len() + bytes) else { return false };
+        self.move_to(larger);
         true
     }
 
@@ -219,10 +218,15 @@
         let Some(size) = fitting_size(self.bytes.len() + bytes).filter(|size| *size <= max_bytes) else {
             return false;
         };
-        let mut larger = self.pool.get_beyond_limit(size);
+        let larger = self.pool.get_beyond_limit(size);
+        self.move_to(larger);
+        true
+    }
+
+    /// Moves the content to a larger buffer, and returns this one to the pool.
+    fn move_to(&mut self, mut larger: Buffer) {
         larger.extend_from_slice(&self.bytes);
         *self = larger;
-        true
     }
 
     /// Appends the bytes that fit, enlarging the buffer if possible, and returns the remaining bytes.
--- a/src/front/cancel_signal.rs
+++ b/src/front/cancel_signal.rs
@@ -42,13 +42,11 @@
         true
     }
 
-    /// Records a CancelRequest that another process received at `received_at`, unless the session's request
-    /// arrived well after it; returns false if its key is wrong.
+    /// Records a CancelRequest that another process received at `received_at`; returns false if it is ignored,
+    /// because its key is wrong or the session's request arrived well after it.
     pub(super) fn request_forwarded(&self, secret: u32, received_at: Timestamp) -> bool {
-        if self.secret == secret && self.request_arrived_at.get() - received_at > MAX_READ_DELAY {
-            return true;
-        }
-        self.request(secret)
+        let is_for_earlier_request = self.request_arrived_at.get() - received_at > MAX_READ_DELAY;
+        !is_for_earlier_request && self.request(secret)
     }
 
     /// Records the arrival of the request that is submitted now.
--- a/src/front/client_connection/output.rs
+++ b/src/front/client_connection/output.rs
@@ -51,13 +51,14 @@
     /// # Errors
     /// As [`ClientConnection::flush`].
     pub async fn write_output(&mut self, mut bytes: &[u8]) -> io::Result<()> {
-        loop {
+        // An empty output takes no buffer.
+        while !bytes.is_empty() {
             bytes = self.output_buffer().append(bytes);
-            if bytes.is_empty() {
-                return Ok(());
+            if !bytes.is_empty() {
+                self.flush().await?;
             }
-            self.flush().await?;
         }
+        Ok(())
     }
 
     /// Writes all output. While the write has to wait, further input is read ahead, so that a close by the
--- a/src/front/unknown_cancels.rs
+++ b/src/front/unknown_cancels.rs
@@ -96,17 +96,17 @@
         }
     }
 
-    /// Handles a CancelRequest that another process received; returns whether it is for a session of this
-    /// process.
+    /// Handles a CancelRequest that another process received; returns whether it took effect in a session of
+    /// this process.
     pub fn apply_forwarded_cancel(&self, cancel: UnknownCancel) -> bool {
         let UnknownCancel { process_id, secret, received_at } = cancel;
         let sessions = self.sessions.borrow();
         let signal = sessions.get(&process_id);
-        let is_known = signal.is_some_and(|signal| signal.request_forwarded(secret, received_at));
-        if is_known {
+        let is_applied = signal.is_some_and(|signal| signal.request_forwarded(secret, received_at));
+        if is_applied {
             self.unknown_cancels.record_taken_over();
         }
-        is_known
+        is_applied
     }
 
     /// Keeps CancelRequests for sessions of other processes from now on, for
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -26,6 +27,13 @@
     program.operators.is_some_and(|admin| call(admin, "GET", "/admin/health", "").0 == 200)
 }
 
+/// Starts a process on the shared listening socket, and waits until it is healthy.
+fn start_healthy(listener: &TcpListener, folder: &Path, engines: &[(&str, SocketAddr)]) -> Program {
+    let program = Program::start_on_shared_listener(listener, folder, engines);
+    wait_until(|| is_healthy(&program).then_some(()));
+    program
+}
+
 /// Numbers of requests by outcome, as clients observed it.
 #[derive(Default)]
 struct OutcomeCounts {
@@ -99,15 +107,13 @@
         ids.iter().zip(&engines).map(|(id, e)| (*id, e.address)).collect();
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let mut serving = Program::start_on_shared_listener(&listener, &folder, &engines_by_id);
-    wait_until(|| is_healthy(&serving).then_some(()));
+    let mut serving = start_healthy(&listener, &folder, &engines_by_id);
     let (outcomes, next_id, stop) = (OutcomeCounts::default(), AtomicU64::new(1), AtomicBool::new(false));
     thread::scope(|scope| {
         (0..12).for_each(|_| drop(scope.spawn(|| run_client(to, &outcomes, &next_id, &stop))));
         for round in 1..=3u64 {
             wait_until(|| (outcomes.served.load(Ordering::SeqCst) >= round * 300).then_some(()));
-            let successor = Program::start_on_shared_listener(&listener, &folder, &engines_by_id);
-            wait_until(|| is_healthy(&successor).then_some(()));
+            let successor = start_healthy(&listener, &folder, &engines_by_id);
             serving.terminate();
             assert_eq!(serving.wait_for_exit(), Some(0), "the old process ends by itself");
             serving = successor;
@@ -130,12 +136,10 @@
     let engines = [("s-1", cordoned.address), ("s-2", other.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let mut first = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&first).then_some(()));
+    let mut first = start_healthy(&listener, &folder, &engines);
     let operators = |p: &Program| p.operators.expect("an address");
     assert_eq!(call(operators(&first), "POST", "/admin/cordon", &target_body("s-1")).0, 200);
-    let second = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&second).then_some(()));
+    let second = start_healthy(&listener, &folder, &engines);
     assert_eq!(metric(operators(&second), "ejected"), 1, "before its first request");
     let mut next_id = 0;
     let mut send_requests = |count: u64| {
@@ -151,13 +155,11 @@
     assert_eq!(first.wait_for_exit(), Some(0));
     // The process is killed without a successor: its state file stays.
     drop(second);
-    let third = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&third).then_some(()));
+    let third = start_healthy(&listener, &folder, &engines);
     send_requests(30);
     assert_eq!(cordoned.received("do").len(), 0);
     // An uncordon at the new process takes effect in the old one, too.
-    let fourth = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&fourth).then_some(()));
+    let fourth = start_healthy(&listener, &folder, &engines);
     assert_eq!(call(operators(&fourth), "POST", "/admin/uncordon", &target_body("s-1")).0, 200);
     wait_until(|| (metric(operators(&third), "ejected") == 0).then_some(()));
     wait_until(|| {
@@ -174,8 +176,7 @@
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let mut first = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&first).then_some(()));
+    let mut first = start_healthy(&listener, &folder, &engines);
     let (outcomes, next_id, stop) = (OutcomeCounts::default(), AtomicU64::new(1), AtomicBool::new(false));
     thread::scope(|scope| {
         (0..4).for_each(|_| drop(scope.spawn(|| run_client(to, &outcomes, &next_id, &stop))));
@@ -188,8 +189,7 @@
         let mut early = Program::start_on_shared_listener(&listener, &folder, &engines);
         early.kill();
         wait_for_served(100);
-        let mut late = Program::start_on_shared_listener(&listener, &folder, &engines);
-        wait_until(|| is_healthy(&late).then_some(()));
+        let mut late = start_healthy(&listener, &folder, &engines);
         first.wait_line("hot restart phase changed phase=ServingBesideSuccessor");
         // Requests in flight are lost with the process; their clients see a closed connection and retry.
         late.kill();
@@ -209,12 +209,10 @@
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let mut first = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&first).then_some(()));
+    let mut first = start_healthy(&listener, &folder, &engines);
     let mut client = RawClient::connect(to);
     assert_eq!(rows(&client.ask(&sql(1, 1))).len(), 1);
-    let successor = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&successor).then_some(()));
+    let successor = start_healthy(&listener, &folder, &engines);
     first.kill();
     let mut client = RawClient::connect(to);
     assert_eq!(rows(&client.ask(&sql(2, 1))).len(), 1);
@@ -232,8 +230,7 @@
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let mut first = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&first).then_some(()));
+    let mut first = start_healthy(&listener, &folder, &engines);
     first.terminate();
     assert_eq!(first.wait_for_exit(), Some(0));
     let files: Vec<_> = std::fs::read_dir(&folder).expect("read").flatten().map(|f| f.path()).collect();
@@ -243,8 +240,7 @@
     bytes[middle] ^= 0x10;
     std::fs::write(&files[0], bytes).expect("written");
     std::fs::write(folder.join("notes.txt"), "not of this program").expect("written");
-    let second = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&second).then_some(()));
+    let second = start_healthy(&listener, &folder, &engines);
     second.wait_line("reason=\"damaged: ");
     assert_eq!(rows(&RawClient::connect(to).ask(&sql(1, 1))).len(), 1);
     assert!(folder.join("notes.txt").exists());
@@ -263,13 +259,11 @@
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let first = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&first).then_some(()));
+    let first = start_healthy(&listener, &folder, &engines);
     let mut client = RawClient::connect(to);
     client.send(&query(&sql(1, 1)));
     engine.wait_for("do", 1);
-    let second = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&second).then_some(()));
+    let second = start_healthy(&listener, &folder, &engines);
     first.terminate();
     first.wait_line("hot restart phase changed phase=Draining");
     client.cancel(to);
@@ -285,10 +279,8 @@
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let first = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&first).then_some(()));
-    let second = Program::start_on_shared_listener(&listener, &folder, &engines);
-    wait_until(|| is_healthy(&second).then_some(()));
+    let first = start_healthy(&listener, &folder, &engines);
+    let second = start_healthy(&listener, &folder, &engines);
     let has_request = |program: &Program| metric(program.operators.expect("an address"), "outstanding") == 1;
     let mut next_id = 0;
     let mut client = wait_until(|| {
