--- /dev/null
+++ b/review/standins-2/cases.rs
@@ -0,0 +1,246 @@
+//! The cases of the second review: `cases NUMBER`, started by `review/NUMBER/run.sh`.
+
+mod kit;
+
+use kit::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+/// A small deployment: engines of one kind in two halls, and one workload manager with these limits.
+struct Site {
+    record: Record,
+    journal: Journal,
+    engines: Vec<Engine>,
+    feed: Feed,
+    settings: String,
+}
+
+impl Site {
+    fn start(engines: usize, load_effect: &str, behaviour: Behaviour) -> Site {
+        let record = Record::create();
+        let journal: Journal = Arc::default();
+        let start = |n: usize| Engine::start(&format!("s-{n}"), &record, &journal, Arc::clone(&behaviour));
+        let engines = (0..engines).map(start).collect();
+        Site { record, journal, engines, feed: Feed::start(), settings: settings(2, load_effect, [6.0, 25.0, 25.0]) }
+    }
+    fn known(&self) -> (u64, Vec<String>) {
+        let zone = |n: usize| if n % 2 == 0 { "hall-a" } else { "hall-b" };
+        let entries: Vec<Entry> = self
+            .engines
+            .iter()
+            .enumerate()
+            .map(|(n, engine)| Entry(&engine.id, engine.address, zone(n), (n / 4) as u32, "ready", 0))
+            .collect();
+        (1, vec![list_event(1, true, &entries)])
+    }
+    fn manager(&self, memory_mb: u64, sockets: u64) -> Manager {
+        let tmpdir = folder("tmp");
+        let launch = Launch {
+            name: "n0",
+            listen: free_port(),
+            admin: None,
+            inherited: None,
+            tmpdir: &tmpdir,
+            memory_mb,
+            sockets,
+            feed: Some(self.feed.address),
+            known: self.known(),
+            settings: &self.settings,
+        };
+        let mut manager = launch.start(&self.record);
+        manager.wait_ready(&self.record);
+        manager
+    }
+}
+
+fn text(class: &str, id: &str, timeout_ms: u64, work_ms: f64, statement: &str) -> String {
+    format!("/* kind={class},req={id},timeout={timeout_ms},owner=sud-transport,ms={work_ms:.1},heap_mb=16 */ {statement}")
+}
+
+fn main() {
+    let number = std::env::args().nth(1).unwrap_or_default();
+    let status = match number.as_str() {
+        "pipeline" => pipeline(),
+        "gone" => gone(),
+        "id" => id_form(),
+        "handshake" => handshake(),
+        other => {
+            eprintln!("no case {other:?}");
+            2
+        }
+    };
+    std::process::exit(status);
+}
+
+/// A client sends many commands at once.
+fn pipeline() -> i32 {
+    const COMMANDS: usize = 40;
+    let site = Site::start(4, "idempotency_key", Arc::new(|_| Reply::Serve(ms(30), vec![b"a\tb\tc\n".to_vec()])));
+    let record = site.record.clone();
+    let manager = site.manager(64, 512);
+    let list: Vec<String> = (0..250).map(|n| format!("'{n:05}'")).collect();
+    let statement = format!("SELECT day, price, note FROM rates_17.lanes WHERE lane IN ({})", list.join(","));
+    let Some(mut client) = Client::connect(manager.listen) else { cannot_run(&record, "no session") };
+    let commands: Vec<Vec<u8>> = (0..COMMANDS)
+        .map(|_| query(&text("lane-rate", &format!("{:016x}", new_id()), 6_000, 30.0, &statement)))
+        .collect();
+    let mut answers = Vec::new();
+    if trouble() {
+        let bytes = commands.concat();
+        record.line(format!("client: sends {COMMANDS} commands at once, {} bytes each, {} in all", commands[0].len(), bytes.len()));
+        if !client.send(&bytes) {
+            cannot_run(&record, "the commands could not be written");
+        }
+        record.line("client: the last byte of the last command is written");
+        for _ in 0..COMMANDS {
+            answers.push(client.answer(ms(7_000)));
+        }
+    } else {
+        for command in &commands {
+            client.send(command);
+            answers.push(client.answer(ms(7_000)));
+        }
+    }
+    for (n, answer) in answers.iter().enumerate() {
+        record.line(format!("client: answer to command {}: {}", n + 1, answer.short()));
+    }
+    let run = site.journal.lock().unwrap().iter().filter(|command| command.word() == "do").count();
+    record.line(format!("engines: {run} commands `do`"));
+    let unanswered = answers.iter().filter(|a| matches!(a, Answer::Closed { .. } | Answer::Nothing)).count();
+    let mut broken = Vec::new();
+    if unanswered > 0 {
+        broken.push(format!("lost: {unanswered} of {COMMANDS} requests that were taken got no answer"));
+    }
+    verdict(&record, &broken)
+}
+
+/// A client sends several commands at once, and gives up while the first one runs.
+fn gone() -> i32 {
+    let site = Site::start(4, "non_idempotent", Arc::new(|_| Reply::Serve(ms(240), vec![b"a\tb\tc\n".to_vec()])));
+    let record = site.record.clone();
+    let manager = site.manager(64, 512);
+    let Some(mut client) = Client::connect(manager.listen) else { cannot_run(&record, "no session") };
+    let commands = if trouble() { 6 } else { 1 };
+    let ids: Vec<String> = (0..commands).map(|_| format!("{:016x}", new_id())).collect();
+    let bytes: Vec<u8> =
+        ids.iter().flat_map(|id| query(&text("tariff-load", id, 20_000, 240.0, "INSERT INTO rates_17.lanes SELECT 1"))).collect();
+    record.line(format!("client: sends {commands} commands at once: {}", ids.join(" ")));
+    client.send(&bytes);
+    thread::sleep(ms(100));
+    record.line("client: stops waiting and sends a CancelRequest with the session's key");
+    client.cancel(manager.listen);
+    let cancelled_at = record.now();
+    thread::sleep(ms(500));
+    record.line("client: closes the session, half a second after its CancelRequest");
+    close(&client.stream);
+    thread::sleep(ms(1_500));
+    let mut broken = Vec::new();
+    for command in site.journal.lock().unwrap().iter() {
+        let after = command.at - cancelled_at;
+        record.line(format!("engine {}: at {:.1} {} {} ({after:+.1} ms from the CancelRequest)", command.engine, command.at, command.word(), command.id()));
+        if command.word() == "do" && after > 150.0 {
+            broken.push(format!("lost: an attempt of request {} began {after:.0} ms after its client had gone", command.id()));
+        }
+    }
+    verdict(&record, &broken)
+}
+
+/// A client writes the digits of its request id in upper case.
+fn id_form() -> i32 {
+    let site = Site::start(2, "idempotency_key", Arc::new(|_| Reply::Serve(ms(20), vec![b"a\tb\tc\n".to_vec()])));
+    let record = site.record.clone();
+    let manager = site.manager(64, 512);
+    let Some(mut client) = Client::connect(manager.listen) else { cannot_run(&record, "no session") };
+    let mut sent = Vec::new();
+    for _ in 0..20 {
+        let lower = format!("{:016x}", new_id());
+        let id = if trouble() { lower.to_uppercase() } else { lower };
+        client.send(&query(&text("lane-rate", &id, 6_000, 20.0, "SELECT price, note, day FROM rates_17.lanes")));
+        let answer = client.answer(ms(7_000));
+        record.line(format!("client: req={id}: {}", answer.short()));
+        sent.push(id);
+    }
+    let mut broken = Vec::new();
+    for command in site.journal.lock().unwrap().iter().filter(|command| command.word() == "do") {
+        record.line(format!("engine {}: do {} {}", command.engine, command.id(), String::from_utf8_lossy(&command.parts[2])));
+        if !sent.contains(&command.id()) {
+            broken.push(format!("changed: an engine was sent id {}, which no client sent", command.id()));
+        }
+    }
+    verdict(&record, &broken)
+}
+
+/// Clients that write their first request in pieces while idle clients fill the descriptors.
+fn handshake() -> i32 {
+    const CLIENTS: usize = 5;
+    const CROWD: usize = 145;
+    let site = Site::start(2, "idempotency_key", Arc::new(|_| Reply::Serve(ms(20), vec![b"a\tb\tc\n".to_vec()])));
+    let record = site.record.clone();
+    let manager = site.manager(64, 256);
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS {
+        let Some(client) = Client::open(manager.listen) else { cannot_run(&record, "no connection") };
+        let id = format!("{:016x}", new_id());
+        let statement = "SELECT price, note, day FROM rates_17.lanes WHERE lane = 'a-b'";
+        let bytes = [startup(), query(&text("lane-rate", &id, 6_000, 20.0, statement))].concat();
+        clients.push((client, id, bytes, 0_usize));
+    }
+    let write = |(client, id, bytes, written): &mut (Client, String, Vec<u8>, usize), count: usize| {
+        let end = bytes.len().min(*written + count);
+        if !client.send(&bytes[*written..end]) {
+            record.line(format!("client {id}: could not write on: the connection was reset"));
+            return false;
+        }
+        *written = end;
+        true
+    };
+    for client in &mut clients {
+        write(client, 20);
+    }
+    record.line(format!("clients: {CLIENTS} have written the first 20 bytes of their start-up message"));
+    thread::sleep(ms(80));
+    let mut crowd = Vec::new();
+    if trouble() {
+        crowd.extend((0..CROWD).filter_map(|_| Client::open(manager.listen)));
+        record.line(format!("clients: {} idle connections more", crowd.len()));
+    }
+    while clients.iter().any(|(_, _, bytes, written)| *written < bytes.len()) {
+        thread::sleep(ms(40));
+        let mut wrote = false;
+        for client in clients.iter_mut().filter(|client| client.3 < client.2.len()) {
+            wrote |= write(client, 50);
+        }
+        if !wrote {
+            break;
+        }
+    }
+    record.line("clients: have written all of their start-up messages and queries");
+    thread::sleep(ms(100));
+    let mut broken = Vec::new();
+    for (client, id, bytes, written) in &mut clients {
+        let unread = unread_bytes(manager.listen, client.stream.local_addr().unwrap());
+        let answer = client.answer(ms(7_000));
+        record.line(format!("client {id}: wrote {written} of {} bytes; not read by the program: {unread:?}; answer: {}", bytes.len(), answer.short()));
+        let is_lost = matches!(answer, Answer::Closed { reset: false } | Answer::Nothing);
+        if is_lost && *written == bytes.len() && unread == Some(0) {
+            broken.push(format!("lost: request {id} was read whole, and its connection was closed with no answer"));
+        }
+    }
+    let run = site.journal.lock().unwrap().iter().filter(|command| command.word() == "do").count();
+    record.line(format!("engines: {run} commands `do`"));
+    verdict(&record, &broken)
+}
+
+/// Bytes that wait unread in the receive queue of the program's end of a connection.
+fn unread_bytes(program: SocketAddr, client: SocketAddr) -> Option<u64> {
+    let (program, client) = (format!(":{:04X}", program.port()), format!(":{:04X}", client.port()));
+    let text = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let row = |line: &str| -> Option<u64> {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let is_it = fields.get(1)?.ends_with(&program) && fields.get(2)?.ends_with(&client);
+        let queues = fields.get(4).filter(|_| is_it)?;
+        u64::from_str_radix(queues.split_once(':')?.1, 16).ok()
+    };
+    text.lines().find_map(row)
+}
--- /dev/null
+++ b/review/standins-2/run-case.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Runs one case: run-case.sh NUMBER NAME. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+set -u
+cd "$(dirname "$0")/../.."
+if [ ! -x target/review-2/cases ] || [ ! -x target/release/sprucelink ]; then
+    echo "build first: the build of the deploy file, then review/build-2.sh" >&2
+    exit 2
+fi
+CASE_TMP=$(mktemp -d) || exit 2
+RECORD="$PWD/review/$1/record.txt"
+export CASE_TMP RECORD
+trap 'rm -rf "$CASE_TMP"' EXIT
+timeout -k 2 110 target/review-2/cases "$2"
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
