Review case 9: during an upgrade the id of an open request is taken again

Cause: each process of a hot restart knows the ids of its own requests alone (src/core/recent_requests.rs); the state file carries none.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -3,7 +3,7 @@
 mod kit;
 
 use kit::*;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 
@@ -64,6 +64,7 @@
         "pipeline" => pipeline(),
         "gone" => gone(),
         "id" => id_form(),
+        "open-id" => open_id(),
         "handshake" => handshake(),
         other => {
             eprintln!("no case {other:?}");
@@ -146,6 +147,74 @@
     verdict(&record, &broken)
 }
 
+/// A bad client sends the id of an open request with another statement, during an upgrade.
+fn open_id() -> i32 {
+    let behaviour: Behaviour = Arc::new(|received| {
+        let is_long = received.field("class").as_deref() == Some("lane-report");
+        Reply::Serve(ms(if is_long { 4_000 } else { 20 }), vec![format!("{}\tb\tc\n", received.id()).into_bytes()])
+    });
+    let site = Site::start(2, "idempotency_key", behaviour);
+    let record = site.record.clone();
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let listen = socket.local_addr().unwrap();
+    let tmpdir = folder("tmp");
+    let launch = |admin| Launch {
+        name: "n0",
+        listen,
+        admin: Some(admin),
+        inherited: Some(&socket),
+        tmpdir: &tmpdir,
+        memory_mb: 64,
+        sockets: 512,
+        feed: Some(site.feed.address),
+        known: site.known(),
+        settings: &site.settings,
+    };
+    let mut old = launch(free_port()).start(&record);
+    old.wait_ready(&record);
+    let Some(mut usual) = Client::connect(listen) else { cannot_run(&record, "no session") };
+    let id = format!("{:016x}", new_id());
+    usual.send(&query(&text("lane-report", &id, 20_000, 4_000.0, "SELECT day, price, note FROM rates_17.lanes")));
+    record.line(format!("usual client: sends lane-report req={id}"));
+    thread::sleep(ms(300));
+    let mut new = None;
+    if trouble() {
+        let admin = free_port();
+        let process = launch(admin).start(&record);
+        let end = std::time::Instant::now() + ms(6_000);
+        while admin_call(admin, "GET", "/admin/health", "") != Some(200) {
+            if std::time::Instant::now() > end {
+                cannot_run(&record, "the new process did not say yes within 6 s");
+            }
+            thread::sleep(ms(10));
+        }
+        record.line("platform: the new process says yes; SIGTERM to the old one");
+        old.signal(SIGTERM);
+        new = Some(process);
+        thread::sleep(ms(200));
+    }
+    let Some(mut bad) = Client::connect(listen) else { cannot_run(&record, "no session for the bad client") };
+    bad.send(&query(&text("lane-rate", &id, 6_000, 20.0, "SELECT owner, price, note FROM rates_23.lanes")));
+    record.line(format!("bad client: sends lane-rate req={id} with another statement"));
+    let bad_answer = bad.answer(ms(7_000));
+    record.line(format!("bad client: {}", bad_answer.short()));
+    let usual_answer = usual.answer(ms(21_000));
+    record.line(format!("usual client: {}", usual_answer.short()));
+    for command in site.journal.lock().unwrap().iter() {
+        let body = command.parts.get(3).map_or(String::new(), |body| String::from_utf8_lossy(body).into_owned());
+        record.line(format!("engine {}: at {:.1} {} {} {body}", command.engine, command.at, command.word(), command.id()));
+    }
+    if !matches!(usual_answer, Answer::Served(_)) {
+        cannot_run(&record, "the usual client's request was not open for as long as it should be");
+    }
+    let mut broken = Vec::new();
+    if let Answer::Served(_) = bad_answer {
+        broken.push(format!("lost: a client that sent the id {id} of an open request with another statement was served"));
+    }
+    drop(new);
+    verdict(&record, &broken)
+}
+
 /// A client writes the digits of its request id in upper case.
 fn id_form() -> i32 {
     let site = Site::start(2, "idempotency_key", Arc::new(|_| Reply::Serve(ms(20), vec![b"a\tb\tc\n".to_vec()])));
