--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -10,7 +10,11 @@
 RECORD="$PWD/review/$1/record.txt"
 export CASE_TMP RECORD
 trap 'rm -rf "$CASE_TMP"' EXIT
-timeout -k 2 110 target/review-2/cases "$2"
+timeout -k 2 110 target/review-2/cases "$2" &
+running=$!
+# Ended from outside, it ends the stand-in too, and the programs die with that.
+trap 'kill "$running" 2>/dev/null; wait "$running"; exit 2' TERM INT HUP
+wait "$running"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
