Review cases: their folder is in memory where there is one

Cause: DEPLOY counts $TMPDIR as memory; the cases made it in the default folder for temporary files, which may be a disk. On a disk mounted with discard and busy with several managers the state file's rename waits, and the program with it (case 9 is an upgrade). Change: run-case.sh makes the folder in /dev/shm, else as before.

--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -6,7 +6,8 @@
     echo "build first: the build of the deploy file, then review/build-2.sh" >&2
     exit 2
 fi
-CASE_TMP=$(mktemp -d) || exit 2
+# In memory where there is a folder for it: DEPLOY counts `$TMPDIR` as memory, and a busy disk would delay the program.
+CASE_TMP=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d) || exit 2
 RECORD="$PWD/review/$1/record.txt"
 export CASE_TMP RECORD
 trap 'rm -rf "$CASE_TMP"' EXIT
