--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -3,9 +3,12 @@
 mod kit;
 
 use kit::*;
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::Duration;
 
 /// A small deployment: engines of one kind in two halls, and one workload manager with these limits.
 struct Site {
@@ -63,7 +66,7 @@
     let status = match number.as_str() {
         "pipeline" => pipeline(),
         "gone" => gone(),
-        "id" => id_form(),
+        "give-up" => give_up(),
         "open-id" => open_id(),
         "handshake" => handshake(),
         other => {
@@ -215,28 +218,74 @@
     verdict(&record, &broken)
 }
 
-/// A client writes the digits of its request id in upper case.
-fn id_form() -> i32 {
-    let site = Site::start(2, "idempotency_key", Arc::new(|_| Reply::Serve(ms(20), vec![b"a\tb\tc\n".to_vec()])));
+/// Clients give up at once, while bad clients send hundreds of requests at once.
+fn give_up() -> i32 {
+    const CLIENTS: usize = 24;
+    const BAD: usize = 6;
+    const REQUESTS: usize = 10;
+    // The engine that is asked first turns a request away unseen after its wait in line; a later one serves.
+    let seen: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let behaviour: Behaviour = Arc::new(move |received| {
+        let is_first = seen.lock().unwrap().insert(received.id());
+        if is_first { Reply::Word(ms(250), "overload") } else { Reply::Serve(ms(30), vec![b"a\tb\tc\n".to_vec()]) }
+    });
+    let site = Site::start(4, "idempotency_key", behaviour);
     let record = site.record.clone();
     let manager = site.manager(64, 512);
-    let Some(mut client) = Client::connect(manager.listen) else { cannot_run(&record, "no session") };
-    let mut sent = Vec::new();
-    for _ in 0..20 {
-        let lower = format!("{:016x}", new_id());
-        let id = if trouble() { lower.to_uppercase() } else { lower };
-        client.send(&query(&text("lane-rate", &id, 6_000, 20.0, "SELECT price, note, day FROM rates_17.lanes")));
-        let answer = client.answer(ms(7_000));
-        record.line(format!("client: req={id}: {}", answer.short()));
-        sent.push(id);
+    let (listen, ended) = (manager.listen, Arc::new(AtomicBool::new(false)));
+    let mut bad_clients = Vec::new();
+    for _ in 0..if trouble() { BAD } else { 0 } {
+        let ended = Arc::clone(&ended);
+        bad_clients.push(thread::spawn(move || {
+            let requests: Vec<u8> = (0..300).flat_map(|_| query("/* kind=none,req=1 */ SELECT 1")).collect();
+            let mut answers = 0;
+            while !ended.load(Ordering::Relaxed) {
+                let Some(mut client) = Client::connect(listen) else { continue };
+                client.send(&requests);
+                answers += (0..300).take_while(|_| matches!(client.answer(ms(3_000)), Answer::Error(..))).count();
+            }
+            answers
+        }));
+    }
+    let start_client = |n: usize| {
+        let record = record.clone();
+        thread::spawn(move || {
+            thread::sleep(ms(200 + 23 * n as u64));
+            let mut gone: Vec<(String, f64)> = Vec::new();
+            for _ in 0..REQUESTS {
+                let Some(mut client) = Client::connect(listen) else { continue };
+                let id = format!("{:016x}", new_id());
+                client.send(&query(&text("lane-rate", &id, 5_000, 50.0, "SELECT price, note, day FROM rates_17.lanes")));
+                client.cancel(listen);
+                let cancelled_at = record.now();
+                let answer = client.answer(ms(500));
+                thread::sleep(ms(500).saturating_sub(Duration::from_secs_f64((record.now() - cancelled_at) / 1e3)));
+                close(&client.stream);
+                record.line(format!("client: req={id} sent and given up at {cancelled_at:.1}, closed half a second later: {}", answer.short()));
+                gone.push((id, cancelled_at));
+            }
+            gone
+        })
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(start_client).collect();
+    let gone: Vec<(String, f64)> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    thread::sleep(ms(600));
+    ended.store(true, Ordering::Relaxed);
+    let answers: usize = bad_clients.into_iter().map(|client| client.join().unwrap()).sum();
+    record.line(format!("bad clients: {answers} refusals or errors read"));
+    if gone.len() < CLIENTS * REQUESTS / 2 {
+        cannot_run(&record, "too few sessions");
     }
     let mut broken = Vec::new();
     for command in site.journal.lock().unwrap().iter().filter(|command| command.word() == "do") {
-        record.line(format!("engine {}: do {} {}", command.engine, command.id(), String::from_utf8_lossy(&command.parts[2])));
-        if !sent.contains(&command.id()) {
-            broken.push(format!("changed: an engine was sent id {}, which no client sent", command.id()));
+        let Some((id, cancelled_at)) = gone.iter().find(|(id, _)| *id == command.id()) else { continue };
+        let after = command.at - cancelled_at;
+        record.line(format!("engine {}: do {id} at {:.1} ({after:+.1} ms from the CancelRequest)", command.engine, command.at));
+        if after > 150.0 {
+            broken.push(format!("lost: an attempt of request {id} began {after:.0} ms after its client had gone"));
         }
     }
+    record.line(format!("{} requests were given up", gone.len()));
     verdict(&record, &broken)
 }
 
