--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -3,6 +3,7 @@
 mod kit;
 
 use kit::*;
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -65,7 +66,7 @@
     let status = match number.as_str() {
         "pipeline" => pipeline(),
         "gone" => gone(),
-        "slow-feed" => slow_feed(),
+        "give-up" => give_up(),
         "open-id" => open_id(),
         "handshake" => handshake(),
         other => {
@@ -217,88 +218,74 @@
     verdict(&record, &broken)
 }
 
-/// During a release the control feed breaks off and stalls; an engine drains meanwhile.
-fn slow_feed() -> i32 {
-    // What the feed has to tell counts as told 7 s later at the latest; the grace is 0.5 s; every time limit is 50 ms
-    // longer on sockets. The rest is for threads of the stand-ins that run late.
-    const BOUND_MS: f64 = 7_000.0 + 500.0 + 50.0 + 250.0;
-    const STALL: Duration = Duration::from_millis(3_000);
-    let is_load = |received: &Received| received.field("class").as_deref() == Some("tariff-load");
+/// Clients give up at once, while bad clients send hundreds of requests at once.
+fn give_up() -> i32 {
+    const CLIENTS: usize = 24;
+    const BAD: usize = 6;
+    const REQUESTS: usize = 10;
+    // The engine that is asked first turns a request away unseen after its wait in line; a later one serves.
+    let seen: Arc<Mutex<BTreeSet<String>>> = Arc::default();
     let behaviour: Behaviour = Arc::new(move |received| {
-        Reply::Serve(ms(if is_load(received) { 600 } else { 30 }), vec![format!("{}\tb\tc\n", received.id()).into_bytes()])
+        let is_first = seen.lock().unwrap().insert(received.id());
+        if is_first { Reply::Word(ms(250), "overload") } else { Reply::Serve(ms(30), vec![b"a\tb\tc\n".to_vec()]) }
     });
-    let site = Site::start(2, "non_idempotent", behaviour);
+    let site = Site::start(4, "idempotency_key", behaviour);
     let record = site.record.clone();
-    let mut manager = site.manager(64, 512);
-    let listen = manager.listen;
-    let ended: Arc<AtomicBool> = Arc::default();
-    let answers: Arc<Mutex<Vec<(f64, &str, Answer)>>> = Arc::default();
-    let start_client = |class: &'static str| {
-        let (record, ended, answers) = (record.clone(), Arc::clone(&ended), Arc::clone(&answers));
-        thread::spawn(move || {
-            let Some(mut client) = Client::connect(listen) else { cannot_run(&record, "no session") };
+    let manager = site.manager(64, 512);
+    let (listen, ended) = (manager.listen, Arc::new(AtomicBool::new(false)));
+    let mut bad_clients = Vec::new();
+    for _ in 0..if trouble() { BAD } else { 0 } {
+        let ended = Arc::clone(&ended);
+        bad_clients.push(thread::spawn(move || {
+            let requests: Vec<u8> = (0..300).flat_map(|_| query("/* kind=none,req=1 */ SELECT 1")).collect();
+            let mut answers = 0;
             while !ended.load(Ordering::Relaxed) {
+                let Some(mut client) = Client::connect(listen) else { continue };
+                client.send(&requests);
+                answers += (0..300).take_while(|_| matches!(client.answer(ms(3_000)), Answer::Error(..))).count();
+            }
+            answers
+        }));
+    }
+    let start_client = |n: usize| {
+        let record = record.clone();
+        thread::spawn(move || {
+            thread::sleep(ms(200 + 23 * n as u64));
+            let mut gone: Vec<(String, f64)> = Vec::new();
+            for _ in 0..REQUESTS {
+                let Some(mut client) = Client::connect(listen) else { continue };
                 let id = format!("{:016x}", new_id());
-                let work = if class == "tariff-load" { 600.0 } else { 30.0 };
-                client.send(&query(&text(class, &id, 5_000, work, "SELECT price, note, day FROM rates_17.lanes")));
-                let answer = client.answer(ms(6_000));
-                record.line(format!("client: {class} {id}: {}", answer.short()));
-                answers.lock().unwrap().push((record.now(), class, answer));
-                thread::sleep(ms(20));
+                client.send(&query(&text("lane-rate", &id, 5_000, 50.0, "SELECT price, note, day FROM rates_17.lanes")));
+                client.cancel(listen);
+                let cancelled_at = record.now();
+                let answer = client.answer(ms(500));
+                thread::sleep(ms(500).saturating_sub(Duration::from_secs_f64((record.now() - cancelled_at) / 1e3)));
+                close(&client.stream);
+                record.line(format!("client: req={id} sent and given up at {cancelled_at:.1}, closed half a second later: {}", answer.short()));
+                gone.push((id, cancelled_at));
             }
+            gone
         })
     };
-    thread::sleep(ms(1_000));
-    let clients: Vec<_> =
-        ["lane-rate", "lane-rate", "lane-rate", "tariff-load", "tariff-load"].into_iter().map(start_client).collect();
-    thread::sleep(ms(1_000));
-    if trouble() {
-        record.line(format!("feed: the open call breaks off; from now on it needs {STALL:?} for the answer to a call"));
-        site.feed.stall(STALL);
-        thread::sleep(ms(200));
-    }
-    let leaving = &site.engines[0];
-    let drained_at = record.now();
-    record.line(format!("feed: event 2: {} drains", leaving.id));
-    site.feed.send(2, list_event(2, false, &[Entry(&leaving.id, leaving.address, "hall-a", 0, "draining", 0)]));
-    thread::sleep(ms(12_000));
-    let ended_at = record.now();
-    record.line(format!("engine {}: its process ends", leaving.id));
-    leaving.end();
-    thread::sleep(ms(1_200));
+    let clients: Vec<_> = (0..CLIENTS).map(start_client).collect();
+    let gone: Vec<(String, f64)> = clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    thread::sleep(ms(600));
     ended.store(true, Ordering::Relaxed);
-    for client in clients {
-        if client.join().is_err() {
-            cannot_run(&record, "a client failed");
-        }
-    }
-    if manager.exited().is_some() {
-        cannot_run(&record, "the program ended");
+    let answers: usize = bad_clients.into_iter().map(|client| client.join().unwrap()).sum();
+    record.line(format!("bad clients: {answers} refusals or errors read"));
+    if gone.len() < CLIENTS * REQUESTS / 2 {
+        cannot_run(&record, "too few sessions");
     }
-    let now = (std::time::Instant::now(), record.now());
-    for call in site.feed.calls() {
-        record.line(format!("feed: a call at {:.1}", now.1 - now.0.duration_since(call).as_secs_f64() * 1e3));
-    }
-    let mut late = 0;
-    let mut last = 0.0;
+    let mut broken = Vec::new();
     for command in site.journal.lock().unwrap().iter().filter(|command| command.word() == "do") {
-        let after = command.at - drained_at;
-        record.line(format!("engine {}: at {:.1} do {} ({after:+.1} ms from the drain)", command.engine, command.at, command.id()));
-        if command.engine == leaving.id {
-            last = after;
-            late += usize::from(after > BOUND_MS);
+        let Some((id, cancelled_at)) = gone.iter().find(|(id, _)| *id == command.id()) else { continue };
+        let after = command.at - cancelled_at;
+        record.line(format!("engine {}: do {id} at {:.1} ({after:+.1} ms from the CancelRequest)", command.engine, command.at));
+        if after > 150.0 {
+            broken.push(format!("lost: an attempt of request {id} began {after:.0} ms after its client had gone"));
         }
     }
-    let failed = answers.lock().unwrap().iter().filter(|(at, class, answer)| {
-        *class == "tariff-load" && *at >= ended_at && *at < ended_at + 700.0 && matches!(answer, Answer::Error(..)) && !answer.is_refusal()
-    }).count();
-    let text = format!("the last request came to {} {:.1} s after its drain; {failed} loads failed when it ended", leaving.id, last / 1e3);
-    record.line(&text);
-    println!("{text}");
-    let mut broken = Vec::new();
-    if late > 0 {
-        broken.push(format!("drain: {late} requests were sent to {} later than 7 s and 0.5 s of grace after its drain was in the feed", leaving.id));
-    }
+    record.line(format!("{} requests were given up", gone.len()));
     verdict(&record, &broken)
 }
 
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -11,7 +11,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -288,8 +288,6 @@
 pub struct Engine {
     pub id: String,
     pub address: SocketAddr,
-    ended: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 pub type Journal = Arc<Mutex<Vec<Received>>>;
@@ -327,28 +325,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().unwrap();
         let (record, journal, id_text) = (record.clone(), Arc::clone(journal), id.to_owned());
-        let (ended, streams): (Arc<AtomicBool>, Arc<Mutex<Vec<TcpStream>>>) = Default::default();
-        let (is_ended, opened) = (Arc::clone(&ended), Arc::clone(&streams));
         thread::spawn(move || {
             static CONNECTIONS: AtomicU64 = AtomicU64::new(1);
             for stream in listener.incoming().flatten() {
-                if is_ended.load(Ordering::SeqCst) {
-                    return;
-                }
-                opened.lock().unwrap().extend(stream.try_clone());
                 let (record, journal, behaviour) = (record.clone(), Arc::clone(&journal), Arc::clone(&behaviour));
                 let (id, connection) = (id_text.clone(), CONNECTIONS.fetch_add(1, Ordering::Relaxed));
                 thread::spawn(move || serve_engine(stream, &id, connection, &record, &journal, &behaviour));
             }
         });
-        Engine { id: id.to_owned(), address, ended, streams }
-    }
-    /// Ends the engine's process: its connections end, and new ones are refused.
-    pub fn end(&self) {
-        self.ended.store(true, Ordering::SeqCst);
-        // Wakes the thread that accepts, which closes the listener.
-        let _ = TcpStream::connect(self.address);
-        self.streams.lock().unwrap().iter().for_each(close);
+        Engine { id: id.to_owned(), address }
     }
 }
 
@@ -427,64 +412,41 @@
 
 pub struct Feed {
     pub address: SocketAddr,
-    state: Arc<FeedState>,
-}
-
-#[derive(Default)]
-struct FeedState {
-    events: Mutex<Vec<(u64, String)>>,
-    /// Raised to break off the open calls.
-    breaks: AtomicU64,
-    /// Milliseconds that the feed needs for the answer to a call.
-    delay_ms: AtomicU64,
-    /// Time of each call.
-    calls: Mutex<Vec<Instant>>,
+    events: Arc<Mutex<Vec<(u64, String)>>>,
 }
 
 impl Feed {
     pub fn start() -> Feed {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().unwrap();
-        let state: Arc<FeedState> = Arc::default();
-        let shared = Arc::clone(&state);
+        let events: Arc<Mutex<Vec<(u64, String)>>> = Arc::default();
+        let shared = Arc::clone(&events);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let state = Arc::clone(&shared);
-                thread::spawn(move || serve_feed(stream, &state));
+                let events = Arc::clone(&shared);
+                thread::spawn(move || serve_feed(stream, &events));
             }
         });
-        Feed { address, state }
+        Feed { address, events }
     }
     pub fn send(&self, n: u64, event: String) {
-        self.state.events.lock().unwrap().push((n, event));
-    }
-    /// Breaks off the open calls, and needs this time for the answer to each later one.
-    pub fn stall(&self, delay: Duration) {
-        self.state.delay_ms.store(delay.as_millis() as u64, Ordering::SeqCst);
-        self.state.breaks.fetch_add(1, Ordering::SeqCst);
-    }
-    /// The times of all calls so far.
-    pub fn calls(&self) -> Vec<Instant> {
-        self.state.calls.lock().unwrap().clone()
+        self.events.lock().unwrap().push((n, event));
     }
 }
 
-fn serve_feed(mut stream: TcpStream, state: &FeedState) {
-    let breaks = state.breaks.load(Ordering::SeqCst);
+fn serve_feed(mut stream: TcpStream, events: &Mutex<Vec<(u64, String)>>) {
     let mut last = 0;
     for line in BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok).take_while(|l| !l.is_empty()) {
         if let Some(number) = line.to_ascii_lowercase().strip_prefix("last-event-id:") {
             last = number.trim().parse().unwrap_or(0);
         }
     }
-    state.calls.lock().unwrap().push(Instant::now());
-    thread::sleep(ms(state.delay_ms.load(Ordering::SeqCst)));
     if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n").is_err() {
         return;
     }
     let mut commented = Instant::now();
-    while state.breaks.load(Ordering::SeqCst) == breaks {
-        let new: Vec<(u64, String)> = state.events.lock().unwrap().iter().filter(|(n, _)| *n > last).cloned().collect();
+    loop {
+        let new: Vec<(u64, String)> = events.lock().unwrap().iter().filter(|(n, _)| *n > last).cloned().collect();
         for (n, data) in new {
             last = n;
             if stream.write_all(format!("id: {n}\ndata: {data}\n\n").as_bytes()).is_err() {
@@ -499,7 +461,6 @@
         }
         thread::sleep(ms(10));
     }
-    close(&stream);
 }
 
 // ---------------------------------------------------------------- clients
