CancelRequests are counted by what they cancelled

Change: edge.cancels.open_request, .waiting_request and .no_request, and a line at debug for each. What is cancelled is as before.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,6 +7,7 @@
 //! A connection runs through `accept`, `connection`, `startup` and `session`, in that order.
 
 mod accept;
+mod cancel_counters;
 pub mod cancel_signal;
 pub mod client_connection;
 mod client_error;
@@ -27,6 +28,7 @@
 
 use crate::core::buffer_pool::BUFFER_BYTES;
 use crate::core::Core;
+use cancel_counters::CancelCounters;
 use cancel_signal::CancelSignal;
 use connection_slots::ConnectionSlots;
 use read_ahead::ReadAheadBudget;
@@ -59,6 +61,7 @@
     pub config: FrontConfig,
     /// Cancel signals of the sessions, by the process id in BackendKeyData.
     sessions: RefCell<BTreeMap<u32, Rc<CancelSignal>>>,
+    cancel_counters: CancelCounters,
     unknown_cancels: UnknownCancels,
     session_ends: SessionEndCounters,
     turn_timer: Rc<TurnTimer>,
@@ -91,6 +94,7 @@
         let total_buffers = core.pool().max_bytes() / BUFFER_BYTES / READ_AHEAD_POOL_DIVISOR;
         Rc::new(Front {
             sessions: RefCell::default(),
+            cancel_counters: CancelCounters::new(core.metrics()),
             unknown_cancels: UnknownCancels::new(core.metrics()),
             session_ends: SessionEndCounters::new(core.metrics()),
             turn_timer: Rc::new(TurnTimer::new(core.metrics())),
--- a/src/front/session/execute.rs
+++ b/src/front/session/execute.rs
@@ -4,6 +4,7 @@
 use super::state::{session_ended, Session};
 use crate::core::now;
 use crate::core::result_buffer::{ResultSet, RowPosition};
+use crate::front::cancel_counters::CancelEffect;
 use crate::front::client_connection::ClientConnection;
 use crate::front::client_error::cancelled;
 use crate::front::extended::prepared::PortalState;
@@ -38,7 +39,7 @@
             }
             StatementKind::Query => {}
         }
-        let is_cancelled = self.cancel.take();
+        let is_cancelled = self.take_cancel(CancelEffect::WaitingRequest);
         let Some((result, position)) = self.portal_result(connection, name, is_cancelled).await? else {
             connection.reserve_output(COMPLETION_BYTES).await?;
             pg::write_command_complete(connection.output(), "SELECT 0");
--- a/src/front/session/input.rs
+++ b/src/front/session/input.rs
@@ -1,6 +1,7 @@
 //! Waits for a session's next message.
 
 use super::state::{Session, SessionFlow};
+use crate::front::cancel_counters::CancelEffect;
 use crate::front::client_connection::ClientConnection;
 use crate::front::client_error::{incomplete_in_time, read_ahead_overrun, too_many_sessions};
 use crate::front::read_ahead::ReadAheadOverrun;
@@ -99,7 +100,7 @@
         consume_budget().await;
         let previous_length = connection.input().len();
         if !connection.probe_end().await? && connection.input().len() == previous_length {
-            self.cancel.take();
+            self.take_cancel(CancelEffect::NoRequest);
         }
         Ok(SessionFlow::Continue)
     }
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -6,6 +6,7 @@
 mod simple_query;
 mod state;
 
+use super::cancel_counters::CancelEffect;
 use super::cancel_signal::CancelSignal;
 use super::client_connection::ClientConnection;
 use super::connection_slots::ConnectionSlot;
@@ -247,7 +248,7 @@
         connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
         pg::write_ready_for_query(connection.output());
         connection.flush().await?;
-        self.cancel.take();
+        self.take_cancel(CancelEffect::NoRequest);
         Ok(())
     }
 }
--- a/src/front/session/simple_query.rs
+++ b/src/front/session/simple_query.rs
@@ -4,6 +4,7 @@
 use super::state::{session_ended, Session, CONTROL_MESSAGE_BYTES};
 use super::MessageAction;
 use crate::core::result_buffer::RowPosition;
+use crate::front::cancel_counters::CancelEffect;
 use crate::front::client_connection::ClientConnection;
 use crate::front::request::PreparedRequest;
 use crate::front::result_rows::{write_rows, COLUMNS};
@@ -54,7 +55,8 @@
             return Err(session_ended(connection));
         }
         self.cancel.record_request(started);
-        let request = self.front.submit(request, started, self.cancel.take())?;
+        let is_cancelled = self.take_cancel(CancelEffect::WaitingRequest);
+        let request = self.front.submit(request, started, is_cancelled)?;
         self.slot.record_request();
         let result = self.wait_for_response(connection, request).await?;
         connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
--- a/src/front/session/state.rs
+++ b/src/front/session/state.rs
@@ -3,6 +3,7 @@
 use super::error::MessageError;
 use crate::core::result_buffer::ResultSet;
 use crate::core::{RequestHandle, Response};
+use crate::front::cancel_counters::CancelEffect;
 use crate::front::cancel_signal::CancelSignal;
 use crate::front::client_connection::ClientConnection;
 use crate::front::client_error::{cancelled, failed, read_ahead_overrun, rejected};
@@ -78,6 +79,15 @@
         }
     }
 
+    /// Takes the CancelRequest, if there is one, and counts its effect; returns whether there was one.
+    pub(super) fn take_cancel(&self, effect: CancelEffect) -> bool {
+        let is_requested = self.cancel.take();
+        if is_requested {
+            self.front.cancel_counters.record(self.process_id, effect);
+        }
+        is_requested
+    }
+
     /// Waits for a request's response, a CancelRequest, or the end of the connection. Input is read ahead
     /// meanwhile, since the end of the stream may follow further input. A client of which too many
     /// bytes were discarded (`is_flooding`) is disconnected with an error.
@@ -99,7 +109,7 @@
                     Response::Failed { reason, retry_after } => Err(failed(reason, retry_after).into()),
                 },
                 () = self.cancel.requested() => {
-                    self.cancel.take();
+                    self.take_cancel(CancelEffect::OpenRequest);
                     request.cancel();
                     return Err(cancelled().into());
                 }
