Client streams can be read without the runtime's readiness

The runtime learns of them when it polls the system, once for many turns of its tasks.

Change: ReadArrived in core::socket, for plain and TLS streams; ClientStream names what the fronts need of a stream, in place of 26 equal bounds. Nothing calls it yet.

--- a/src/core/socket.rs
+++ b/src/core/socket.rs
@@ -7,16 +7,29 @@
 //! separate flag, which not every layer below a program passes on. A call that a signal interrupts before it
 //! has transferred a byte is repeated. State: only the socket.
 
-use std::io;
+use socket2::SockRef;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
+use tokio_rustls::server::TlsStream;
+
+/// A stream whose reads can be made independent of the runtime's readiness.
+pub trait ReadArrived {
+    /// Lets the following reads return all bytes that have arrived, whether the runtime knows of them or not, up to
+    /// the first read that finds none.
+    fn read_arrived(&mut self);
+}
 
 /// A TCP connection that waits for readiness only after a read or write that would block.
 #[derive(Debug)]
-pub struct Socket(TcpStream);
+pub struct Socket {
+    stream: TcpStream,
+    /// Whether reads ask the system without regard to the runtime's readiness.
+    reads_arrived: bool,
+}
 
 /// The reading half of a TCP connection, with the same behaviour as [`Socket`].
 #[derive(Debug)]
@@ -27,7 +40,19 @@
     pub fn new(stream: TcpStream) -> Socket {
         // The call fails only if the connection has ended, which the next read reports.
         let _ = stream.set_nodelay(true);
-        Socket(stream)
+        Socket { stream, reads_arrived: false }
+    }
+}
+
+impl ReadArrived for Socket {
+    fn read_arrived(&mut self) {
+        self.reads_arrived = true;
+    }
+}
+
+impl<S: ReadArrived> ReadArrived for TlsStream<S> {
+    fn read_arrived(&mut self) {
+        self.get_mut().0.read_arrived();
     }
 }
 
@@ -78,13 +103,32 @@
     }
 }
 
+/// Reads the bytes that have arrived into `buffer`; returns false if there are none.
+fn read_now(stream: &TcpStream, buffer: &mut ReadBuf<'_>) -> io::Result<bool> {
+    let socket = SockRef::from(stream);
+    match retry_interrupted(|| (&*socket).read(buffer.initialize_unfilled())) {
+        Ok(count) => {
+            buffer.advance(count);
+            Ok(true)
+        }
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        poll_read(&self.0, context, buffer)
+        if self.reads_arrived {
+            self.reads_arrived = read_now(&self.stream, buffer)?;
+            if self.reads_arrived {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        poll_read(&self.stream, context, buffer)
     }
 }
 
@@ -100,12 +144,12 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        poll_write(&self.0, context, bytes)
+        poll_write(&self.stream, context, bytes)
     }
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(context)
+        Pin::new(&mut self.stream).poll_flush(context)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
+        Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/src/front/cancel_counters.rs
+++ b/src/front/cancel_counters.rs
@@ -13,7 +13,7 @@
     /// A request that had arrived and was not submitted yet.
     WaitingRequest,
     /// Nothing: the session had no request.
-    NoRequest,
+    Nothing,
 }
 
 /// Counters of CancelRequests for sessions of this process.
@@ -39,7 +39,7 @@
         let counter = match effect {
             CancelEffect::OpenRequest => &self.open_request,
             CancelEffect::WaitingRequest => &self.waiting_request,
-            CancelEffect::NoRequest => &self.no_request,
+            CancelEffect::Nothing => &self.no_request,
         };
         counter.increment(1);
         debug!(session = process_id, ?effect, "CancelRequest handled");
--- a/src/front/client_connection/input.rs
+++ b/src/front/client_connection/input.rs
@@ -1,13 +1,13 @@
 //! Reads input from a client.
 
-use super::{ClientConnection, ReadAheadOverrun};
+use super::{ClientConnection, ClientStream, ReadAheadOverrun};
 use crate::core::buffer_pool::BUFFER_BYTES;
 use crate::core::now;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::ReadBuf;
 use tokio::task::{coop::consume_budget, yield_now};
 
 /// Maximum number of bytes of one read, into a buffer on the stack; most messages are shorter.
@@ -19,7 +19,7 @@
 /// its open request: otherwise a client that never stops writing would keep the session forever.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
 
-impl<S: AsyncRead + AsyncWrite + Unpin> ClientConnection<S> {
+impl<S: ClientStream> ClientConnection<S> {
     /// Whether the client has sent so much that more than [`MAX_DISCARDED_BYTES`] were discarded.
     pub fn is_flooding(&self) -> bool {
         self.discarded_bytes > MAX_DISCARDED_BYTES
--- a/src/front/client_connection/mod.rs
+++ b/src/front/client_connection/mod.rs
@@ -12,6 +12,7 @@
 use super::read_ahead::{ReadAheadBudget, ReadAheadBuffer, ReadAheadOverrun};
 use crate::core::buffer_pool::{Buffer, BufferPool};
 use crate::core::now;
+use crate::core::socket::ReadArrived;
 use arrivals::Arrivals;
 use sprucelink_time::Timestamp;
 use std::collections::VecDeque;
@@ -20,6 +21,11 @@
 
 pub use output::LingerTimeouts;
 
+/// A stream to a client, with or without TLS.
+pub trait ClientStream: AsyncRead + AsyncWrite + ReadArrived + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + ReadArrived + Unpin> ClientStream for S {}
+
 /// A client's stream with its input and output.
 pub struct ClientConnection<S> {
     stream: S,
@@ -42,7 +48,7 @@
     arrivals: Arrivals,
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> ClientConnection<S> {
+impl<S: ClientStream> ClientConnection<S> {
     /// Creates a connection. No bytes may have been read from `stream` before. Buffers are taken from `pool`,
     /// and those for reading ahead are counted in `budget`.
     pub fn new(stream: S, pool: BufferPool, budget: Rc<ReadAheadBudget>) -> ClientConnection<S> {
--- a/src/front/client_connection/output.rs
+++ b/src/front/client_connection/output.rs
@@ -1,14 +1,14 @@
 //! Writes output to a client, and closes its connection.
 
 use super::input::READ_CHUNK_BYTES;
-use super::ClientConnection;
+use super::{ClientConnection, ClientStream};
 use crate::core::buffer_pool::{Buffer, SMALL_BUFFER_BYTES};
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncWriteExt, ReadBuf};
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// Maximum time in which a client accepts no bytes; after it the client is disconnected, since its answer
@@ -29,7 +29,7 @@
     pub idle: Duration,
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> ClientConnection<S> {
+impl<S: ClientStream> ClientConnection<S> {
     /// The output buffer; its bytes are sent by [`ClientConnection::flush`]. At most as many bytes may be
     /// appended as were reserved by [`ClientConnection::reserve_output`].
     pub fn output(&mut self) -> &mut Vec<u8> {
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -2,7 +2,7 @@
 //! error.
 
 use super::accept::OpenConnection;
-use super::client_connection::{ClientConnection, LingerTimeouts};
+use super::client_connection::{ClientConnection, ClientStream, LingerTimeouts};
 use super::client_error::too_many_sessions;
 use super::connection_slots::{ConnectionSlot, EvictionScope};
 use super::count_guard::CountGuard;
@@ -16,7 +16,6 @@
 use sprucelink_time::TimeDelta;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_rustls::server::TlsStream;
@@ -71,7 +70,7 @@
     }
 
     /// Runs the session that was started, or closes the connection.
-    async fn finish_startup<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn finish_startup<S: ClientStream>(
         self: &Rc<Self>,
         connection: ClientConnection<S>,
         outcome: StartupOutcome,
@@ -85,7 +84,7 @@
         }
     }
 
-    fn buffered<S: AsyncRead + AsyncWrite + Unpin>(&self, stream: S) -> ClientConnection<S> {
+    fn buffered<S: ClientStream>(&self, stream: S) -> ClientConnection<S> {
         ClientConnection::new(stream, self.core.pool().clone(), Rc::clone(&self.read_ahead))
     }
 
@@ -95,7 +94,7 @@
         ConnectionGuard::Sessionless(self.sessionless.add(phase))
     }
 
-    async fn run_session<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn run_session<S: ClientStream>(
         self: &Rc<Self>,
         mut connection: ClientConnection<S>,
         start: SessionStart,
@@ -150,7 +149,7 @@
     }
 
     /// Closes a connection, after a final error if there is one.
-    async fn close_connection<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn close_connection<S: ClientStream>(
         &self,
         mut connection: ClientConnection<S>,
         error: Option<ErrorResponse>,
@@ -215,7 +214,7 @@
 
 /// Runs the server's side of a TLS handshake; `None` if it fails, takes too long, or the connection is
 /// evicted.
-async fn accept_tls<S: AsyncRead + AsyncWrite + Unpin>(
+async fn accept_tls<S: ClientStream>(
     acceptor: &TlsAcceptor,
     stream: S,
     guard: &ConnectionGuard,
--- a/src/front/result_rows.rs
+++ b/src/front/result_rows.rs
@@ -1,10 +1,9 @@
 //! Writes rows of a result as DataRow messages.
 
-use super::client_connection::ClientConnection;
+use super::client_connection::{ClientConnection, ClientStream};
 use crate::core::result_buffer::{ResultSet, RowPosition};
 use crate::proto::pg;
 use std::io;
-use tokio::io::{AsyncRead, AsyncWrite};
 
 pub(super) use crate::proto::engine_answer::COLUMNS;
 
@@ -20,7 +19,7 @@
 ///
 /// # Errors
 /// An error of the connection.
-pub(super) async fn write_rows<S: AsyncRead + AsyncWrite + Unpin>(
+pub(super) async fn write_rows<S: ClientStream>(
     connection: &mut ClientConnection<S>,
     result: &ResultSet,
     mut position: RowPosition,
@@ -39,10 +38,7 @@
 }
 
 /// Writes one row. If the output buffer cannot hold all of it, the row is sent in parts.
-async fn write_row<S: AsyncRead + AsyncWrite + Unpin>(
-    connection: &mut ClientConnection<S>,
-    line: &[u8],
-) -> io::Result<()> {
+async fn write_row<S: ClientStream>(connection: &mut ClientConnection<S>, line: &[u8]) -> io::Result<()> {
     if connection.try_reserve_output(pg::data_row_size(line)) {
         pg::write_data_row(connection.output(), line);
         return Ok(());
--- a/src/front/session/execute.rs
+++ b/src/front/session/execute.rs
@@ -5,20 +5,19 @@
 use crate::core::now;
 use crate::core::result_buffer::{ResultSet, RowPosition};
 use crate::front::cancel_counters::CancelEffect;
-use crate::front::client_connection::ClientConnection;
+use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::client_error::cancelled;
 use crate::front::extended::prepared::PortalState;
 use crate::front::extended::statement_kind::StatementKind;
 use crate::front::result_rows::write_rows;
 use crate::proto::pg;
-use tokio::io::{AsyncRead, AsyncWrite};
 
 /// Maximum number of output bytes of CommandComplete or PortalSuspended.
 const COMPLETION_BYTES: usize = 64;
 
 impl Session<'_> {
     /// Answers an Execute message.
-    pub(super) async fn execute<S: AsyncRead + AsyncWrite + Unpin>(
+    pub(super) async fn execute<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
         name: &str,
@@ -57,7 +56,7 @@
 
     /// Returns a portal's result and the position of the next row to send; `None` if all rows have been sent.
     /// A portal that has not been run is first executed by an engine.
-    async fn portal_result<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn portal_result<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
         name: &str,
--- a/src/front/session/input.rs
+++ b/src/front/session/input.rs
@@ -2,14 +2,13 @@
 
 use super::state::{Session, SessionFlow};
 use crate::front::cancel_counters::CancelEffect;
-use crate::front::client_connection::ClientConnection;
+use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::client_error::{incomplete_in_time, read_ahead_overrun, too_many_sessions};
 use crate::front::read_ahead::ReadAheadOverrun;
 use crate::front::session_end::{SessionEnd, SessionEndReason};
 use crate::proto::pg::ErrorResponse;
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::coop::consume_budget;
 use tokio::time::{sleep_until, Instant};
 
@@ -19,7 +18,7 @@
 impl Session<'_> {
     /// Extends the input buffer by bytes that were read ahead, or else waits for the next bytes from the
     /// client. The session ends instead if no more input is accepted.
-    pub(super) async fn await_input<S: AsyncRead + AsyncWrite + Unpin>(
+    pub(super) async fn await_input<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
     ) -> io::Result<SessionFlow> {
@@ -50,7 +49,7 @@
         self.wait_for_input(connection).await
     }
 
-    async fn wait_for_input<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn wait_for_input<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
     ) -> io::Result<SessionFlow> {
@@ -93,14 +92,14 @@
     /// Handles a CancelRequest while no request is open. The request to cancel may have been sent before the
     /// CancelRequest and still be unread, so available input is read first. If there is none, the
     /// CancelRequest is for a completed request, and must not cancel the next request.
-    async fn handle_early_cancel<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn handle_early_cancel<S: ClientStream>(
         &self,
         connection: &mut ClientConnection<S>,
     ) -> io::Result<SessionFlow> {
         consume_budget().await;
         let previous_length = connection.input().len();
         if !connection.probe_end().await? && connection.input().len() == previous_length {
-            self.take_cancel(CancelEffect::NoRequest);
+            self.take_cancel(CancelEffect::Nothing);
         }
         Ok(SessionFlow::Continue)
     }
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -8,7 +8,7 @@
 
 use super::cancel_counters::CancelEffect;
 use super::cancel_signal::CancelSignal;
-use super::client_connection::ClientConnection;
+use super::client_connection::{ClientConnection, ClientStream};
 use super::connection_slots::ConnectionSlot;
 use super::count_guard::CountGuard;
 use super::extended::objects::ExtendedAction;
@@ -22,7 +22,6 @@
 use state::{Session, SessionFlow, CONTROL_MESSAGE_BYTES};
 use std::io;
 use std::rc::Rc;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::coop::consume_budget;
 
 /// Server parameters that a session reports at its start.
@@ -78,7 +77,7 @@
 ///
 /// # Errors
 /// An error of the connection.
-pub(super) async fn serve<S: AsyncRead + AsyncWrite + Unpin>(
+pub(super) async fn serve<S: ClientStream>(
     front: Rc<Front>,
     connection: &mut ClientConnection<S>,
     start: SessionStart,
@@ -125,10 +124,7 @@
 
 impl Session<'_> {
     /// Handles messages up to the end of the session.
-    async fn run<S: AsyncRead + AsyncWrite + Unpin>(
-        &mut self,
-        connection: &mut ClientConnection<S>,
-    ) -> io::Result<SessionEnd> {
+    async fn run<S: ClientStream>(&mut self, connection: &mut ClientConnection<S>) -> io::Result<SessionEnd> {
         loop {
             // Many short messages that were sent at once are handled without waiting for input. Consuming the
             // budget lets other tasks run in between.
@@ -142,7 +138,7 @@
     }
 
     /// Handles one message, or waits for more input.
-    async fn handle_message<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn handle_message<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
     ) -> io::Result<SessionFlow> {
@@ -219,7 +215,7 @@
         NextMessage::Complete { action, length }
     }
 
-    async fn perform<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn perform<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
         action: Result<MessageAction, ErrorResponse>,
@@ -241,14 +237,11 @@
 
     /// Appends ReadyForQuery and writes all output. A CancelRequest that arrived before ReadyForQuery was
     /// written has no further effect.
-    async fn write_ready<S: AsyncRead + AsyncWrite + Unpin>(
-        &self,
-        connection: &mut ClientConnection<S>,
-    ) -> io::Result<()> {
+    async fn write_ready<S: ClientStream>(&self, connection: &mut ClientConnection<S>) -> io::Result<()> {
         connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
         pg::write_ready_for_query(connection.output());
         connection.flush().await?;
-        self.take_cancel(CancelEffect::NoRequest);
+        self.take_cancel(CancelEffect::Nothing);
         Ok(())
     }
 }
--- a/src/front/session/simple_query.rs
+++ b/src/front/session/simple_query.rs
@@ -5,13 +5,12 @@
 use super::MessageAction;
 use crate::core::result_buffer::RowPosition;
 use crate::front::cancel_counters::CancelEffect;
-use crate::front::client_connection::ClientConnection;
+use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::request::PreparedRequest;
 use crate::front::result_rows::{write_rows, COLUMNS};
 use crate::proto::fields;
 use crate::proto::pg::{self, ErrorResponse};
 use crate::proto::tables;
-use tokio::io::{AsyncRead, AsyncWrite};
 
 impl Session<'_> {
     /// Reads a simple query. One that needs no engine is answered in `reply`.
@@ -45,7 +44,7 @@
     }
 
     /// Submits the request of a simple query, and writes its answer, up to ReadyForQuery.
-    pub(super) async fn answer_simple_query<S: AsyncRead + AsyncWrite + Unpin>(
+    pub(super) async fn answer_simple_query<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
         request: PreparedRequest,
--- a/src/front/session/state.rs
+++ b/src/front/session/state.rs
@@ -5,14 +5,13 @@
 use crate::core::{RequestHandle, Response};
 use crate::front::cancel_counters::CancelEffect;
 use crate::front::cancel_signal::CancelSignal;
-use crate::front::client_connection::ClientConnection;
+use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::client_error::{cancelled, failed, read_ahead_overrun, rejected};
 use crate::front::connection_slots::ConnectionSlot;
 use crate::front::extended::objects::SessionObjects;
 use crate::front::session_end::{SessionEnd, SessionEndReason};
 use crate::front::Front;
 use std::rc::Rc;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::Instant;
 
 /// Maximum number of output bytes of a message other than a row: an error, or a description.
@@ -94,7 +93,7 @@
     ///
     /// # Errors
     /// The request was rejected, has failed or was cancelled, or the session ends.
-    pub(super) async fn wait_for_response<S: AsyncRead + AsyncWrite + Unpin>(
+    pub(super) async fn wait_for_response<S: ClientStream>(
         &mut self,
         connection: &mut ClientConnection<S>,
         mut request: RequestHandle,
@@ -129,9 +128,7 @@
 
 /// The end of a session whose client closed its side, or floods; a flooding client gets a final error.
 /// Buffered requests are not admitted.
-pub(super) fn session_ended<S: AsyncRead + AsyncWrite + Unpin>(
-    connection: &ClientConnection<S>,
-) -> MessageError {
+pub(super) fn session_ended<S: ClientStream>(connection: &ClientConnection<S>) -> MessageError {
     let overrun = connection.overrun().filter(|_| connection.is_flooding());
     let end = match overrun {
         Some(overrun) => {
--- a/src/front/startup.rs
+++ b/src/front/startup.rs
@@ -1,7 +1,7 @@
 //! Handles the packets before a session: SSLRequest, GSSENCRequest, CancelRequest and StartupMessage
 //! (PostgreSQL, "Message Flow", "Start-up").
 
-use super::client_connection::ClientConnection;
+use super::client_connection::{ClientConnection, ClientStream};
 use super::client_error::{incomplete_in_time, too_many_sessions};
 use super::extended::statement_timeout::timeout_of_startup;
 use super::sessionless::ConnectionGuard;
@@ -9,7 +9,6 @@
 use crate::proto::pg::{self, ErrorResponse, StartupPacket};
 use std::io;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::timeout;
 use tokio_rustls::TlsAcceptor;
 
@@ -70,7 +69,7 @@
 
 impl Front {
     /// Reads the packets before a session, until the time-out or the connection's eviction.
-    pub(super) async fn start<S: AsyncRead + AsyncWrite + Unpin>(
+    pub(super) async fn start<S: ClientStream>(
         &self,
         connection: &mut ClientConnection<S>,
         guard: &ConnectionGuard,
@@ -91,7 +90,7 @@
         }
     }
 
-    async fn read_startup<S: AsyncRead + AsyncWrite + Unpin>(
+    async fn read_startup<S: ClientStream>(
         &self,
         connection: &mut ClientConnection<S>,
         transport: Transport,
@@ -138,7 +137,7 @@
 
 /// Accepts an SSLRequest. Bytes that arrive before the handshake are rejected: an attacker could have
 /// injected them, and they would be read as if they had been encrypted.
-async fn accept_tls_request<S: AsyncRead + AsyncWrite + Unpin>(
+async fn accept_tls_request<S: ClientStream>(
     connection: &mut ClientConnection<S>,
     acceptor: TlsAcceptor,
 ) -> io::Result<StartupOutcome> {
