--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,7 +39,7 @@
 mod startup_control;
 pub mod system_error;
 #[cfg(test)]
-mod test_support;
+pub(crate) mod test_support;
 mod wall_clock;
 pub mod zone_routing;
 
--- a/src/core/test_support.rs
+++ b/src/core/test_support.rs
@@ -38,7 +38,7 @@
 }
 
 /// A core with two engines of 8 cores that accept connections and send nothing, and their listeners.
-pub(super) async fn core() -> (Rc<Core>, Vec<TcpListener>) {
+pub(crate) async fn core() -> (Rc<Core>, Vec<TcpListener>) {
     let listen = || TcpListener::bind("127.0.0.1:0");
     let listeners = vec![listen().await.expect("a port"), listen().await.expect("a port")];
     core_with(listeners, 32, 8.0)
@@ -125,7 +125,7 @@
 }
 
 /// Runs a test on a single-threaded runtime of its own.
-pub(super) fn run_local<T>(test: impl std::future::Future<Output = T>) -> T {
+pub(crate) fn run_local<T>(test: impl std::future::Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test)
 }
--- a/src/front/cancel_counters.rs
+++ b/src/front/cancel_counters.rs
@@ -1,6 +1,6 @@
-//! Counts CancelRequests by what they cancelled.
+//! Counts what CancelRequests cancelled.
 //!
-//! Input: the effect of each CancelRequest in its session. Output: a counter for each effect, and a log line.
+//! Input: each effect of a CancelRequest in its session. Output: a counter for each effect, and a log line.
 
 use sprucelink_metrics::{Counter, Metrics};
 use tracing::debug;
@@ -16,7 +16,7 @@
     Nothing,
 }
 
-/// Counters of CancelRequests for sessions of this process.
+/// Counters of requests that were cancelled, and of CancelRequests that found none.
 pub(super) struct CancelCounters {
     open_request: Counter,
     waiting_request: Counter,
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Counts and logs a CancelRequest for the session with this process id.
+    /// Counts and logs an effect in the session with this process id.
     pub(super) fn record(&self, process_id: u32, effect: CancelEffect) {
         let counter = match effect {
             CancelEffect::OpenRequest => &self.open_request,
--- a/src/front/client_connection/arrivals.rs
+++ b/src/front/client_connection/arrivals.rs
@@ -28,6 +28,8 @@
     received: u64,
     /// Number of bytes consumed so far.
     consumed: u64,
+    /// Position of the first byte of the message that was consumed last.
+    message_start: u64,
     /// Time at which the last consumed byte arrived.
     last_consumed_arrival: Timestamp,
 }
@@ -35,7 +37,13 @@
 impl Arrivals {
     /// Creates the state of a connection that is opened at `now`.
     pub(super) fn new(now: Timestamp) -> Arrivals {
-        Arrivals { reads: VecDeque::new(), received: 0, consumed: 0, last_consumed_arrival: now }
+        Arrivals {
+            reads: VecDeque::new(),
+            received: 0,
+            consumed: 0,
+            message_start: 0,
+            last_consumed_arrival: now,
+        }
     }
 
     /// Records that `count` bytes were read and buffered.
@@ -51,8 +59,9 @@
         }
     }
 
-    /// Records that `count` bytes were consumed, in the order in which they were received.
+    /// Records that a message of `count` bytes was consumed, in the order in which they were received.
     pub(super) fn record_consumed(&mut self, count: usize) {
+        self.message_start = self.consumed;
         self.consumed += count as u64;
         while self.reads.front().is_some_and(|read| read.end < self.consumed) {
             self.reads.pop_front();
@@ -66,6 +75,32 @@
     pub(super) fn last_consumed_arrival(&self) -> Timestamp {
         self.last_consumed_arrival
     }
+
+    /// Number of bytes received so far.
+    pub(super) fn received(&self) -> u64 {
+        self.received
+    }
+
+    /// Number of bytes consumed so far.
+    pub(super) fn consumed(&self) -> u64 {
+        self.consumed
+    }
+
+    /// Position of the first byte of the message that was consumed last.
+    pub(super) fn message_start(&self) -> u64 {
+        self.message_start
+    }
+
+    /// Position up to which the bytes arrived by `time`, not before the start of the message that was consumed
+    /// last.
+    pub(super) fn received_by(&self, time: Timestamp) -> u64 {
+        let last_read = self.reads.iter().rev().find(|read| read.time <= time);
+        match last_read {
+            Some(read) => read.end,
+            None if self.last_consumed_arrival <= time => self.consumed,
+            None => self.message_start,
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/front/client_connection/input.rs
+++ b/src/front/client_connection/input.rs
@@ -69,19 +69,21 @@
         Ok(true)
     }
 
-    /// Reads the available bytes that fit the input buffer, without waiting; returns whether the stream is
-    /// known to have ended.
+    /// Reads the bytes that have arrived and fit the input buffer, even if the runtime does not know of them, without
+    /// waiting; returns whether there were any.
     ///
     /// # Errors
     /// An error of the stream, which has then ended.
-    pub async fn probe_end(&mut self) -> io::Result<bool> {
+    pub async fn fill_arrived(&mut self) -> io::Result<bool> {
+        let previous_length = self.input().len();
+        self.stream.read_arrived();
         while !self.is_at_end && self.overrun.is_none() && self.free_input_bytes() > 0 {
             match poll_fn(|context| Poll::Ready(self.poll_read(context, self.free_input_bytes()))).await {
                 Poll::Ready(read) => drop(read?),
                 Poll::Pending => break,
             }
         }
-        Ok(self.is_at_end)
+        Ok(self.input().len() > previous_length)
     }
 
     /// Number of bytes that fit the input buffer; 0 while there are bytes that were read ahead, which precede
--- a/src/front/client_connection/mod.rs
+++ b/src/front/client_connection/mod.rs
@@ -6,9 +6,11 @@
 //! that are buffered completely.
 
 mod arrivals;
+mod cancellation;
 mod input;
 mod output;
 
+use super::cancel_signal::CancelSignal;
 use super::read_ahead::{ReadAheadBudget, ReadAheadBuffer, ReadAheadOverrun};
 use crate::core::buffer_pool::{Buffer, BufferPool};
 use crate::core::now;
@@ -46,6 +48,9 @@
     bytes_this_turn: usize,
     output: Option<Buffer>,
     arrivals: Arrivals,
+    cancel_signal: Option<Rc<CancelSignal>>,
+    /// Position in the stream up to which bytes are cancelled.
+    cancelled_end: u64,
 }
 
 impl<S: ClientStream> ClientConnection<S> {
@@ -65,6 +70,8 @@
             bytes_this_turn: 0,
             output: None,
             arrivals: Arrivals::new(now()),
+            cancel_signal: None,
+            cancelled_end: 0,
         }
     }
 
--- a/src/front/client_connection/output.rs
+++ b/src/front/client_connection/output.rs
@@ -61,8 +61,9 @@
         Ok(())
     }
 
-    /// Writes all output. While the write has to wait, further input is read ahead, so that a close by the
-    /// client is noticed before the client's next pipelined request is admitted.
+    /// Writes all output. While the write has to wait, further input is read ahead and CancelRequests are taken, so
+    /// that a close or a CancelRequest of the client is noticed before the client's next pipelined request is
+    /// admitted.
     ///
     /// # Errors
     /// An error of the stream; or `TimedOut` if the client accepts no bytes for 10 s.
@@ -72,7 +73,16 @@
         let mut deadline = Instant::now() + WRITE_TIMEOUT;
         while !rest.is_empty() {
             self.yield_if_due().await;
-            match timeout_at(deadline, poll_fn(|context| self.poll_write(context, rest))).await?? {
+            let cancel_requested = Self::cancel_requested(self.cancel_signal.clone());
+            let written = tokio::select! {
+                biased;
+                written = timeout_at(deadline, poll_fn(|context| self.poll_write(context, rest))) => written??,
+                () = cancel_requested => {
+                    self.take_cancel().await?;
+                    continue;
+                }
+            };
+            match written {
                 Some(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Some(written) => {
                     rest = &rest[written..];
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -78,6 +78,14 @@
     ) {
         match outcome {
             StartupOutcome::Session(start) => self.run_session(connection, start, guard).await,
+            StartupOutcome::Cancel(key) => {
+                tokio::select! {
+                    biased;
+                    () = self.request_cancel(key) => {}
+                    () = guard.evicted() => {}
+                }
+                self.close_connection(connection, None, guard).await;
+            }
             StartupOutcome::Close(error) => self.close_connection(connection, error, guard).await,
             // A TLS handshake within TLS is never accepted.
             StartupOutcome::StartTls(_) => {}
--- a/src/front/session/execute.rs
+++ b/src/front/session/execute.rs
@@ -4,7 +4,6 @@
 use super::state::{session_ended, Session};
 use crate::core::now;
 use crate::core::result_buffer::{ResultSet, RowPosition};
-use crate::front::cancel_counters::CancelEffect;
 use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::client_error::cancelled;
 use crate::front::extended::prepared::PortalState;
@@ -38,7 +37,7 @@
             }
             StatementKind::Query => {}
         }
-        let is_cancelled = self.take_cancel(CancelEffect::WaitingRequest);
+        let is_cancelled = self.is_cancelled_before_submission(connection).await?;
         let Some((result, position)) = self.portal_result(connection, name, is_cancelled).await? else {
             connection.reserve_output(COMPLETION_BYTES).await?;
             pg::write_command_complete(connection.output(), "SELECT 0");
@@ -83,7 +82,6 @@
         if connection.read_available().await? {
             return Err(session_ended(connection));
         }
-        self.cancel.record_request(connection.arrived());
         let request = self.front.submit(request, started, is_cancelled)?;
         let result = self.wait_for_response(connection, request).await?;
         Ok(Some((result, RowPosition::default())))
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -6,7 +6,6 @@
 mod simple_query;
 mod state;
 
-use super::cancel_counters::CancelEffect;
 use super::cancel_signal::CancelSignal;
 use super::client_connection::{ClientConnection, ClientStream};
 use super::connection_slots::ConnectionSlot;
@@ -17,6 +16,7 @@
 use super::startup::SessionStart;
 use super::Front;
 use crate::core::buffer_pool::BUFFER_BYTES;
+use crate::core::now;
 use crate::proto::pg::{self, ErrorResponse, MalformedMessage, Message};
 use error::MessageError;
 use state::{Session, SessionFlow, CONTROL_MESSAGE_BYTES};
@@ -60,7 +60,8 @@
     End(SessionEnd),
 }
 
-/// Removes a session's cancel signal when the session ends.
+/// Removes a session's cancel signal when the session ends. A CancelRequest that it has not taken concerns nothing
+/// any more.
 struct SessionRegistration<'a> {
     front: &'a Front,
     process_id: u32,
@@ -68,7 +69,10 @@
 
 impl Drop for SessionRegistration<'_> {
     fn drop(&mut self) {
-        self.front.sessions.borrow_mut().remove(&self.process_id);
+        let signal = self.front.sessions.borrow_mut().remove(&self.process_id);
+        if let Some(signal) = signal {
+            signal.take();
+        }
     }
 }
 
@@ -87,6 +91,7 @@
     let secret = front.core.generate_id() as u32;
     let cancel = CancelSignal::new(secret);
     front.sessions.borrow_mut().insert(process_id, Rc::clone(&cancel));
+    connection.set_cancel_signal(Rc::clone(&cancel));
     let _registration = SessionRegistration { front: &front, process_id };
     let statement_timeout_ms = if front.config.allows_extended_queries {
         match start.statement_timeout_ms {
@@ -153,6 +158,7 @@
             NextMessage::End(end) => return Ok(SessionFlow::End(end)),
         };
         self.partial_since = None;
+        self.cancel_waits_until = None;
         self.slot.set_executing(true);
         let is_simple = pg::is_simple_query(connection.input());
         connection.consume(length);
@@ -235,13 +241,16 @@
         Ok(())
     }
 
-    /// Appends ReadyForQuery and writes all output. A CancelRequest that arrived before ReadyForQuery was
-    /// written has no further effect.
-    async fn write_ready<S: ClientStream>(&self, connection: &mut ClientConnection<S>) -> io::Result<()> {
+    /// Appends ReadyForQuery and writes all output. A CancelRequest that arrived before is taken first: the client
+    /// may send its next request once it has ReadyForQuery.
+    async fn write_ready<S: ClientStream>(&mut self, connection: &mut ClientConnection<S>) -> io::Result<()> {
         connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
         pg::write_ready_for_query(connection.output());
-        connection.flush().await?;
-        self.take_cancel(CancelEffect::Nothing);
-        Ok(())
+        connection.take_cancel().await?;
+        self.answered_at = Some(now());
+        connection.flush().await
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/session/simple_query.rs
+++ b/src/front/session/simple_query.rs
@@ -4,7 +4,6 @@
 use super::state::{session_ended, Session, CONTROL_MESSAGE_BYTES};
 use super::MessageAction;
 use crate::core::result_buffer::RowPosition;
-use crate::front::cancel_counters::CancelEffect;
 use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::request::PreparedRequest;
 use crate::front::result_rows::{write_rows, COLUMNS};
@@ -53,8 +52,7 @@
         if connection.read_available().await? {
             return Err(session_ended(connection));
         }
-        self.cancel.record_request(started);
-        let is_cancelled = self.take_cancel(CancelEffect::WaitingRequest);
+        let is_cancelled = self.is_cancelled_before_submission(connection).await?;
         let request = self.front.submit(request, started, is_cancelled)?;
         self.slot.record_request();
         let result = self.wait_for_response(connection, request).await?;
--- a/src/front/session/state.rs
+++ b/src/front/session/state.rs
@@ -11,6 +11,8 @@
 use crate::front::extended::objects::SessionObjects;
 use crate::front::session_end::{SessionEnd, SessionEndReason};
 use crate::front::Front;
+use sprucelink_time::Timestamp;
+use std::io;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -35,6 +37,10 @@
     /// Buffer for the reply to a message before it is moved to the output; empty between messages, and kept
     /// for its allocation.
     pub(super) scratch: Vec<u8>,
+    /// Time at which the last answer was complete; `None` if there was none.
+    pub(super) answered_at: Option<Timestamp>,
+    /// Time until which a CancelRequest that found no request waits for one; `None` if there is none that waits.
+    pub(super) cancel_waits_until: Option<Instant>,
     /// Whether an answer was written since the input was last empty.
     pub(super) has_answered: bool,
 }
@@ -66,6 +72,8 @@
             skips_to_sync: false,
             objects: SessionObjects::new(pool, statement_timeout_ms),
             scratch: Vec::new(),
+            answered_at: None,
+            cancel_waits_until: None,
             has_answered: false,
         }
     }
@@ -78,13 +86,21 @@
         }
     }
 
-    /// Takes the CancelRequest, if there is one, and counts its effect; returns whether there was one.
-    pub(super) fn take_cancel(&self, effect: CancelEffect) -> bool {
-        let is_requested = self.cancel.take();
-        if is_requested {
-            self.front.cancel_counters.record(self.process_id, effect);
+    /// Takes the CancelRequest, if there is one; returns whether the message that was consumed last, which is not
+    /// submitted yet, is cancelled.
+    ///
+    /// # Errors
+    /// An error of the connection.
+    pub(super) async fn is_cancelled_before_submission<S: ClientStream>(
+        &self,
+        connection: &mut ClientConnection<S>,
+    ) -> io::Result<bool> {
+        connection.take_cancel().await?;
+        let is_cancelled = connection.is_cancelled();
+        if is_cancelled {
+            self.front.cancel_counters.record(self.process_id, CancelEffect::WaitingRequest);
         }
-        is_requested
+        Ok(is_cancelled)
     }
 
     /// Waits for a request's response, a CancelRequest, or the end of the connection. Input is read ahead
@@ -108,9 +124,12 @@
                     Response::Failed { reason, retry_after } => Err(failed(reason, retry_after).into()),
                 },
                 () = self.cancel.requested() => {
-                    self.take_cancel(CancelEffect::OpenRequest);
-                    request.cancel();
-                    return Err(cancelled().into());
+                    connection.take_cancel().await?;
+                    if connection.is_cancelled() {
+                        self.front.cancel_counters.record(self.process_id, CancelEffect::OpenRequest);
+                        request.cancel();
+                        return Err(cancelled().into());
+                    }
                 }
                 read = connection.read_ahead() => {
                     if read? == 0 {
--- a/src/front/startup.rs
+++ b/src/front/startup.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// The key that a session's BackendKeyData holds, and a CancelRequest repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SessionKey {
+    /// The session's process id.
+    pub(super) process_id: u32,
+    /// The session's secret key.
+    pub(super) secret: u32,
+}
+
 /// How the packets of a connection are transported.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Transport {
@@ -57,6 +66,8 @@
     Session(SessionStart),
     /// A TLS handshake follows.
     StartTls(TlsAcceptor),
+    /// The client cancels a request of another session.
+    Cancel(SessionKey),
     /// The connection must be closed, after sending the error if there is one.
     Close(Option<ErrorResponse>),
 }
@@ -119,8 +130,7 @@
                     connection.flush().await?;
                 }
                 (StartupPacket::Cancel { process_id, secret }, _) => {
-                    self.request_cancel(process_id, secret);
-                    return Ok(StartupOutcome::Close(None));
+                    return Ok(StartupOutcome::Cancel(SessionKey { process_id, secret }));
                 }
                 (StartupPacket::Startup { .. }, acceptor)
                     if self.config.require_tls && transport == Transport::Plain =>
--- a/src/front/unknown_cancels.rs
+++ b/src/front/unknown_cancels.rs
@@ -4,17 +4,24 @@
 //! Input: the CancelRequests of clients and of other processes. Output: signals to sessions, and the
 //! CancelRequests of unknown sessions for the driver of the hot restart. State: those that it has not taken.
 
+use super::cancel_signal::MAX_FORWARDING_TIME;
+use super::startup::SessionKey;
 use super::Front;
-use crate::core::now;
+use crate::core::{now, to_duration};
 use sprucelink_metrics::{Counter, Metrics};
 use sprucelink_time::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 /// Maximum number of CancelRequests that are kept; beyond it the oldest are dropped.
 const MAX_KEPT: usize = 256;
 
+/// Longest time for which a CancelRequest's connection waits for its session.
+const MAX_TAKING_TIME: Duration = Duration::from_secs(1);
+
 /// A CancelRequest for a session that this process does not serve.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnknownCancel {
@@ -39,7 +46,7 @@
 }
 
 impl UnknownCancels {
-    /// Creates the counters in `metrics`; no requests are kept until [`UnknownCancels::enable`].
+    /// Creates the counters in `metrics`; no requests are kept until [`UnknownCancels::set_enabled`].
     pub(super) fn new(metrics: &Metrics) -> UnknownCancels {
         let counter = |name| metrics.counter(name).unwrap_or_else(|_| Counter::noop());
         UnknownCancels {
@@ -51,9 +58,14 @@
         }
     }
 
-    /// Keeps requests from now on.
-    pub(super) fn enable(&self) {
-        self.is_enabled.set(true);
+    /// Sets whether requests are kept.
+    pub(super) fn set_enabled(&self, is_enabled: bool) {
+        self.is_enabled.set(is_enabled);
+    }
+
+    /// Whether requests are kept.
+    pub(super) fn is_enabled(&self) -> bool {
+        self.is_enabled.get()
     }
 
     /// Adds a request.
@@ -88,11 +100,20 @@
 
 impl Front {
     /// Handles a CancelRequest. The client gets no answer, whether the session exists or not. If it does not
-    /// exist in this process, another process of this manager may serve it.
-    pub(super) fn request_cancel(&self, process_id: u32, secret: u32) {
-        let is_known = self.sessions.borrow().get(&process_id).is_some_and(|cancel| cancel.request(secret));
-        if !is_known {
-            self.unknown_cancels.push(UnknownCancel { process_id, secret, received_at: now() });
+    /// exist in this process, another process of this manager may serve it. Completes when the CancelRequest can
+    /// cancel no request that its client sends later: its connection must not be closed before, since a client may
+    /// take the close for the end of the cancellation.
+    pub(super) async fn request_cancel(&self, key: SessionKey) {
+        let SessionKey { process_id, secret } = key;
+        let session = self.sessions.borrow().get(&process_id).cloned();
+        if let Some(signal) = session.filter(|signal| signal.request(secret)) {
+            // A session that does not take it in time is about to fail.
+            drop(timeout(MAX_TAKING_TIME, signal.taken()).await);
+            return;
+        }
+        self.unknown_cancels.push(UnknownCancel { process_id, secret, received_at: now() });
+        if self.unknown_cancels.is_enabled() {
+            sleep(to_duration(MAX_FORWARDING_TIME)).await;
         }
     }
 
@@ -109,10 +130,10 @@
         is_applied
     }
 
-    /// Keeps CancelRequests for sessions of other processes from now on, for
+    /// Sets whether CancelRequests for sessions of other processes are kept, for
     /// [`Front::take_unknown_cancels`].
-    pub fn keep_unknown_cancels(&self) {
-        self.unknown_cancels.enable();
+    pub fn keep_unknown_cancels(&self, is_enabled: bool) {
+        self.unknown_cancels.set_enabled(is_enabled);
     }
 
     /// Takes the CancelRequests for sessions that this process does not serve.
--- a/src/run/hot_restart_driver.rs
+++ b/src/run/hot_restart_driver.rs
@@ -144,7 +144,6 @@
 
     /// Scans the state files periodically and applies the resulting phase, until the process exits.
     pub async fn run(self: Rc<Self>, front: Rc<Front>) {
-        front.keep_unknown_cancels();
         loop {
             self.step(&front);
             let scan_interval = self.state_files.borrow().scan_interval(now());
@@ -180,6 +179,8 @@
         let is_draining = matches!(status.phase, Phase::ServingBesideSuccessor | Phase::Draining);
         self.divide_budgets(if is_draining { status.budget_parts } else { 1 });
         front.set_accepting(status.accepts_connections);
+        let has_live_peers = !self.state_files.borrow().live_peers(now()).is_empty();
+        front.keep_unknown_cancels(has_live_peers);
         if let Some(idle) = status.close_idle_after {
             front.drain_sessions(idle);
         }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -568,6 +568,51 @@
     engine.wait_for("undo", 1);
 }
 
+/// Guards against a CancelRequest that is lost, or that cancels a later request, while other clients keep the
+/// program busy (review, case 10).
+#[test]
+fn cancel_concerns_only_what_was_sent_before_it_at_full_load() {
+    const BUSY_CLIENTS: usize = 6;
+    const CLIENTS: u64 = 8;
+    const ROUNDS: u64 = 15;
+    let engine = Engine::start(|command| match selected_column(command) {
+        "gone" => Reply::Hold,
+        column => row(column),
+    });
+    let program = start_program(&[("s-1", engine.address)], None, OPERATOR);
+    let is_done = AtomicBool::new(false);
+    let invalid_requests = query("/* kind=none,req=1 */ SELECT 1").repeat(300);
+    thread::scope(|scope| {
+        for _ in 0..BUSY_CLIENTS {
+            scope.spawn(|| {
+                let mut client = session(&program, Front::Platform);
+                while !is_done.load(Ordering::SeqCst) {
+                    client.send(&invalid_requests);
+                    (0..300).for_each(|_| assert_eq!(message_types(&client.until_ready()), "EZ"));
+                }
+            });
+        }
+        let run_client = |number: u64| {
+            let front = FRONTS[number as usize % 2];
+            let to = front.address(&program);
+            let mut client = session(&program, front);
+            for round in 0..ROUNDS {
+                let id = 2 * (number * ROUNDS + round);
+                client.send(&front.request(id, "gone", 1));
+                client.cancel(to);
+                assert_eq!(error_fields(&client.until_ready())[0], "57014", "{front:?}, round {round}");
+                send_cancel_and_wait(&client, to);
+                client.send(&front.request(id + 1, "later", 1));
+                assert_eq!(rows(&client.until_ready()), ["later|b|c"], "{front:?}, round {round}");
+            }
+        };
+        let clients: Vec<_> = (0..CLIENTS).map(|number| scope.spawn(move || run_client(number))).collect();
+        let results: Vec<_> = clients.into_iter().map(|client| client.join()).collect();
+        is_done.store(true, Ordering::SeqCst);
+        assert!(results.iter().all(Result::is_ok));
+    });
+}
+
 fn signal(program: &Program, name: &str) {
     let id = program.id().to_string();
     assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -300,6 +300,40 @@
     assert_eq!((cancels(&first, "unknown_session"), cancels(&first, "taken_over")), (1, 0));
 }
 
+/// Guards against a CancelRequest at the other process that is lost because its request is unread, or that cancels
+/// the next request of a client which waits for the close.
+#[test]
+fn cancel_request_at_the_other_process_concerns_only_what_was_sent_before_it() {
+    let engine = Engine::start(|command| match command.parts[3].contains("ms = 9") {
+        true => Reply::Hold,
+        false => Reply::Pages(vec!["a\tb\tc\n".to_owned()]),
+    });
+    let engines = [("s-1", engine.address)];
+    let (listener, to) = shared_listener();
+    let folder = scratch_dir();
+    let first = start_healthy(&listener, &folder, &engines);
+    let mut client = RawClient::connect(to);
+    let second = start_healthy(&listener, &folder, &engines);
+    // From now on the first process accepts no connections.
+    first.wait_line("hot restart phase changed phase=ServingBesideSuccessor");
+    wait_until(|| {
+        let before = cancels(&second, "unknown_session");
+        client.cancel(to);
+        thread::sleep(Duration::from_millis(200));
+        (cancels(&second, "unknown_session") == before + 1).then_some(())
+    });
+    for round in 1..10 {
+        client.send(&query(&sql(2 * round, 9)));
+        client.cancel(to);
+        assert_eq!(error_fields(&client.until_ready())[0], "57014", "round {round}");
+        let mut cancel_connection = RawClient::open(to);
+        cancel_connection
+            .send(&[&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), &client.key].concat());
+        assert!(cancel_connection.message().is_none(), "a CancelRequest gets no answer");
+        assert_eq!(rows(&client.ask(&sql(2 * round + 1, 1))), ["a|b|c"], "round {round}");
+    }
+}
+
 /// Guards against a process that follows a feed which has ended, because the other one got the SIGHUP that
 /// moved it.
 #[test]
