--- a/src/front/session/input.rs
+++ b/src/front/session/input.rs
@@ -17,6 +17,8 @@
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time by which a CancelRequest may overtake its request, which travels on another connection.
 const MAX_OVERTAKING_TIME: Duration = Duration::from_millis(50);
+/// Time within which the platform sends a request again that crosses the close of its connection.
+const MAX_CLOSE_CROSSING_TIME: TimeDelta = TimeDelta::from_millis(50);
 /// Longest time after an answer at which a CancelRequest for the answered request arrives.
 const MAX_CROSSING_TIME: TimeDelta = TimeDelta::from_millis(100);
 
@@ -46,7 +48,7 @@
             // No request is open, and the client can send its next request on another connection.
             if self.slot.is_evicted() || ends_after_answer {
                 let end = SessionFlow::End(SessionEnd::silent(SessionEndReason::Evicted));
-                return Self::end_unless_input_arrived(connection, end).await;
+                return self.end_unless_input_arrived(connection, end).await;
             }
         } else {
             self.slot.set_receiving();
@@ -74,7 +76,7 @@
                 })
             }
             () = std::future::ready(()), if ends_now => {
-                Self::end_unless_input_arrived(connection, self.end_for_stop()).await
+                self.end_unless_input_arrived(connection, self.end_for_stop()).await
             }
             () = state_changed => Ok(SessionFlow::Continue),
             // An incomplete message does not let an evicted connection keep its slot.
@@ -97,12 +99,17 @@
     }
 
     /// Ends an idle session, unless bytes of its next message have arrived: the runtime may not know of them yet.
+    /// Directly after an answer they are left unread, as those that cross the close.
     async fn end_unless_input_arrived<S: ClientStream>(
+        &self,
         connection: &mut ClientConnection<S>,
         end: SessionFlow,
     ) -> io::Result<SessionFlow> {
-        let has_arrived = connection.fill_arrived().await?;
-        Ok(if has_arrived { SessionFlow::Continue } else { end })
+        let has_just_answered = self.answered_at.is_some_and(|at| now() - at <= MAX_CLOSE_CROSSING_TIME);
+        if !has_just_answered && connection.fill_arrived().await? {
+            return Ok(SessionFlow::Continue);
+        }
+        Ok(end)
     }
 
     /// Ends an idle session because the process stops. Clients of the platform's front expect no message.
