--- a/crates/hot-restart/examples/cost.rs
+++ b/crates/hot-restart/examples/cost.rs
@@ -8,6 +8,7 @@
     DiskFolder, Instance, StateFileDriver, StateSnapshot, TimeDelta, Timestamp, WindowCounters,
     MAX_WARMING_ENGINES,
 };
+use sprucelink_request_ids::{RequestIds, MAX_RECORDS};
 use std::hint::black_box;
 use std::path::Path;
 use std::time::Instant;
@@ -76,6 +77,8 @@
 const WRITES_PER_SECOND: f64 = 4.0;
 /// Rate at which a process scans the files of other processes, per second.
 const SCANS_PER_SECOND: f64 = 10.0;
+/// Rate at which two processes exchange request ids, if there are new ones all the time.
+const EXCHANGES_PER_SECOND: f64 = 50.0;
 /// Number of lookups in one run, so that a run is long enough to be measured.
 const LOOKUPS_PER_RUN: usize = 1_000;
 
@@ -159,16 +162,54 @@
     println!("  of a core: alone {:.3}%, beside another {:.3}%", alone_us_per_s / 1e4, beside_us_per_s / 1e4);
 }
 
+/// Measures what two processes that are alive spend on the ids of `count` recent requests, the most that a file has
+/// being [`MAX_RECORDS`].
+fn measure_request_ids(count: usize, directory: &Path) {
+    let folder = DiskFolder::new(directory);
+    let instance = Instance { name: "ids".into(), listen: "127.0.0.1:7001".into() };
+    let (mut writer, _) =
+        StateFileDriver::open(folder.clone(), instance.clone(), "sprucelink 0.1.0", 3, START);
+    let (mut reader, _) = StateFileDriver::open(folder, instance, "sprucelink 0.1.0", 4, at_ms(1));
+    let mut ids = RequestIds::default();
+    for id in 0..count as u64 {
+        ids.reserve(id, b"SELECT a FROM sales_17.orders", START).expect("a new id");
+        ids.release(id);
+    }
+    let export_us = median_us(|_| _ = black_box(ids.export(START)));
+    let snapshot = StateSnapshot { request_ids: ids.export(START), ..StateSnapshot::default() };
+    let bytes = writer.write(START, snapshot.clone()).expect("written").bytes;
+    let write_us = median_us(|run| _ = writer.write(at_ms(run), snapshot.clone()).expect("written"));
+    let scan_us = median_new_file_scan_us(&mut writer, &mut reader, &snapshot);
+    let mut merged = RequestIds::default();
+    let merge_us = median_us(|_| merged.merge(3, &snapshot.request_ids, START));
+    let busy_fraction = EXCHANGES_PER_SECOND * (export_us + write_us + scan_us + merge_us) / 1e6;
+    println!("{count} request ids: {bytes} bytes");
+    println!("  exported {export_us:.1} us, written {write_us:.1} us, scanned {scan_us:.1} us, merged {merge_us:.1} us");
+    println!(
+        "  share of a core, at {EXCHANGES_PER_SECOND} exchanges a second: {:.2}%",
+        100.0 * busy_fraction
+    );
+}
+
+/// Removes the files of a measurement.
+fn clear(directory: &Path) {
+    for entry in std::fs::read_dir(directory).expect("listed").flatten() {
+        // If a file cannot be removed, removing the folder at the end fails.
+        let _ = std::fs::remove_file(entry.path());
+    }
+}
+
 fn main() {
     let root = std::env::args().nth(1).unwrap_or_else(|| "/dev/shm".into());
     let directory = Path::new(&root).join(format!("sprucelink-cost-{}", std::process::id()));
     std::fs::create_dir(&directory).expect("a folder");
     for size in &STATE_SIZES {
         measure(size, &directory);
-        for entry in std::fs::read_dir(&directory).expect("listed").flatten() {
-            // If a file cannot be removed, removing the folder below fails.
-            let _ = std::fs::remove_file(entry.path());
-        }
+        clear(&directory);
+    }
+    for count in [1_000, MAX_RECORDS] {
+        measure_request_ids(count, &directory);
+        clear(&directory);
     }
     std::fs::remove_dir(&directory).expect("removed");
 }
--- a/crates/hot-restart/src/codec.rs
+++ b/crates/hot-restart/src/codec.rs
@@ -41,16 +41,19 @@
     pub bytes: Vec<u8>,
     /// Number of engine id hashes that did not fit; these are the last ones of the snapshot.
     pub ids_left_out: usize,
+    /// Number of request ids that did not fit; these are the last ones of the snapshot.
+    pub request_ids_left_out: usize,
 }
 
 /// Encodes a state file. If the contents do not fit, hashes of engine ids are left out, and beside very many
-/// cordons the oldest CancelRequests.
+/// cordons request ids and the oldest CancelRequests.
 ///
 /// # Errors
 /// [`StateFileError::TooLarge`] if the contents do not fit even without any hashes.
 pub fn encode(file: &StateFile) -> Result<EncodedFile, StateFileError> {
     let mut message = StateFileMessage::from(file);
     let ids = std::mem::take(&mut message.known_ids);
+    let request_ids = message.take_request_ids();
     let wanted_id_bytes = RESERVED_ID_BYTES.min(ids.len() * size_of::<u64>()) + IDS_HEADER_BYTES;
     let bytes = HEADER_BYTES + message.encoded_len();
     message.drop_oldest_cancels((bytes + wanted_id_bytes).saturating_sub(MAX_FILE_BYTES));
@@ -58,12 +61,15 @@
     if bytes_without_ids > MAX_FILE_BYTES {
         return Err(StateFileError::TooLarge { bytes: bytes_without_ids });
     }
+    let bytes_for_request_ids = MAX_FILE_BYTES.saturating_sub(bytes_without_ids + wanted_id_bytes);
+    let request_ids_left_out = message.put_request_ids(request_ids, bytes_for_request_ids);
+    let bytes_without_ids = HEADER_BYTES + message.encoded_len();
     let bytes_for_ids = MAX_FILE_BYTES.saturating_sub(bytes_without_ids + IDS_HEADER_BYTES);
     let fitting_ids = ids.len().min(bytes_for_ids / size_of::<u64>());
     let ids_left_out = ids.len() - fitting_ids;
     message.known_ids = ids;
     message.known_ids.truncate(fitting_ids);
-    Ok(EncodedFile { bytes: with_header(&message.encode_to_vec()), ids_left_out })
+    Ok(EncodedFile { bytes: with_header(&message.encode_to_vec()), ids_left_out, request_ids_left_out })
 }
 
 /// Prepends the header to a body.
--- a/crates/hot-restart/src/error.rs
+++ b/crates/hot-restart/src/error.rs
@@ -73,6 +73,9 @@
     /// The two lists of a warming engine's buckets (start times and work) differ in length.
     #[error("cold: the numbers of start times and work values differ")]
     BucketCountsDiffer,
+    /// The lists of the request ids (ids, statement hashes and ages) differ in length.
+    #[error("request_ids: the numbers of ids, statement hashes and ages differ")]
+    RequestIdCountsDiffer,
     /// The file's name belongs to a different process, so the file is a copy.
     #[error("process: differs from the process in the file name")]
     OtherProcess,
--- a/crates/hot-restart/src/state.rs
+++ b/crates/hot-restart/src/state.rs
@@ -3,6 +3,7 @@
 use crate::cancel_requests::ForwardedCancel;
 use crate::{TimeDelta, Timestamp};
 use sprucelink_cordon::CordonRecord;
+use sprucelink_request_ids::RequestIdRecord;
 use std::fmt;
 
 /// Maximum length of a name, address, build or boot id, in bytes.
@@ -119,6 +120,9 @@
     pub warmup: Vec<WarmupLoad>,
     /// CancelRequests for sessions of other processes, oldest first ([`crate::CancelOutbox::export`]).
     pub cancel_requests: Vec<ForwardedCancel>,
+    /// Ids of the requests that are open or recent: first the open ones, then from the most recent to the oldest
+    /// ([`sprucelink_request_ids::RequestIds::export`]). As many as fit are written.
+    pub request_ids: Vec<RequestIdRecord>,
     /// The control feed's last change of address by SIGHUP; `None` if it has not changed since the start.
     pub feed_change: Option<FeedChange>,
     /// Number of the last endpoint event read. It is only for log lines, because each process numbers the
@@ -200,6 +204,9 @@
         for cancel in &mut self.snapshot.cancel_requests {
             cancel.received_at = cancel.received_at + shift;
         }
+        for request in &mut self.snapshot.request_ids {
+            request.started_at = request.started_at + shift;
+        }
         self.clock_reference = Some(reader.clone());
     }
 }
--- a/crates/hot-restart/src/state_file_driver.rs
+++ b/crates/hot-restart/src/state_file_driver.rs
@@ -20,8 +20,8 @@
 /// Interval of scans while another process is alive. A CancelRequest that the other process received takes
 /// effect within the 100 ms that the platform allows between a client's departure and the last attempt.
 pub const SCAN_INTERVAL_WITH_PEERS: TimeDelta = TimeDelta::from_millis(20);
-/// Minimum time between two writes of the process's own file because of CancelRequests, which a client can
-/// send at any rate.
+/// Minimum time between two writes of the process's own file because of CancelRequests and request ids, which
+/// clients can send at any rate.
 pub const MIN_WRITE_INTERVAL: TimeDelta = TimeDelta::from_millis(20);
 /// Interval of writes of the process's own file, which is also written at once after each cordon and each
 /// change of the phase.
@@ -67,6 +67,8 @@
     pub bytes: usize,
     /// Number of engine id hashes that did not fit.
     pub ids_left_out: usize,
+    /// Number of request ids that did not fit.
+    pub request_ids_left_out: usize,
     /// Number of files of dead processes that were removed after the write.
     pub removed_files: usize,
 }
@@ -171,9 +173,9 @@
         }
     }
 
-    /// Whether the process's own file may be written because of new CancelRequests: another process is alive
-    /// to read it, and the last write is long enough ago.
-    pub fn may_write_cancels(&self, now: Timestamp) -> bool {
+    /// Whether the process's own file may be written because of new CancelRequests or request ids: another process
+    /// is alive to read it, and the last write is long enough ago.
+    pub fn may_write_early(&self, now: Timestamp) -> bool {
         let is_early =
             |last: &WriteAttempt| now >= last.attempted_at && now - last.attempted_at < MIN_WRITE_INTERVAL;
         !self.peers.live_peers(now).is_empty() && !self.last_attempt.as_ref().is_some_and(is_early)
@@ -305,7 +307,12 @@
         self.peers.record_own_write();
         let removable = self.peers.removable_files(now);
         let removed_files = removable.iter().filter(|name| self.folder.remove(name).is_ok()).count();
-        Ok(WriteReport { bytes: encoded.bytes.len(), ids_left_out: encoded.ids_left_out, removed_files })
+        Ok(WriteReport {
+            bytes: encoded.bytes.len(),
+            ids_left_out: encoded.ids_left_out,
+            request_ids_left_out: encoded.request_ids_left_out,
+            removed_files,
+        })
     }
 
     fn own_file(&self, now: Timestamp, snapshot: StateSnapshot) -> StateFile {
--- a/crates/hot-restart/tests/codec.rs
+++ b/crates/hot-restart/tests/codec.rs
@@ -7,6 +7,7 @@
     MAX_ENGINE_ID_BYTES, MAX_REASON_BYTES, MAX_VERSION,
 };
 use sprucelink_hot_restart::*;
+use sprucelink_request_ids::{RequestIdRecord, MAX_RECORDS};
 
 /// Files written by a release before the fields got their current names. Each line is one phase: `name hex`.
 const EARLIER_FILES: &str = include_str!("golden/state-file-v1.txt");
@@ -38,6 +39,22 @@
     }
 }
 
+/// A request id whose request began `age_ms` before the file of [`state_file`] was written.
+fn request_id(id: u64, statement_hash: u64, age_ms: u32, is_open: bool) -> RequestIdRecord {
+    let written_at = Timestamp::from_micros(1_700_000_009_000_000);
+    let started_at = written_at - TimeDelta::from_millis(age_ms.into());
+    RequestIdRecord { id, statement_hash, started_at, is_open }
+}
+
+/// Request ids, those of open requests first.
+fn arbitrary_request_ids() -> impl Strategy<Value = Vec<RequestIdRecord>> {
+    let fields = (any::<u64>(), any::<u64>(), any::<u32>());
+    (prop::collection::vec(fields, 0..12), 0..12usize).prop_map(|(requests, open_count)| {
+        let record = |(index, (id, hash, age_ms))| request_id(id, hash, age_ms, index < open_count);
+        requests.into_iter().enumerate().map(record).collect()
+    })
+}
+
 fn arbitrary_cordon() -> impl Strategy<Value = CordonRecord> {
     let target = prop_oneof![Just(Target::Manager), "[a-z0-9é-]{1,40}".prop_map(Target::Engine)];
     let entry = (any::<bool>(), 0..=MAX_VERSION, any::<i64>(), any::<i64>(), "[ -~]{0,64}");
@@ -81,17 +98,28 @@
         prop::collection::vec(retry_bucket, 0..MAX_BUCKETS),
         prop::collection::vec(warmup_load, 0..6),
         prop::collection::vec(cancel, 0..MAX_CANCEL_REQUESTS),
+        arbitrary_request_ids(),
         prop::option::of(feed_change),
         any::<u64>(),
     )
         .prop_map(
-            |(cordons, known_ids, retry_budget, warmup, cancel_requests, feed_change, last_event)| {
+            |(
+                cordons,
+                known_ids,
+                retry_budget,
+                warmup,
+                cancel_requests,
+                request_ids,
+                feed_change,
+                last_event,
+            )| {
                 StateSnapshot {
                     cordons,
                     known_ids,
                     retry_budget,
                     warmup,
                     cancel_requests,
+                    request_ids,
                     feed_change,
                     last_event,
                 }
@@ -277,6 +305,7 @@
         retry_budget: vec![retry_bucket; MAX_BUCKETS],
         warmup: (0..MAX_WARMING_ENGINES).map(warmup_load).collect(),
         cancel_requests: vec![cancel; MAX_CANCEL_REQUESTS],
+        request_ids: vec![request_id(u64::MAX, u64::MAX, u32::MAX, true); MAX_RECORDS],
         feed_change: Some(FeedChange { address: "f".repeat(MAX_NAME_BYTES), changed_at: now }),
         last_event: u64::MAX,
     });
@@ -285,6 +314,7 @@
     assert!(length <= MAX_FILE_BYTES && length > MAX_FILE_BYTES - 32, "{length}");
     let decoded = decode(&encoded.bytes, &instance()).expect("valid");
     assert_eq!(decoded.snapshot.cordons, file.snapshot.cordons);
+    assert!(encoded.request_ids_left_out > 0, "cordons and CancelRequests precede request ids");
     let cancels = decoded.snapshot.cancel_requests.len();
     assert!(cancels > 0 && cancels < MAX_CANCEL_REQUESTS, "{cancels} cancel requests");
     let encoded_ids = limits.max_known_ids - encoded.ids_left_out;
@@ -295,6 +325,21 @@
     );
 }
 
+/// All request ids fit into a file beside the most engine ids that the program writes; of the latter, the rest is
+/// left out.
+#[test]
+fn request_ids_fit_beside_engine_ids() {
+    let file = state_file(StateSnapshot {
+        known_ids: vec![u64::MAX; 16_384],
+        request_ids: vec![request_id(u64::MAX, u64::MAX, u32::MAX, true); MAX_RECORDS],
+        ..StateSnapshot::default()
+    });
+    let encoded = encode(&file).expect("fits");
+    assert_eq!((encoded.request_ids_left_out, encoded.ids_left_out), (0, 0));
+    let decoded = decode(&encoded.bytes, &instance()).expect("valid");
+    assert_eq!(decoded.snapshot, file.snapshot);
+}
+
 /// A complete file with a cordon that no call to cordon could produce is rejected as a whole; the error names
 /// the field and the rule.
 #[test]
--- a/crates/hot-restart/tests/golden.rs
+++ b/crates/hot-restart/tests/golden.rs
@@ -85,6 +85,7 @@
             last_event: 812,
             // Fields of later releases.
             cancel_requests: Vec::new(),
+            request_ids: Vec::new(),
             feed_change: None,
         },
     }
--- a/src/core/api.rs
+++ b/src/core/api.rs
@@ -18,6 +18,7 @@
 use sprucelink_membership::GossipPayload;
 use sprucelink_metrics::Metrics;
 use sprucelink_policy::{Settings, Timestamp};
+use sprucelink_request_ids::RequestIdRecord;
 use sprucelink_startup::config::StartupConfig;
 use sprucelink_zone_failover::config::FailoverConfig;
 use std::cell::RefCell;
@@ -191,8 +192,8 @@
         drop(previous);
     }
 
-    /// Submits a request; returns `None` if a request with the same id is pending, or the id was recently
-    /// used for another statement.
+    /// Submits a request; returns `None` if a request with the same id is pending in any process of this workload
+    /// manager, or the id was recently used for another statement.
     pub fn submit(self: &Rc<Self>, request: Request) -> Option<RequestHandle> {
         let id = request.spec.id;
         let class = request.spec.class;
@@ -255,6 +256,26 @@
         self.coordinator.borrow_mut().merge_cordons(self, records, ids)
     }
 
+    /// Whether a request was started or has ended since the last [`Core::export_request_ids`].
+    pub fn has_new_request_ids(&self) -> bool {
+        self.coordinator.borrow().requests.ids.has_changed()
+    }
+
+    /// The ids of open and recent requests, for the other processes of this workload manager.
+    pub fn export_request_ids(&self) -> Vec<RequestIdRecord> {
+        self.coordinator.borrow_mut().requests.ids.export(now())
+    }
+
+    /// Merges the ids of requests that the process with this process id knows.
+    pub fn merge_request_ids(&self, pid: u32, records: &[RequestIdRecord]) {
+        self.coordinator.borrow_mut().requests.ids.merge(pid, records, now());
+    }
+
+    /// Forgets which requests are open in processes that are not alive.
+    pub fn retain_request_ids(&self, is_alive: impl Fn(u32) -> bool) {
+        self.coordinator.borrow_mut().requests.ids.retain_peers(is_alive);
+    }
+
     /// Ends cordons whose lease has expired. Must be called about once per second.
     pub fn expire_cordons(self: &Rc<Self>) {
         self.coordinator.borrow_mut().expire_cordons(self);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,7 +28,6 @@
 pub mod invariants;
 mod outcome_counters;
 pub mod policy_driver;
-mod recent_requests;
 mod request;
 mod request_counters;
 mod request_statistics;
--- a/src/core/request_table.rs
+++ b/src/core/request_table.rs
@@ -2,14 +2,14 @@
 //!
 //! Input: new requests, and changes to pending requests. Output: deadlines that have passed, and checks of
 //! cancellations that are due. State: each pending request with its attempt in flight, and the ids of recent
-//! requests. The `coordinator` module decides what happens to a request.
+//! requests of all processes of this workload manager. The `coordinator` module decides what happens to a request.
 
 use super::attempt::{AttemptOutcome, InFlightAttempt};
 use super::buffer_pool::Buffer;
-use super::recent_requests::RecentRequests;
 use super::request::{Request, Response};
 use sprucelink_metrics::ActiveRequest;
 use sprucelink_policy::Timestamp;
+use sprucelink_request_ids::RequestIds;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::sync::oneshot;
 
@@ -92,16 +92,11 @@
     /// Cancelled attempts (request id and attempt number), by the time of the next check of whether the
     /// cancellation has taken effect.
     cancellation_checks: BTreeSet<(Timestamp, u64, u32)>,
-    recent_requests: RecentRequests,
+    /// Ids of this process's and other processes' requests.
+    pub(super) ids: RequestIds,
 }
 
 impl RequestTable {
-    /// Records the id of a new request as used; returns false if a request with this id is pending or the id
-    /// was recently used for another statement.
-    pub(super) fn reserve_id(&mut self, id: u64, statement: &[u8], now: Timestamp) -> bool {
-        !self.requests.contains_key(&id) && self.recent_requests.insert(id, statement, now)
-    }
-
     pub(super) fn insert(&mut self, id: u64, request: PendingRequest) {
         self.deadlines.insert((request.deadline, id));
         self.requests.insert(id, request);
@@ -162,6 +157,7 @@
         if let Some(request) = self.requests.remove(&id) {
             self.deadlines.remove(&(request.deadline, id));
         }
+        self.ids.release(id);
         true
     }
 
--- a/src/run/hot_restart_driver.rs
+++ b/src/run/hot_restart_driver.rs
@@ -148,11 +148,11 @@
             self.step(&front);
             let scan_interval = self.state_files.borrow().scan_interval(now());
             // Otherwise the requests wait for the next scan: a client can send them at any rate.
-            let may_write_cancels = self.state_files.borrow().may_write_cancels(now());
+            let may_write_early = self.state_files.borrow().may_write_early(now());
             tokio::select! {
                 () = sleep(to_duration(scan_interval)) => {}
                 () = self.step_requested.notified() => {}
-                () = front.unknown_cancel_received(), if may_write_cancels => {}
+                () = front.unknown_cancel_received(), if may_write_early => {}
             }
         }
     }
@@ -179,14 +179,15 @@
         let is_draining = matches!(status.phase, Phase::ServingBesideSuccessor | Phase::Draining);
         self.divide_budgets(if is_draining { status.budget_parts } else { 1 });
         front.set_accepting(status.accepts_connections);
-        let has_live_peers = !self.state_files.borrow().live_peers(now()).is_empty();
-        front.keep_unknown_cancels(has_live_peers);
+        front.keep_unknown_cancels(self.has_live_peers());
+        self.forget_dead_peers();
         if let Some(idle) = status.close_idle_after {
             front.drain_sessions(idle);
         }
         let state_files = self.state_files.borrow();
-        let writes_cancels = self.cancels.borrow().has_unwritten() && state_files.may_write_cancels(now());
-        let is_write_due = writes_cancels || state_files.is_write_due(now());
+        let has_news = self.cancels.borrow().has_unwritten() || self.core.has_new_request_ids();
+        let is_write_due =
+            state_files.is_write_due(now()) || (has_news && state_files.may_write_early(now()));
         drop(state_files);
         if is_write_due {
             // `write` logs a failure, and the next refresh repeats the write.
@@ -194,6 +195,17 @@
         }
     }
 
+    /// Whether another process of this workload manager is alive.
+    fn has_live_peers(&self) -> bool {
+        !self.state_files.borrow().live_peers(now()).is_empty()
+    }
+
+    /// Forgets which requests are open in processes that have ended.
+    fn forget_dead_peers(&self) {
+        let peers = self.state_files.borrow().live_peers(now());
+        self.core.retain_request_ids(|pid| peers.iter().any(|peer| peer.process.pid == pid));
+    }
+
     /// Merges the state of other processes, with a log line at `level` for each file.
     fn merge_files(&self, scan: FolderScan, level: Level) {
         for error in &scan.folder_errors {
@@ -219,6 +231,8 @@
                 info!(pid, feed_address, "control feed changed by another process");
             }
         }
+        self.core.merge_request_ids(pid, &file.snapshot.request_ids);
+        let request_ids = file.snapshot.request_ids.len();
         let age_s = (now() - file.written_at).as_secs_f64();
         let usable = usable_state(now(), self.windows, file);
         let cordons = usable.cordons.len();
@@ -235,6 +249,7 @@
                 ?age,
                 cordons,
                 engine_ids,
+                request_ids,
                 retries,
                 warmup_sends,
                 "hot restart state merged"
@@ -247,6 +262,7 @@
                 ?age,
                 cordons,
                 engine_ids,
+                request_ids,
                 retries,
                 warmup_sends,
                 "hot restart state merged"
@@ -309,11 +325,15 @@
         // start in a state file are always 0. A reader of the file logs its retries and `warmup_sends`, and
         // uses neither.
         let counters = WindowCounters::new(self.windows.retry_budget, self.windows.slow_start);
+        // A process alone has nobody to share the ids with, until it ends: then a later process may read them.
+        let shares_request_ids = self.has_live_peers() || self.is_stopping.get();
+        let request_ids = if shares_request_ids { self.core.export_request_ids() } else { Vec::new() };
         StateSnapshot {
             cordons,
             known_ids,
             retry_budget: counters.retry_budget(now()),
             warmup: counters.warmup(now()),
+            request_ids,
             cancel_requests: self.cancels.borrow_mut().export(now()),
             feed_change: self.feed.last_change(),
             last_event: self.core.last_event(),
@@ -330,6 +350,10 @@
                     let engine_ids = written.ids_left_out;
                     warn!(engine_ids, "engine ids left out of the hot restart state file");
                 }
+                if written.request_ids_left_out > 0 {
+                    let request_ids = written.request_ids_left_out;
+                    warn!(request_ids, "request ids left out of the hot restart state file");
+                }
                 debug!(
                     bytes = written.bytes,
                     removed_files = written.removed_files,
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -251,6 +251,16 @@
     metric(program.operators.expect("an address"), &format!("cancels.{name}"))
 }
 
+/// Waits until new connections reach `successor`, to which the session of `client` is unknown.
+fn wait_until_accepting_alone(successor: &Program, to: SocketAddr, client: &RawClient) {
+    wait_until(|| {
+        let before = cancels(successor, "unknown_session");
+        client.cancel(to);
+        thread::sleep(Duration::from_millis(200));
+        (cancels(successor, "unknown_session") == before + 1).then_some(())
+    });
+}
+
 /// Guards against a CancelRequest that the process which received it drops, since the other one serves the
 /// session (review, case 3).
 #[test]
@@ -311,17 +321,10 @@
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
-    let first = start_healthy(&listener, &folder, &engines);
+    let _first = start_healthy(&listener, &folder, &engines);
     let mut client = RawClient::connect(to);
     let second = start_healthy(&listener, &folder, &engines);
-    // From now on the first process accepts no connections.
-    first.wait_line("hot restart phase changed phase=ServingBesideSuccessor");
-    wait_until(|| {
-        let before = cancels(&second, "unknown_session");
-        client.cancel(to);
-        thread::sleep(Duration::from_millis(200));
-        (cancels(&second, "unknown_session") == before + 1).then_some(())
-    });
+    wait_until_accepting_alone(&second, to, &client);
     for round in 1..10 {
         client.send(&query(&sql(2 * round, 9)));
         client.cancel(to);
@@ -334,6 +337,73 @@
     }
 }
 
+/// A request of a load with an idempotency key.
+fn load(req: u64, key: u64) -> String {
+    format!(
+        "/* kind=tariff-load,req={req:016x},opkey={key:032x},timeout=20000,owner=sud,ms=1 */ INSERT INTO sales_17.orders VALUES (1)"
+    )
+}
+
+/// Guards against an id of one process's request that the other process accepts for another statement (review, case
+/// 9): in both directions, of open and of recent requests, and over two upgrades in a row.
+#[test]
+fn request_id_known_to_one_process_is_refused_by_the_others() {
+    let engine = Engine::start(|command| match command.parts[3].contains("ms = 9") {
+        true => Reply::Hold,
+        false => Reply::Pages(vec!["a\tb\tc\n".to_owned()]),
+    });
+    let engines = [("s-1", engine.address)];
+    let (listener, to) = shared_listener();
+    let folder = scratch_dir();
+    // The code of the error; empty if the request is served.
+    let code = |client: &mut RawClient, id, ms| {
+        let mut messages = client.ask(&sql(id, ms));
+        messages.retain(|message| message.0 == b'E');
+        if messages.is_empty() {
+            String::new()
+        } else {
+            error_fields(&messages)[0].clone()
+        }
+    };
+    let (open_in_first, recent_in_first, open_in_second) = (1, 2, 3);
+    let mut first = start_healthy(&listener, &folder, &engines);
+    let (mut waiting, mut client_of_first) = (RawClient::connect(to), RawClient::connect(to));
+    waiting.send(&query(&sql(open_in_first, 9)));
+    assert_eq!(code(&mut client_of_first, recent_in_first, 1), "");
+    assert_eq!(message_types(&client_of_first.ask(&load(4, 7))).matches('C').count(), 1);
+    engine.wait_for("do", 3);
+
+    let second = start_healthy(&listener, &folder, &engines);
+    wait_until_accepting_alone(&second, to, &client_of_first);
+    let mut client_of_second = RawClient::connect(to);
+    assert_eq!(code(&mut client_of_second, open_in_first, 1), "42710");
+    assert_eq!(code(&mut client_of_second, open_in_first, 9), "42710", "open, the same statement");
+    assert_eq!(code(&mut client_of_second, recent_in_first, 2), "42710");
+    assert_eq!(code(&mut client_of_second, recent_in_first, 1), "", "the client's retry");
+    // A key belongs to the client's retries, whichever process gets them: the engines know it.
+    assert_eq!(message_types(&client_of_second.ask(&load(5, 7))).matches('C').count(), 1);
+
+    let mut waiting_in_second = RawClient::connect(to);
+    waiting_in_second.send(&query(&sql(open_in_second, 9)));
+    engine.wait_for("do", 6);
+    thread::sleep(EXCHANGE_TIME);
+    assert_eq!(code(&mut client_of_first, open_in_second, 1), "42710");
+
+    drop(waiting);
+    first.terminate();
+    assert_eq!(first.wait_for_exit(), Some(0));
+    let third = start_healthy(&listener, &folder, &engines);
+    wait_until_accepting_alone(&third, to, &client_of_second);
+    let mut client_of_third = RawClient::connect(to);
+    for id in [open_in_first, recent_in_first, open_in_second] {
+        assert_eq!(code(&mut client_of_third, id, 4), "42710", "request {id}");
+    }
+    assert_eq!(code(&mut client_of_third, 6, 1), "");
+}
+
+/// Time in which an id becomes known to the other process: two intervals of 20 ms, and a margin for a busy machine.
+const EXCHANGE_TIME: Duration = Duration::from_millis(500);
+
 /// Guards against a process that follows a feed which has ended, because the other one got the SIGHUP that
 /// moved it.
 #[test]
