Front: the tests' front and clients stand in a module of their own

Cause: tests of other modules need the front and clients of session/tests.rs.

Change: src/front/test_support.rs.

--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -23,6 +23,8 @@
 mod session_end;
 pub mod sessionless;
 mod startup;
+#[cfg(test)]
+mod test_support;
 mod turn_time;
 mod unknown_cancels;
 
