--- a/crates/request-ids/src/lib.rs
+++ b/crates/request-ids/src/lib.rs
@@ -118,6 +118,11 @@
         self.open_elsewhere.retain(|peer, _| is_alive(*peer));
     }
 
+    /// Number of ids that are reserved in this process.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
     /// Whether an id was reserved or released since the last export.
     pub fn has_changed(&self) -> bool {
         self.has_changed
--- a/src/core/api.rs
+++ b/src/core/api.rs
@@ -10,6 +10,7 @@
 use super::gossip_facts::GossipWindows;
 use super::invariants::Invariant;
 use super::request::{Request, Response, UnservedReason, MIN_RETRY_AFTER};
+use super::request_ids::IdReservation;
 use super::zone_routing::{Observer, ZoneRouting};
 use crate::proto::engine_answer::EngineAnswerError;
 use crate::proto::events::ListEvent;
@@ -18,7 +19,6 @@
 use sprucelink_membership::GossipPayload;
 use sprucelink_metrics::Metrics;
 use sprucelink_policy::{Settings, Timestamp};
-use sprucelink_request_ids::RequestIdRecord;
 use sprucelink_startup::config::StartupConfig;
 use sprucelink_zone_failover::config::FailoverConfig;
 use std::cell::RefCell;
@@ -192,14 +192,15 @@
         drop(previous);
     }
 
-    /// Submits a request; returns `None` if a request with the same id is pending in any process of this workload
-    /// manager, or the id was recently used for another statement.
-    pub fn submit(self: &Rc<Self>, request: Request) -> Option<RequestHandle> {
+    /// Submits a request whose id is reserved.
+    pub fn submit(self: &Rc<Self>, request: Request, reservation: IdReservation) -> RequestHandle {
         let id = request.spec.id;
+        debug_assert_eq!(reservation.id(), id, "the reservation is of another request");
         let class = request.spec.class;
         let mut coordinator = self.coordinator.borrow_mut();
-        let response = coordinator.submit(self, request, || self.metrics.start_request(class))?;
-        Some(RequestHandle { core: Rc::clone(self), id, response, was_cancelled: false })
+        reservation.into_submitted();
+        let response = coordinator.submit(self, request, || self.metrics.start_request(class));
+        RequestHandle { core: Rc::clone(self), id, response, was_cancelled: false }
     }
 
     /// Sets the time from which this process rejects all requests and sends nothing to an engine.
@@ -256,26 +257,6 @@
         self.coordinator.borrow_mut().merge_cordons(self, records, ids)
     }
 
-    /// Whether a request was started or has ended since the last [`Core::export_request_ids`].
-    pub fn has_new_request_ids(&self) -> bool {
-        self.coordinator.borrow().requests.ids.has_changed()
-    }
-
-    /// The ids of open and recent requests, for the other processes of this workload manager.
-    pub fn export_request_ids(&self) -> Vec<RequestIdRecord> {
-        self.coordinator.borrow_mut().requests.ids.export(now())
-    }
-
-    /// Merges the ids of requests that the process with this process id knows.
-    pub fn merge_request_ids(&self, pid: u32, records: &[RequestIdRecord]) {
-        self.coordinator.borrow_mut().requests.ids.merge(pid, records, now());
-    }
-
-    /// Forgets which requests are open in processes that are not alive.
-    pub fn retain_request_ids(&self, is_alive: impl Fn(u32) -> bool) {
-        self.coordinator.borrow_mut().requests.ids.retain_peers(is_alive);
-    }
-
     /// Ends cordons whose lease has expired. Must be called about once per second.
     pub fn expire_cordons(self: &Rc<Self>) {
         self.coordinator.borrow_mut().expire_cordons(self);
--- a/src/core/coordinator.rs
+++ b/src/core/coordinator.rs
@@ -34,7 +34,7 @@
 use super::id_generator::IdGenerator;
 use super::invariants::InvariantMonitor;
 use super::policy_driver::{PolicyCommand, PolicyDriver, PolicyEvent};
-use super::request::{format_request_id, Request, Response, UnservedReason, MIN_RETRY_AFTER};
+use super::request::{Request, Response, UnservedReason, MIN_RETRY_AFTER};
 use super::request_statistics::RequestStatistics;
 use super::request_table::{PendingRequest, RequestTable};
 use super::send_guard::SendGuard;
@@ -46,7 +46,7 @@
 use sprucelink_startup::config::StartupConfig;
 use std::collections::VecDeque;
 use tokio::sync::oneshot;
-use tracing::{debug, info};
+use tracing::info;
 
 mod attempts;
 mod cordons;
@@ -136,21 +136,16 @@
         self.send_guard.set_shutdown_deadline(deadline);
     }
 
-    /// Adds a request; returns the receiver of its final response, or `None` if a request with the same id is
-    /// pending in any process of this workload manager, or the id was recently used for another statement.
-    /// `accounting` creates the request's entry in the metrics, and is called only if the request is added.
+    /// Adds a request whose id is reserved; returns the receiver of its final response. `accounting` creates the
+    /// request's entry in the metrics.
     pub(super) fn submit(
         &mut self,
         runtime: &dyn ConnectionRuntime,
         mut request: Request,
         accounting: impl FnOnce() -> ActiveRequest,
-    ) -> Option<oneshot::Receiver<Response>> {
+    ) -> oneshot::Receiver<Response> {
         let id = request.spec.id;
         let arrived_at = now();
-        if let Err(conflict) = self.requests.ids.reserve(id, &request.statement, arrived_at) {
-            debug!(request = format_request_id(id), ?conflict, "request id rejected");
-            return None;
-        }
         let deadline = self.send_guard.response_deadline(arrived_at + request.spec.time_left);
         request.spec.time_left = deadline - arrived_at;
         self.send_guard.record_request(arrived_at);
@@ -169,7 +164,7 @@
         };
         self.execute(runtime, commands);
         runtime.wake();
-        Some(response)
+        response
     }
 
     /// The Retry-After of a request that is rejected because this process is shutting down, or still warming
--- a/src/core/coordinator/sending_tests.rs
+++ b/src/core/coordinator/sending_tests.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::core::engine_connection::EngineConnection;
 use crate::core::result_buffer::ResultSet;
-use crate::core::test_support::{core, core_with, member, request, run_local};
+use crate::core::test_support::{core, core_with, member, request, run_local, submit};
 use crate::core::{Core, RequestHandle};
 use crate::proto::events::{EndpointPhase, ListEvent};
 use crate::proto::resp;
@@ -58,7 +58,7 @@
     for id in 1..=2_000 {
         let mut large_request = request(core, id);
         large_request.statement.resize(50_000, b'x');
-        handles.push(core.submit(large_request).expect("accepted"));
+        handles.push(submit(core, large_request).expect("accepted"));
         connection = connection.or_else(|| connection_of(core, id));
         tokio::task::yield_now().await;
         let unsent = connection.as_ref().map_or(0, |connection| connection.unsent_ids().len());
@@ -122,7 +122,7 @@
 fn unsent_attempt_is_withdrawn_when_its_engine_moves() {
     run_local(async {
         let (core, listeners) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let first = connection_of(&core, 1).expect("in flight");
         assert!(first.is_dialing() && first.unsent_ids() == [1]);
         let address = listeners[first.engine].local_addr().expect("an address").to_string();
@@ -146,7 +146,7 @@
 fn unsent_attempt_is_withdrawn_when_a_complete_list_omits_its_engine() {
     run_local(async {
         let (core, listeners) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let first = connection_of(&core, 1).expect("in flight");
         let other = 1 - first.engine;
         let address = listeners[other].local_addr().expect("an address").to_string();
@@ -167,7 +167,7 @@
     run_local(async {
         let (core, listeners) = core().await;
         tokio::task::spawn_local(Rc::clone(&core).run());
-        let mut handle = core.submit(request(&core, 1)).expect("accepted");
+        let mut handle = submit(&core, request(&core, 1)).expect("accepted");
         let connection = connection_of(&core, 1).expect("in flight");
         // No list event withdraws the attempt: only the send guard prevents it from being sent.
         core.coordinator.borrow_mut().engines.get_or_insert(connection.engine).is_ready = false;
@@ -196,7 +196,7 @@
 fn attempt_that_is_cancelled_before_it_is_sent_never_ran() {
     run_local(async {
         let (core, _listeners) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let mut coordinator = core.coordinator.borrow_mut();
         assert!(coordinator.cancel_attempt(core.pool(), 1, 0));
         coordinator.check_cancellation(&core, 1, 0);
@@ -210,7 +210,7 @@
 fn answer_that_does_not_complete_ends_its_connection() {
     run_local(async {
         let (core, listeners) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let connection = connection_of(&core, 1).expect("in flight");
         let (mut peer, _) = listeners[connection.engine].accept().await.expect("the connection");
         let started_at = std::time::Instant::now();
@@ -240,7 +240,7 @@
     run_local(async {
         let (core, listeners) = core().await;
         tokio::task::spawn_local(Rc::clone(&core).run());
-        let mut first = core.submit(request(&core, 1)).expect("accepted");
+        let mut first = submit(&core, request(&core, 1)).expect("accepted");
         let connection = connection_of(&core, 1).expect("in flight");
         let (mut peer, _) = listeners[connection.engine].accept().await.expect("the connection");
         // Reads the whole command: a close with unread bytes would be a reset, which the next write reports.
@@ -258,7 +258,7 @@
             // On loopback the close has arrived when `drop` returns. No task of this process runs between
             // `drop` and `submit`.
             drop(closing.take());
-            handles.push(core.submit(request(&core, id)).expect("accepted"));
+            handles.push(submit(&core, request(&core, id)).expect("accepted"));
             if connection_of(&core, id).is_some_and(|other| Rc::ptr_eq(&other, &connection)) {
                 wait_until(|| connection_of(&core, id).is_none_or(|other| !Rc::ptr_eq(&other, &connection)))
                     .await;
--- a/src/core/coordinator/tests.rs
+++ b/src/core/coordinator/tests.rs
@@ -4,7 +4,7 @@
 use crate::core::attempt::Cancellation;
 use crate::core::connection_task::ConnectionOwner;
 use crate::core::engine_connection::EngineConnection;
-use crate::core::test_support::{core, member, request, run_local};
+use crate::core::test_support::{core, member, request, run_local, submit};
 use crate::core::Core;
 use crate::proto::events::{EndpointPhase, ListEvent};
 use std::rc::Rc;
@@ -16,7 +16,7 @@
 fn cancelled_attempt_stays_in_flight_until_its_cancellation_has_arrived() {
     run_local(async {
         let (core, _engines) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let connection = {
             let coordinator = core.coordinator.borrow();
             let attempt = coordinator.requests.pending(1).in_flight.as_ref().expect("an attempt in flight");
@@ -59,7 +59,7 @@
 fn cancellation_that_was_not_sent_has_not_arrived() {
     run_local(async {
         let (core, _engines) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let undialed_connection = EngineConnection::new(0, "127.0.0.1:9".parse().expect("an address"));
         let (attempt, stream_end) = {
             let mut coordinator = core.coordinator.borrow_mut();
@@ -114,7 +114,7 @@
             &ListEvent { number: 500, revision: 0, is_complete: true, endpoints: members },
             false,
         );
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let mut coordinator = core.coordinator.borrow_mut();
         let engine = coordinator.policy.engine_index("e-499");
         assert_eq!(
@@ -129,8 +129,8 @@
 fn request_has_one_final_response() {
     run_local(async {
         let (core, _engines) = core().await;
-        let mut handle = core.submit(request(&core, 1)).expect("accepted");
-        assert!(core.submit(request(&core, 1)).is_none(), "a pending id is not accepted twice");
+        let mut handle = submit(&core, request(&core, 1)).expect("accepted");
+        assert!(submit(&core, request(&core, 1)).is_none(), "a pending id is not accepted twice");
         {
             let mut coordinator = core.coordinator.borrow_mut();
             drop(coordinator.complete(
@@ -152,7 +152,7 @@
         let mut other = request(&core, 1);
         other.statement.extend_from_slice(b"SELECT 2");
         assert!(
-            core.submit(other).is_none(),
+            submit(&core, other).is_none(),
             "an id that was recently used for another statement is not accepted"
         );
     });
@@ -164,7 +164,7 @@
 fn unsent_attempt_is_sent_elsewhere_when_its_engine_drains() {
     run_local(async {
         let (core, engines) = core().await;
-        let _handle = core.submit(request(&core, 1)).expect("accepted");
+        let _handle = submit(&core, request(&core, 1)).expect("accepted");
         let engine = |core: &Core| {
             core.coordinator
                 .borrow()
--- a/src/core/test_support.rs
+++ b/src/core/test_support.rs
@@ -3,7 +3,7 @@
 use super::buffer_pool::{BufferPool, BUFFER_BYTES};
 use super::connection_task::ConnectionOwner;
 use super::engine_connection::{ConnectionLimits, EngineConnection};
-use super::{Core, CoreConfig, Request, RequestSpec};
+use super::{Core, CoreConfig, Request, RequestHandle, RequestSpec};
 use crate::proto::engine_answer::EngineAnswerError;
 use crate::proto::events::{Endpoint, EndpointPhase, ListEvent};
 use sprucelink_metrics::Metrics;
@@ -124,6 +124,12 @@
     Request { spec, class_name: "c".into(), idempotency_key: None, statement }
 }
 
+/// Reserves the id of a request and submits it; `None` if the id may not be used.
+pub(super) fn submit(core: &Rc<Core>, request: Request) -> Option<RequestHandle> {
+    let reservation = core.reserve_id(request.spec.id, &request.statement)?;
+    Some(core.submit(request, reservation))
+}
+
 /// Runs a test on a single-threaded runtime of its own.
 pub(crate) fn run_local<T>(test: impl std::future::Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
--- a/src/front/client_connection/mod.rs
+++ b/src/front/client_connection/mod.rs
@@ -90,6 +90,16 @@
         self.arrivals.last_consumed_arrival()
     }
 
+    /// Position in the stream of the end of the consumed bytes.
+    pub fn consumed_end(&self) -> u64 {
+        self.arrivals.consumed()
+    }
+
+    /// Position in the stream of the first byte of the message that was consumed last.
+    pub fn message_start(&self) -> u64 {
+        self.arrivals.message_start()
+    }
+
     /// Marks `count` more bytes at the front of the input as consumed.
     pub fn consume(&mut self, count: usize) {
         self.consumed += count;
--- a/src/front/request.rs
+++ b/src/front/request.rs
@@ -5,7 +5,7 @@
 use super::Front;
 use crate::core::buffer_pool::Buffer;
 use crate::core::now;
-use crate::core::{Request, RequestHandle, RequestSpec, MAX_STATEMENT_BYTES};
+use crate::core::{IdReservation, Request, RequestHandle, RequestSpec, MAX_STATEMENT_BYTES};
 use crate::proto::fields::Fields;
 use crate::proto::pg::ErrorResponse;
 use crate::proto::tables;
@@ -25,6 +25,14 @@
     statement: Buffer,
 }
 
+/// What the fields of a statement's comment say, after they were checked.
+struct CheckedFields {
+    id: u64,
+    class: usize,
+    tenant: usize,
+    idempotency_key: Option<String>,
+}
+
 impl Front {
     /// Checks the fields of a statement's comment, and copies the statement. `statement` is the text without
     /// the comment; `session_timeout_ms` is the session's time-out, if it has one.
@@ -38,11 +46,8 @@
         statement: &str,
         session_timeout_ms: Option<u64>,
     ) -> Result<PreparedRequest, ErrorResponse> {
-        let class = self.class_index(fields)?;
+        let CheckedFields { id, class, tenant, idempotency_key } = self.check_fields(fields)?;
         let class_config = &self.config.classes[class];
-        let tenant = self.tenant_index(fields)?;
-        let id = self.request_id(fields)?;
-        let idempotency_key = self.idempotency_key(fields, class_config)?;
         let timeout = match fields.timeout_ms.or(session_timeout_ms) {
             Some(millis) => TimeDelta::from_micros(millis as i64 * 1000),
             None => class_config.default_timeout,
@@ -64,14 +69,22 @@
         })
     }
 
+    /// Reserves the id of a request that waits for its turn in its session; `None` if it cannot be reserved, or its
+    /// request will be rejected.
+    pub(super) fn reserve_waiting_id(&self, fields: &Fields, statement: &str) -> Option<IdReservation> {
+        let id = self.check_fields(fields).ok()?.id;
+        self.core.reserve_waiting_id(id, statement.as_bytes())
+    }
+
     /// Submits a request to the core. Its time-out counts from `started`; `is_cancelled` tells whether the
-    /// client has cancelled it already.
+    /// client has cancelled it already. `reservation`: that of its id, if there is one.
     ///
     /// # Errors
     /// The error for the client: it cancelled the request, or the request id is in use.
     pub(super) fn submit(
         &self,
         request: PreparedRequest,
+        reservation: Option<IdReservation>,
         started: Timestamp,
         is_cancelled: bool,
     ) -> Result<RequestHandle, ErrorResponse> {
@@ -80,6 +93,11 @@
             self.core.metrics().start_request(class).abort();
             return Err(cancelled());
         }
+        let reservation = reservation.or_else(|| self.core.reserve_id(id, &request.statement));
+        let Some(reservation) = reservation else {
+            let message = format!("field req: {id:016x} was given to a request before");
+            return Err(ErrorResponse::new("42710", message));
+        };
         let spec = RequestSpec {
             id,
             class,
@@ -89,15 +107,21 @@
             cost_ms: request.cost_ms,
             memory_mb: request.memory_mb,
         };
-        let handle = self.core.submit(Request {
+        let request = Request {
             spec,
             class_name: self.config.classes[class].name.clone(),
             idempotency_key: request.idempotency_key,
             statement: request.statement,
-        });
-        handle.ok_or_else(|| {
-            ErrorResponse::new("42710", format!("field req: {id:016x} was given to a request before"))
-        })
+        };
+        Ok(self.core.submit(request, reservation))
+    }
+
+    fn check_fields(&self, fields: &Fields) -> Result<CheckedFields, ErrorResponse> {
+        let class = self.class_index(fields)?;
+        let tenant = self.tenant_index(fields)?;
+        let id = self.request_id(fields)?;
+        let idempotency_key = self.idempotency_key(fields, &self.config.classes[class])?;
+        Ok(CheckedFields { id, class, tenant, idempotency_key })
     }
 
     fn class_index(&self, fields: &Fields) -> Result<usize, ErrorResponse> {
--- a/src/front/session/execute.rs
+++ b/src/front/session/execute.rs
@@ -82,7 +82,7 @@
         if connection.read_available().await? {
             return Err(session_ended(connection));
         }
-        let request = self.front.submit(request, started, is_cancelled)?;
+        let request = self.front.submit(request, None, started, is_cancelled)?;
         let result = self.wait_for_response(connection, request).await?;
         Ok(Some((result, RowPosition::default())))
     }
--- a/src/front/session/mod.rs
+++ b/src/front/session/mod.rs
@@ -5,6 +5,7 @@
 mod input;
 mod simple_query;
 mod state;
+mod waiting_ids;
 
 use super::cancel_signal::CancelSignal;
 use super::client_connection::{ClientConnection, ClientStream};
--- a/src/front/session/simple_query.rs
+++ b/src/front/session/simple_query.rs
@@ -3,12 +3,14 @@
 use super::error::MessageError;
 use super::state::{session_ended, Session, CONTROL_MESSAGE_BYTES};
 use super::MessageAction;
+use crate::core::buffer_pool::BUFFER_BYTES;
 use crate::core::result_buffer::RowPosition;
+use crate::core::IdReservation;
 use crate::front::client_connection::{ClientConnection, ClientStream};
 use crate::front::request::PreparedRequest;
 use crate::front::result_rows::{write_rows, COLUMNS};
 use crate::proto::fields;
-use crate::proto::pg::{self, ErrorResponse};
+use crate::proto::pg::{self, ErrorResponse, MalformedMessage, Message};
 use crate::proto::tables;
 
 impl Session<'_> {
@@ -31,12 +33,7 @@
             pg::write_empty_message(reply, pg::EMPTY_QUERY);
             return Ok(MessageAction::None);
         }
-        if tables::is_empty(statement) {
-            return Err(ErrorResponse::new("08P01", "field query holds no statement behind its comment"));
-        }
-        // One request is one statement: it gets one answer, and one engine runs it.
-        tables::check_single_statement(statement)
-            .map_err(|error| ErrorResponse::new("0A000", error.to_string()))?;
+        check_statement(statement)?;
         let timeout_ms = self.objects.statement_timeout_ms;
         let request = self.front.prepare_request(&fields, statement, timeout_ms)?;
         Ok(MessageAction::Query(Box::new(request)))
@@ -53,7 +50,9 @@
             return Err(session_ended(connection));
         }
         let is_cancelled = self.is_cancelled_before_submission(connection).await?;
-        let request = self.front.submit(request, started, is_cancelled)?;
+        self.reserve_waiting_ids(connection);
+        let reservation = self.waiting_ids.take(connection.message_start());
+        let request = self.front.submit(request, reservation, started, is_cancelled)?;
         self.slot.record_request();
         let result = self.wait_for_response(connection, request).await?;
         connection.reserve_output(CONTROL_MESSAGE_BYTES).await?;
@@ -63,4 +62,38 @@
         pg::write_command_complete(connection.output(), &format!("SELECT {}", written.count));
         Ok(())
     }
+
+    /// Reserves the ids of the requests that have arrived completely and wait behind the open one. On the extended
+    /// front ids are generated when requests are submitted.
+    pub(super) fn reserve_waiting_ids<S: ClientStream>(&mut self, connection: &ClientConnection<S>) {
+        if self.front.config.allows_extended_queries {
+            return;
+        }
+        let consumed = connection.consumed_end();
+        while let Some(message_start) = self.waiting_ids.next_message(consumed) {
+            let offset = (message_start - consumed) as usize;
+            let input = connection.input().get(offset..).unwrap_or_default();
+            let (text, length) = match pg::read_message(input, BUFFER_BYTES) {
+                Ok(Some((Message::Query(text), length))) => (Some(text), length),
+                Ok(Some((_, length))) | Err(MalformedMessage { length: Some(length), .. }) => (None, length),
+                Ok(None) | Err(_) => return,
+            };
+            let reservation = text.and_then(|text| self.reserve_waiting_id(text));
+            self.waiting_ids.record_message(length, reservation);
+        }
+    }
+
+    fn reserve_waiting_id(&self, text: &str) -> Option<IdReservation> {
+        let (fields, statement) = fields::split(text).ok()?;
+        check_statement(statement).ok()?;
+        self.front.reserve_waiting_id(&fields, statement)
+    }
+}
+
+/// Checks that a text holds one statement: it gets one answer, and one engine runs it.
+fn check_statement(statement: &str) -> Result<(), ErrorResponse> {
+    if tables::is_empty(statement) {
+        return Err(ErrorResponse::new("08P01", "field query holds no statement behind its comment"));
+    }
+    tables::check_single_statement(statement).map_err(|error| ErrorResponse::new("0A000", error.to_string()))
 }
--- a/src/front/session/state.rs
+++ b/src/front/session/state.rs
@@ -1,6 +1,7 @@
 //! State of a session, and the wait for the response to a request.
 
 use super::error::MessageError;
+use super::waiting_ids::WaitingIds;
 use crate::core::result_buffer::ResultSet;
 use crate::core::{RequestHandle, Response};
 use crate::front::cancel_counters::CancelEffect;
@@ -43,6 +44,8 @@
     pub(super) cancel_waits_until: Option<Instant>,
     /// Whether an answer was written since the input was last empty.
     pub(super) has_answered: bool,
+    /// Reserved ids of the requests that wait behind the open one.
+    pub(super) waiting_ids: WaitingIds,
 }
 
 /// Whether a session continues.
@@ -75,6 +78,7 @@
             answered_at: None,
             cancel_waits_until: None,
             has_answered: false,
+            waiting_ids: WaitingIds::default(),
         }
     }
 
@@ -139,6 +143,7 @@
                         request.cancel();
                         return Err(session_ended(connection));
                     }
+                    self.reserve_waiting_ids(connection);
                 }
             }
         }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -345,7 +345,7 @@
 }
 
 /// Guards against an id of one process's request that the other process accepts for another statement (review, case
-/// 9): in both directions, of open and of recent requests, and over two upgrades in a row.
+/// 9): in both directions, of open, waiting and recent requests, and over two upgrades in a row.
 #[test]
 fn request_id_known_to_one_process_is_refused_by_the_others() {
     let engine = Engine::start(|command| match command.parts[3].contains("ms = 9") {
@@ -365,10 +365,10 @@
             error_fields(&messages)[0].clone()
         }
     };
-    let (open_in_first, recent_in_first, open_in_second) = (1, 2, 3);
+    let (open_in_first, recent_in_first, open_in_second, waiting_in_first) = (1, 2, 3, 7);
     let mut first = start_healthy(&listener, &folder, &engines);
     let (mut waiting, mut client_of_first) = (RawClient::connect(to), RawClient::connect(to));
-    waiting.send(&query(&sql(open_in_first, 9)));
+    waiting.send(&[query(&sql(open_in_first, 9)), query(&sql(waiting_in_first, 9))].concat());
     assert_eq!(code(&mut client_of_first, recent_in_first, 1), "");
     assert_eq!(message_types(&client_of_first.ask(&load(4, 7))).matches('C').count(), 1);
     engine.wait_for("do", 3);
@@ -378,6 +378,7 @@
     let mut client_of_second = RawClient::connect(to);
     assert_eq!(code(&mut client_of_second, open_in_first, 1), "42710");
     assert_eq!(code(&mut client_of_second, open_in_first, 9), "42710", "open, the same statement");
+    assert_eq!(code(&mut client_of_second, waiting_in_first, 1), "42710");
     assert_eq!(code(&mut client_of_second, recent_in_first, 2), "42710");
     assert_eq!(code(&mut client_of_second, recent_in_first, 1), "", "the client's retry");
     // A key belongs to the client's retries, whichever process gets them: the engines know it.
