Connections in the listener's queue at a stop are accepted

What callers saw: connections that had arrived when the process stopped accepting could be reset, with the requests on them. Seen by a test only; the platform's clients connect 0.3 s earlier, unless the process was suspended.

The runtime may not know of the last connections, and reports none after 128 accepts in one turn.

Change: once the front is closing, the system is asked until the queue is empty. A process that leaves its queue to another one is not touched.

--- a/src/core/socket.rs
+++ b/src/core/socket.rs
@@ -13,7 +13,7 @@
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_rustls::server::TlsStream;
 
 /// A stream whose reads can be made independent of the runtime's readiness.
@@ -73,6 +73,21 @@
     }
 }
 
+/// Accepts a connection from the listener's queue, whether the runtime knows of it or not; `None` if there is none.
+///
+/// # Errors
+/// The system's error for the accept.
+pub fn accept_queued(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
+    match retry_interrupted(|| SockRef::from(listener).accept()) {
+        Ok((socket, _)) => {
+            socket.set_nonblocking(true)?;
+            TcpStream::from_std(socket.into()).map(Some)
+        }
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 /// Reads the available bytes into `buffer`; reads none at the end of the stream.
 fn poll_read(
     stream: &TcpStream,
--- a/src/front/accept.rs
+++ b/src/front/accept.rs
@@ -4,6 +4,7 @@
 use super::turn_time::TimedTask;
 use super::Front;
 use crate::core::now;
+use crate::core::socket::accept_queued;
 use crate::core::system_error::is_out_of_resources;
 use sprucelink_time::{TimeDelta, Timestamp};
 use std::io;
@@ -42,7 +43,7 @@
 
 impl Front {
     /// Accepts connections until the front is closed, and then those that are already in the listener's
-    /// queue.
+    /// queue. The system is asked for the latter: the runtime may not know of them yet.
     pub async fn accept_connections(self: Rc<Self>, listener: TcpListener) {
         let mut last_logged = None;
         let mut consecutive_failures = 0;
@@ -54,25 +55,31 @@
                 // One of the connections without a slot must be closed before another connection is accepted.
                 self.sessionless.evict_one();
             }
-            tokio::select! {
+            let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept(), if has_capacity && !is_paused => match accepted {
-                    Ok((stream, _)) => {
-                        consecutive_failures = 0;
-                        self.spawn_connection(stream).await;
+                accepted = listener.accept(), if has_capacity && !is_paused => {
+                    accepted.map(|(stream, _)| Some(stream))
+                }
+                () = self.descriptor_released.notified(), if !has_capacity => continue,
+                () = std::future::ready(()), if has_capacity && self.is_closing.get() => {
+                    if is_paused { Ok(None) } else { accept_queued(&listener) }
+                }
+                () = state_changed => continue,
+            };
+            match accepted {
+                Ok(Some(stream)) => {
+                    consecutive_failures = 0;
+                    self.spawn_connection(stream).await;
+                }
+                Ok(None) => return,
+                Err(error) => {
+                    log_accept_error(&mut last_logged, &error);
+                    consecutive_failures += 1;
+                    if self.is_closing.get() && consecutive_failures >= FAILURES_BEFORE_GIVING_UP {
+                        return;
                     }
-                    Err(error) => {
-                        log_accept_error(&mut last_logged, &error);
-                        consecutive_failures += 1;
-                        if self.is_closing.get() && consecutive_failures >= FAILURES_BEFORE_GIVING_UP {
-                            return;
-                        }
-                        self.wait_after_failure(&error, consecutive_failures).await;
-                    }
-                },
-                () = self.descriptor_released.notified(), if !has_capacity => {}
-                () = std::future::ready(()), if has_capacity && self.is_closing.get() => return,
-                () = state_changed => {}
+                    self.wait_after_failure(&error, consecutive_failures).await;
+                }
             }
         }
     }
@@ -113,3 +120,6 @@
         warn!(%error, "accept failed");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/front/test_support.rs
+++ b/src/front/test_support.rs
@@ -12,11 +12,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of sessions that a front has slots for.
+pub(super) const MAX_SESSIONS: usize = 256;
+/// Number of connections that wait in the listener's queue at most.
+const MAX_QUEUED_CONNECTIONS: u32 = 1_024;
 /// The code and status of an answer to a cancelled request.
 pub(super) const CANCELLED: &str = "57014 Z";
 
@@ -24,7 +28,7 @@
 pub(super) struct Fixture {
     pub(super) core: Rc<Core>,
     pub(super) front: Rc<Front>,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     _engines: Vec<TcpListener>,
 }
 
@@ -39,7 +43,7 @@
         let config = FrontConfig {
             classes: vec![class],
             tenants: Vec::new(),
-            max_sessions: 8,
+            max_sessions: MAX_SESSIONS,
             max_evicted: 8,
             max_sessionless: 8,
             allows_extended_queries,
@@ -48,7 +52,9 @@
             default_tenant: None,
         };
         let front = Front::new(Rc::clone(&core), config);
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let listener = socket.listen(MAX_QUEUED_CONNECTIONS).expect("listening");
         let address = listener.local_addr().expect("an address");
         spawn_local(Rc::clone(&front).accept_connections(listener));
         spawn_local(Rc::clone(&core).run());
@@ -91,9 +97,7 @@
         stream.set_nodelay(true).expect("set");
         let key = SessionKey { process_id: 0, secret: 0 };
         let mut client = Client { stream, key, received: Vec::new() };
-        let parameters = b"user\0app\0\0";
-        let version = 196_608u32.to_be_bytes();
-        client.send(&[&(8 + parameters.len() as u32).to_be_bytes()[..], &version, parameters].concat());
+        client.send(&startup_packet());
         client.next_answer().await;
         // The session waits for its first message.
         sleep(Duration::from_millis(5)).await;
@@ -156,6 +160,13 @@
     }
 }
 
+/// The first packet of a session.
+pub(super) fn startup_packet() -> Vec<u8> {
+    let parameters = b"user\0app\0\0";
+    let version = 196_608u32.to_be_bytes();
+    [&(8 + parameters.len() as u32).to_be_bytes()[..], &version, parameters].concat()
+}
+
 fn session_key(body: &[u8]) -> SessionKey {
     let packet = [&16u32.to_be_bytes()[..], &80_877_102u32.to_be_bytes(), body].concat();
     match pg::read_startup_packet(&packet) {
