--- a/crates/capture/src/identity.rs
+++ b/crates/capture/src/identity.rs
@@ -1,6 +1,7 @@
 //! Identifies the build that records: its version, the policy's source text, and its floating-point
 //! functions.
 
+use sprucelink_float_math::{exp, ln, pow};
 use sprucelink_policy::SOURCES;
 use std::env::consts::{ARCH, OS};
 use xxhash_rust::xxh3::Xxh3;
@@ -26,14 +27,14 @@
     hasher.finalize()
 }
 
-/// Digest of the results of `exp`, `ln`, `powf`, `sqrt` and `powi` for fixed inputs. The policy calls such
-/// functions, and the mathematical library of another platform may round them differently: builds with
+/// Digest of the results of `exp`, `ln`, `pow`, `sqrt` and squares for fixed inputs. The policy calls such
+/// functions, and the mathematical library of another platform may round `exp` and `ln` differently: builds with
 /// different digests may make decisions that differ in the last bit of a weight.
 pub fn float_digest() -> u64 {
     let mut hasher = Xxh3::new();
     for step in 1..=FLOAT_SAMPLES {
         let x = f64::from(step) * FLOAT_SAMPLE_STEP;
-        for result in [(-x).exp(), x.ln(), 0.5_f64.powf(x), x.sqrt(), x.powi(2)] {
+        for result in [exp(-x), ln(x), pow(0.5, x), x.sqrt(), x * x] {
             hasher.update(&result.to_bits().to_le_bytes());
         }
     }
--- a/crates/cluster-harness/src/run/load.rs
+++ b/crates/cluster-harness/src/run/load.rs
@@ -7,6 +7,7 @@
 use crate::scenario::{Engines, Load};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sprucelink_float_math::ln;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::{Duration, Instant};
@@ -48,7 +49,7 @@
         let mut due = self.start;
         loop {
             // An exponential interval; the draw is never zero.
-            due += Duration::from_secs_f64(-(1.0 - self.rng.gen::<f64>()).ln() * self.mean_interval);
+            due += Duration::from_secs_f64(-ln(1.0 - self.rng.gen::<f64>()) * self.mean_interval);
             if due >= self.end {
                 return;
             }
--- a/crates/cluster-harness/src/subscribers/reader.rs
+++ b/crates/cluster-harness/src/subscribers/reader.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
+use sprucelink_float_math::ln;
 use sprucelink_history_checker::cursor::{Cursor, ParseCursorError};
 use sprucelink_history_checker::event::Event;
 use std::time::Duration;
@@ -151,7 +152,7 @@
     pub fn time_to_hop(&mut self) -> Option<Duration> {
         let mean = self.spec.hop_s;
         // Exponentially distributed; the argument of the logarithm is never zero.
-        (mean > 0.0).then(|| Duration::from_secs_f64(-(1.0 - self.rng.gen::<f64>()).ln() * mean))
+        (mean > 0.0).then(|| Duration::from_secs_f64(-ln(1.0 - self.rng.gen::<f64>()) * mean))
     }
 
     /// Whether the subscriber is in the random fraction `share` of the subscribers, drawn anew for each
--- a/crates/fault-soak/src/engine.rs
+++ b/crates/fault-soak/src/engine.rs
@@ -4,6 +4,7 @@
 use crate::world::World;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sprucelink_float_math::ln;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -273,7 +274,7 @@
 async fn work(shared: Arc<Shared>, answers: mpsc::UnboundedSender<Answer>, request_id: u64, attempt_id: u64) {
     let mut rng = shared.next_rng();
     let reaction = shared.reaction(&mut rng);
-    let mut service_time = MEAN_WORK.mul_f64(-(1.0 - rng.gen::<f64>()).ln().min(5.0));
+    let mut service_time = MEAN_WORK.mul_f64(-ln(1.0 - rng.gen::<f64>()).min(5.0));
     if matches!(reaction, Reaction::Shed) {
         service_time = Duration::from_millis(1);
     }
--- a/crates/fault-soak/src/soak.rs
+++ b/crates/fault-soak/src/soak.rs
@@ -13,6 +13,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use sprucelink_float_math::ln;
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -245,7 +246,7 @@
             }
             while next_client <= Instant::now() {
                 let rate = self.config.rate * if Instant::now() < self.burst_until { 3.0 } else { 1.0 };
-                next_client += Duration::from_secs_f64(-(1.0 - self.rng.gen::<f64>()).ln() / rate);
+                next_client += Duration::from_secs_f64(-ln(1.0 - self.rng.gen::<f64>()) / rate);
                 self.start_client();
             }
             self.follow_up()?;
--- a/crates/membership/src/swim/node/sending.rs
+++ b/crates/membership/src/swim/node/sending.rs
@@ -5,6 +5,7 @@
 use crate::message::{Message, MessageKind, Update};
 use crate::wire::MAX_DATAGRAM_BYTES;
 use rand::seq::SliceRandom;
+use sprucelink_float_math::log10;
 use std::net::SocketAddr;
 
 /// Maximum size of a message's updates, in bytes: the remaining 140 bytes of the datagram are for the header,
@@ -59,7 +60,7 @@
 
     /// Maximum number of transmissions of an update: a multiple of the logarithm of the fleet's size.
     fn max_transmissions(&self) -> u32 {
-        let log_size = ((self.live_count() + 1) as f64).log10().ceil();
+        let log_size = log10((self.live_count() + 1) as f64).ceil();
         (self.config.retransmit_multiplier * log_size).ceil().max(1.0) as u32
     }
 }
--- a/crates/membership/src/swim/suspicion.rs
+++ b/crates/membership/src/swim/suspicion.rs
@@ -4,6 +4,7 @@
 use super::duration::duration_from_ms;
 use crate::config::ProtocolConfig;
 use crate::{TimeDelta, Timestamp};
+use sprucelink_float_math::{ln, log10};
 use std::collections::BTreeSet;
 
 /// Number of final probes before a suspicion expires.
@@ -42,7 +43,7 @@
         config: &ProtocolConfig,
     ) -> Suspicion {
         let fleet_size = live_count as f64;
-        let min_ms = config.suspicion_multiplier * fleet_size.max(MIN_FLEET_SIZE).log10() * config.period_ms;
+        let min_ms = config.suspicion_multiplier * log10(fleet_size.max(MIN_FLEET_SIZE)) * config.period_ms;
         // Without this limit, a suspicion in a small fleet would always last its maximum: too few members can
         // confirm it.
         let possible_confirmations = (live_count as u32).saturating_sub(2);
@@ -67,7 +68,7 @@
         let required = self.required_confirmations;
         let confirmations = (self.reporters.len().saturating_sub(1) as f64).min(f64::from(required));
         let fraction =
-            if required == 0 { 1.0 } else { (confirmations + 1.0).ln() / f64::from(required + 1).ln() };
+            if required == 0 { 1.0 } else { ln(confirmations + 1.0) / ln(f64::from(required + 1)) };
         let min_s = self.min_duration.as_secs_f64();
         let max_s = self.max_duration.as_secs_f64();
         let duration_s = max_s - (max_s - min_s) * fraction;
--- a/crates/policy/src/engine_load.rs
+++ b/crates/policy/src/engine_load.rs
@@ -4,6 +4,7 @@
 use crate::events::LoadReport;
 use crate::load_estimate::MeanLoad;
 use crate::snapshot::StoredEngine;
+use sprucelink_float_math::exp;
 use sprucelink_rate_limits::MovingAverage;
 use sprucelink_time::{TimeDelta, Timestamp};
 
@@ -60,7 +61,7 @@
 
     /// Weight of the last report, from 1 (just received) to 0 (no report).
     pub(crate) fn report_weight(&self, now: Timestamp) -> f64 {
-        self.report_age_secs(now).map_or(0.0, |age_secs| (-age_secs / REPORT_DECAY_SECS).exp())
+        self.report_age_secs(now).map_or(0.0, |age_secs| exp(-age_secs / REPORT_DECAY_SECS))
     }
 
     /// Updates the average of own threads, at a tick.
--- a/crates/policy/src/engine_slowness.rs
+++ b/crates/policy/src/engine_slowness.rs
@@ -1,6 +1,7 @@
 //! The slowness of an engine: its latencies as multiples of the expected ones, relative to the median engine.
 
 use crate::snapshot::StoredEngine;
+use sprucelink_float_math::{exp, ln};
 use sprucelink_rate_limits::update_mean;
 
 /// Minimum weight of one outcome in the mean; the first outcomes have equal weights.
@@ -23,7 +24,7 @@
     /// Learns from an answer or an overdue attempt. `latency_ratio`: latency, or age of the overdue attempt,
     /// as a multiple of the expected latency.
     pub(crate) fn record(&mut self, latency_ratio: f64) {
-        let sample = latency_ratio.clamp(MIN_LATENCY_RATIO, MAX_LATENCY_RATIO).ln();
+        let sample = ln(latency_ratio.clamp(MIN_LATENCY_RATIO, MAX_LATENCY_RATIO));
         update_mean(&mut self.mean_log_ratio, &mut self.samples, sample, SLOWNESS_WEIGHT);
     }
 
@@ -39,7 +40,7 @@
             (Some(log_ratio), Some(median)) => log_ratio - median,
             _ => 0.0,
         };
-        log_ratio.exp()
+        exp(log_ratio)
     }
 
     pub(crate) fn store(self, stored: &mut StoredEngine) {
--- a/crates/policy/src/engine_weight.rs
+++ b/crates/policy/src/engine_weight.rs
@@ -5,6 +5,7 @@
 use crate::ids::EngineId;
 use crate::request::Request;
 use crate::settings::Settings;
+use sprucelink_float_math::exp;
 use sprucelink_time::Timestamp;
 
 /// Exponent of the load factor for one thread per core: a twelfth of a thread per core halves the weight.
@@ -58,13 +59,14 @@
 /// The load factor. It falls steeply with the load, so that nearly all requests go to the least loaded
 /// engines, but the managers do not all choose the same engine.
 fn load_factor(threads_per_core: f64) -> f64 {
-    (-LOAD_EXPONENT * threads_per_core).exp()
+    exp(-LOAD_EXPONENT * threads_per_core)
 }
 
 /// The square of the success rate over the slowness. An engine that is faster than the median gets no bonus.
 fn health_factor(failure_rate: f64, relative_slowness: f64) -> f64 {
     let success_rate = (1.0 - failure_rate).max(MIN_SUCCESS_RATE);
-    (success_rate / relative_slowness.max(1.0)).powi(2)
+    let factor = success_rate / relative_slowness.max(1.0);
+    factor * factor
 }
 
 /// Nearly excludes the engine of the last attempt, and an engine on which another query that loads these
@@ -100,7 +102,8 @@
 /// A price expressed in threads per core. The more of the fleet's load is visible, the less the price counts
 /// against a difference in load.
 fn price_as_load(price: f64, load_visibility: f64) -> f64 {
-    PRICE_AS_THREADS_PER_CORE * (1.0 - load_visibility).powi(2) * price
+    let hidden = 1.0 - load_visibility;
+    PRICE_AS_THREADS_PER_CORE * (hidden * hidden) * price
 }
 
 /// Whether an attempt of this manager on the engine loads these tables.
--- a/crates/policy/src/level_price.rs
+++ b/crates/policy/src/level_price.rs
@@ -2,6 +2,7 @@
 //! answers.
 
 use crate::snapshot::StoredLevel;
+use sprucelink_float_math::pow;
 use sprucelink_rate_limits::MovingAverage;
 use sprucelink_time::TimeDelta;
 
@@ -75,7 +76,7 @@
         let rate = f64::from(self.admitted) / interval.as_secs_f64();
         self.admitted_rate.update(rate, RATE_WEIGHT);
         self.admitted = 0;
-        self.wait_secs *= if self.has_observed_wait { 1.0 } else { WAIT_DECAY.powf(evidence) };
+        self.wait_secs *= if self.has_observed_wait { 1.0 } else { pow(WAIT_DECAY, evidence) };
         self.has_observed_wait = false;
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -64,7 +64,7 @@
 
 /// The source text that decisions depend on: the files of this crate and of the data structures that it uses.
 /// Captures identify the version of the module by a hash of this text.
-pub const SOURCES: [&str; 52] = [
+pub const SOURCES: [&str; 53] = [
     include_str!("actions.rs"),
     include_str!("admission.rs"),
     include_str!("answer_value.rs"),
@@ -111,6 +111,7 @@
     include_str!("snapshot.rs"),
     include_str!("snapshot/requests.rs"),
     include_str!("tenant_quota.rs"),
+    include_str!("../../float-math/src/lib.rs"),
     include_str!("../../rate-limits/src/event_window.rs"),
     include_str!("../../rate-limits/src/moving_average.rs"),
     include_str!("../../rate-limits/src/recent_set.rs"),
--- a/crates/policy/src/load_estimate.rs
+++ b/crates/policy/src/load_estimate.rs
@@ -5,6 +5,7 @@
 use crate::events::LoadReport;
 use crate::own_load::{FleetShare, OwnLoad};
 use crate::snapshot::StoredPolicy;
+use sprucelink_float_math::exp;
 use sprucelink_rate_limits::MovingAverage;
 use sprucelink_time::Timestamp;
 
@@ -63,7 +64,7 @@
     /// The mean load at `now`.
     pub(crate) fn mean_load(&self, now: Timestamp, own_load: &OwnLoad, share: FleetShare) -> MeanLoad {
         let even_per_core = (share.managers - 1.0) * own_load.average_threads() / share.ready_cores.max(1.0);
-        let weight = (-(now - self.last_report).as_secs_f64() / MEAN_DECAY_SECS).exp();
+        let weight = exp(-(now - self.last_report).as_secs_f64() / MEAN_DECAY_SECS);
         let reported = self.reported_per_core.value() * weight;
         let others_per_core = reported + even_per_core * share.load_visibility() * (1.0 - weight);
         MeanLoad { even_per_core, others_per_core }
--- a/crates/policy/src/memory_grant.rs
+++ b/crates/policy/src/memory_grant.rs
@@ -3,6 +3,7 @@
 
 use crate::settings::MemoryShort;
 use crate::snapshot::StoredClass;
+use sprucelink_float_math::{exp, ln};
 use sprucelink_rate_limits::update_mean_and_variance;
 
 /// Increase of the grant after a spill note that reports the whole estimate as missing, as a fraction of the
@@ -58,7 +59,7 @@
             self.samples = (self.samples + 1).min(MAX_MEMORY_SAMPLES);
             let weight = 1.0 / f64::from(self.samples + 1);
             let variance = &mut self.log_ratio_variance;
-            update_mean_and_variance(&mut self.mean_log_ratio, variance, ratio.ln(), weight);
+            update_mean_and_variance(&mut self.mean_log_ratio, variance, ln(ratio), weight);
         }
     }
 
@@ -84,7 +85,7 @@
         let margin = deviations * self.log_ratio_variance.sqrt();
         let ratio = match self.samples {
             0 => self.ratio_from_spills,
-            _ => (self.mean_log_ratio + margin).exp(),
+            _ => exp(self.mean_log_ratio + margin),
         };
         estimated_mb * ratio
     }
--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -7,6 +7,7 @@
 //! window is therefore an upper bound for any load and any selection of engines.
 mod common;
 use common::class;
+use sprucelink_float_math::{cos, exp, ln};
 use sprucelink_policy::Policy;
 use sprucelink_policy::*;
 use std::collections::VecDeque;
@@ -112,9 +113,9 @@
     /// Work of one request: lognormal with the mean and coefficient of variation of the class, from a normal
     /// number by the Box-Muller transform.
     fn draw_work(&mut self, class: &SiteClass) -> f64 {
-        let normal = (-2.0 * self.unit().ln()).sqrt() * (std::f64::consts::TAU * self.unit()).cos();
-        let log_variance = (1.0 + class.work_variation * class.work_variation).ln();
-        class.mean_work * (log_variance.sqrt() * normal - log_variance / 2.0).exp()
+        let normal = (-2.0 * ln(self.unit())).sqrt() * cos(std::f64::consts::TAU * self.unit());
+        let log_variance = ln(1.0 + class.work_variation * class.work_variation);
+        class.mean_work * exp(log_variance.sqrt() * normal - log_variance / 2.0)
     }
 }
 
--- a/crates/query-fingerprint/src/cost.rs
+++ b/crates/query-fingerprint/src/cost.rs
@@ -4,6 +4,7 @@
 
 use crate::cache::{Bounds, Cache, Counters};
 use crate::normal::Fingerprint;
+use sprucelink_float_math::{exp, ln, pow};
 
 /// Weight of the mean of the class, in answers: after this many answers the mean of the fingerprint has the
 /// same weight.
@@ -57,7 +58,7 @@
     /// The weight at `now`, discounted by the time since the last answer.
     fn aged_weight(&self, now: f64) -> f64 {
         // If the clock was set back, the weight stays as it is.
-        self.weight * 0.5_f64.powf((now - self.updated_at).max(0.0) / HALF_LIFE_S)
+        self.weight * pow(0.5, (now - self.updated_at).max(0.0) / HALF_LIFE_S)
     }
 
     fn learn(&mut self, answer: f64, now: f64) {
@@ -129,7 +130,7 @@
 
     /// Logarithms of work and memory.
     fn logs(&self) -> [f64; 2] {
-        [self.work_ms.max(MIN_COST).ln(), self.memory_mb.max(MIN_COST).ln()]
+        [ln(self.work_ms.max(MIN_COST)), ln(self.memory_mb.max(MIN_COST))]
     }
 }
 
@@ -166,7 +167,7 @@
 }
 
 fn clamp_factor(log_factor: f64) -> f64 {
-    log_factor.clamp(-MAX_FACTOR.ln(), MAX_FACTOR.ln())
+    log_factor.clamp(-ln(MAX_FACTOR), ln(MAX_FACTOR))
 }
 
 impl CostModel {
@@ -224,7 +225,7 @@
             (None, None) => (class_absolute, 0.0),
         };
         // A client's estimate may be any number; the clamp keeps the result finite.
-        let [work_ms, memory_mb] = logs.map(|log| log.clamp(-MAX_LOG, MAX_LOG).exp());
+        let [work_ms, memory_mb] = logs.map(|log| exp(log.clamp(-MAX_LOG, MAX_LOG)));
         Some(Estimate { cost: Cost { work_ms, memory_mb }, weight })
     }
 
--- a/crates/query-fingerprint/tests/cost.rs
+++ b/crates/query-fingerprint/tests/cost.rs
@@ -1,6 +1,7 @@
 //! Tests of learned costs: shrinkage to the mean of the class, outliers, lasting changes, biased estimates,
 //! ageing and invalid input.
 
+use sprucelink_float_math::ln;
 use sprucelink_query_fingerprint::cost::{Cost, Costs, Key};
 use sprucelink_query_fingerprint::normal::Fingerprint;
 
@@ -53,7 +54,7 @@
     let morning = 8.0 * 3600.0;
     let answers = (0..40).find(|n| {
         costs.learn(KEY, None, cost(2_000.0 * random_factor(*n)), morning + f64::from(*n));
-        (estimated_work_ms(&mut costs, None, morning + f64::from(*n)) / 2_000.0).ln().abs() < 0.25
+        ln(estimated_work_ms(&mut costs, None, morning + f64::from(*n)) / 2_000.0).abs() < 0.25
     });
     assert!(answers.is_some_and(|n| n < 12), "{answers:?}");
 }
--- a/crates/query-fingerprint/tests/statement_cache.rs
+++ b/crates/query-fingerprint/tests/statement_cache.rs
@@ -1,5 +1,6 @@
 //! Tests of the statement cache with many distinct statements and with a skewed sequence of statements.
 
+use sprucelink_float_math::pow;
 use sprucelink_query_fingerprint::cache::Bounds;
 use sprucelink_query_fingerprint::statement_cache::StatementCache;
 
@@ -42,7 +43,7 @@
             continue;
         }
         // Five hundred forms, approximately with a Zipf distribution.
-        let form = (500.0_f64.powf(unit) - 1.0) as u32;
+        let form = (pow(500.0, unit) - 1.0) as u32;
         let before = statements.counters().hits;
         statements.get_or_read(&format!("SELECT a{form} FROM x_1.t WHERE b = {n}"));
         if known_forms.insert(form) {
--- a/crates/zone-failover/src/zone_health.rs
+++ b/crates/zone-failover/src/zone_health.rs
@@ -13,6 +13,7 @@
 
 use crate::config::FailoverConfig;
 use crate::{TimeDelta, Timestamp, ZoneObservation};
+use sprucelink_float_math::exp;
 use std::fmt;
 
 /// A zone's known cores are the maximum that was listed within this time.
@@ -239,7 +240,7 @@
 
     fn update_load(&mut self, now: Timestamp, load: f64) {
         let elapsed = self.load_updated_at.map_or(f64::INFINITY, |at| (now - at).as_secs_f64().max(0.0));
-        let weight = 1.0 - (-elapsed / LOAD_SMOOTHING_S).exp();
+        let weight = 1.0 - exp(-elapsed / LOAD_SMOOTHING_S);
         self.load += weight * (load - self.load);
         self.load_updated_at = Some(now);
     }
