Hot restart: request ids in the state file and the driver's log line, tidied

Cause: message.rs had grown by the request ids, a log line with ten fields stood twice, and two tests built the same engine.

Change: message/request_ids.rs; one log statement for both levels; holding_engine. The test of case 9 also has an id that waits in the new process, and both waiting ids at the process after the next.

--- a/crates/hot-restart/src/codec.rs
+++ b/crates/hot-restart/src/codec.rs
@@ -53,7 +53,7 @@
 pub fn encode(file: &StateFile) -> Result<EncodedFile, StateFileError> {
     let mut message = StateFileMessage::from(file);
     let ids = std::mem::take(&mut message.known_ids);
-    let request_ids = message.take_request_ids();
+    let mut request_ids = message.request_ids.take();
     let wanted_id_bytes = RESERVED_ID_BYTES.min(ids.len() * size_of::<u64>()) + IDS_HEADER_BYTES;
     let bytes = HEADER_BYTES + message.encoded_len();
     message.drop_oldest_cancels((bytes + wanted_id_bytes).saturating_sub(MAX_FILE_BYTES));
@@ -62,7 +62,8 @@
         return Err(StateFileError::TooLarge { bytes: bytes_without_ids });
     }
     let bytes_for_request_ids = MAX_FILE_BYTES.saturating_sub(bytes_without_ids + wanted_id_bytes);
-    let request_ids_left_out = message.put_request_ids(request_ids, bytes_for_request_ids);
+    let request_ids_left_out = request_ids.as_mut().map_or(0, |ids| ids.truncate_to(bytes_for_request_ids));
+    message.request_ids = request_ids.filter(|ids| !ids.is_empty());
     let bytes_without_ids = HEADER_BYTES + message.encoded_len();
     let bytes_for_ids = MAX_FILE_BYTES.saturating_sub(bytes_without_ids + IDS_HEADER_BYTES);
     let fitting_ids = ids.len().min(bytes_for_ids / size_of::<u64>());
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -3,6 +3,8 @@
 //! The meaning and tag of a field never change; new fields get new tags, which older builds skip. A change
 //! that an older build would misread needs a new [`crate::FORMAT_VERSION`].
 
+mod request_ids;
+
 use crate::cancel_requests::{ForwardedCancel, MAX_CANCEL_REQUESTS};
 use crate::error::InvalidState;
 use crate::state::{
@@ -11,8 +13,8 @@
 };
 use crate::{TimeDelta, Timestamp};
 use prost::Message;
+use request_ids::RequestIdsMessage;
 use sprucelink_cordon::{Cause, CordonEntry, CordonRecord, Target};
-use sprucelink_request_ids::{RequestIdRecord, MAX_RECORDS};
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct StateFileMessage {
@@ -54,22 +56,7 @@
     #[prost(message, optional, tag = "18")]
     feed_change: Option<FeedChangeMessage>,
     #[prost(message, optional, tag = "19")]
-    request_ids: Option<RequestIdsMessage>,
-}
-
-/// Ids of open and recent requests; the elements at the same position belong to one request.
-#[derive(Clone, PartialEq, prost::Message)]
-struct RequestIdsMessage {
-    #[prost(fixed64, repeated, tag = "1")]
-    ids: Vec<u64>,
-    #[prost(fixed64, repeated, tag = "2")]
-    statement_hashes: Vec<u64>,
-    /// Time from the start of the request to the write of the file, in milliseconds.
-    #[prost(uint32, repeated, tag = "3")]
-    ages_ms: Vec<u32>,
-    /// Number of requests that are open; they are the first ones.
-    #[prost(uint32, tag = "4")]
-    open_count: u32,
+    pub(crate) request_ids: Option<RequestIdsMessage>,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -159,61 +146,6 @@
     }
 }
 
-/// Maximum length of the elements of a request id: id, hash, and age.
-const REQUEST_ID_BYTES: usize = 2 * size_of::<u64>() + 5;
-/// Maximum length of the tags and lengths of the request ids.
-const REQUEST_IDS_HEADER_BYTES: usize = 24;
-
-impl StateFileMessage {
-    /// Takes the request ids out of the message, to be put back by [`StateFileMessage::put_request_ids`].
-    pub(crate) fn take_request_ids(&mut self) -> RequestIds {
-        RequestIds(self.request_ids.take())
-    }
-
-    /// Puts back as many request ids as fit into `bytes`; returns the number of those left out.
-    pub(crate) fn put_request_ids(&mut self, request_ids: RequestIds, bytes: usize) -> usize {
-        let Some(mut message) = request_ids.0 else { return 0 };
-        let fitting = bytes.saturating_sub(REQUEST_IDS_HEADER_BYTES) / REQUEST_ID_BYTES;
-        let left_out = message.ids.len().saturating_sub(fitting);
-        message.ids.truncate(fitting);
-        message.statement_hashes.truncate(fitting);
-        message.ages_ms.truncate(fitting);
-        message.open_count = message.open_count.min(message.ids.len() as u32);
-        self.request_ids = (!message.ids.is_empty()).then_some(message);
-        left_out
-    }
-}
-
-/// Request ids that were taken out of a message.
-pub(crate) struct RequestIds(Option<RequestIdsMessage>);
-
-impl RequestIdsMessage {
-    fn new(records: &[RequestIdRecord], written_at: Timestamp) -> Option<RequestIdsMessage> {
-        let age_ms = |record: &RequestIdRecord| (written_at - record.started_at).as_millis();
-        (!records.is_empty()).then(|| RequestIdsMessage {
-            ids: records.iter().map(|record| record.id).collect(),
-            statement_hashes: records.iter().map(|record| record.statement_hash).collect(),
-            ages_ms: records.iter().map(|record| age_ms(record).clamp(0, u32::MAX.into()) as u32).collect(),
-            open_count: records.iter().take_while(|record| record.is_open).count() as u32,
-        })
-    }
-
-    fn into_records(self, written_at: Timestamp) -> Result<Vec<RequestIdRecord>, InvalidState> {
-        check_count("request_ids", self.ids.len(), MAX_RECORDS, "requests")?;
-        if self.ids.len() != self.statement_hashes.len() || self.ids.len() != self.ages_ms.len() {
-            return Err(InvalidState::RequestIdCountsDiffer);
-        }
-        let fields = self.ids.iter().zip(&self.statement_hashes).zip(&self.ages_ms).enumerate();
-        let records = fields.map(|(index, ((id, statement_hash), age_ms))| RequestIdRecord {
-            id: *id,
-            statement_hash: *statement_hash,
-            started_at: written_at - TimeDelta::from_millis((*age_ms).into()),
-            is_open: index < self.open_count as usize,
-        });
-        Ok(records.collect())
-    }
-}
-
 /// Phases by their number in the format.
 const PHASES: [Phase; 6] = [
     Phase::Starting,
--- a/src/run/hot_restart_driver.rs
+++ b/src/run/hot_restart_driver.rs
@@ -241,32 +241,26 @@
         let retries: u32 = usable.retries.iter().map(|(_, count)| count).sum();
         self.core.merge_cordons(&usable.cordons, &usable.known_ids);
         let age = usable.age;
+        macro_rules! log_merged {
+            ($log:ident) => {
+                $log!(
+                    pid,
+                    generation,
+                    age_s,
+                    ?age,
+                    cordons,
+                    engine_ids,
+                    request_ids,
+                    retries,
+                    warmup_sends,
+                    "hot restart state merged"
+                )
+            };
+        }
         if level == Level::INFO {
-            info!(
-                pid,
-                generation,
-                age_s,
-                ?age,
-                cordons,
-                engine_ids,
-                request_ids,
-                retries,
-                warmup_sends,
-                "hot restart state merged"
-            );
+            log_merged!(info);
         } else {
-            debug!(
-                pid,
-                generation,
-                age_s,
-                ?age,
-                cordons,
-                engine_ids,
-                request_ids,
-                retries,
-                warmup_sends,
-                "hot restart state merged"
-            );
+            log_merged!(debug);
         }
     }
 
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -310,14 +310,19 @@
     assert_eq!((cancels(&first, "unknown_session"), cancels(&first, "taken_over")), (1, 0));
 }
 
+/// An engine that never answers statements with `ms = 9`, and answers others at once.
+fn holding_engine() -> Engine {
+    Engine::start(|command| match command.parts[3].contains("ms = 9") {
+        true => Reply::Hold,
+        false => Reply::Pages(vec!["a\tb\tc\n".to_owned()]),
+    })
+}
+
 /// Guards against a CancelRequest at the other process that is lost because its request is unread, or that cancels
 /// the next request of a client which waits for the close.
 #[test]
 fn cancel_request_at_the_other_process_concerns_only_what_was_sent_before_it() {
-    let engine = Engine::start(|command| match command.parts[3].contains("ms = 9") {
-        true => Reply::Hold,
-        false => Reply::Pages(vec!["a\tb\tc\n".to_owned()]),
-    });
+    let engine = holding_engine();
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
@@ -348,10 +353,7 @@
 /// 9): in both directions, of open, waiting and recent requests, and over two upgrades in a row.
 #[test]
 fn request_id_known_to_one_process_is_refused_by_the_others() {
-    let engine = Engine::start(|command| match command.parts[3].contains("ms = 9") {
-        true => Reply::Hold,
-        false => Reply::Pages(vec!["a\tb\tc\n".to_owned()]),
-    });
+    let engine = holding_engine();
     let engines = [("s-1", engine.address)];
     let (listener, to) = shared_listener();
     let folder = scratch_dir();
@@ -365,7 +367,8 @@
             error_fields(&messages)[0].clone()
         }
     };
-    let (open_in_first, recent_in_first, open_in_second, waiting_in_first) = (1, 2, 3, 7);
+    let (open_in_first, waiting_in_first, recent_in_first) = (1, 7, 2);
+    let (open_in_second, waiting_in_second) = (3, 8);
     let mut first = start_healthy(&listener, &folder, &engines);
     let (mut waiting, mut client_of_first) = (RawClient::connect(to), RawClient::connect(to));
     waiting.send(&[query(&sql(open_in_first, 9)), query(&sql(waiting_in_first, 9))].concat());
@@ -384,11 +387,12 @@
     // A key belongs to the client's retries, whichever process gets them: the engines know it.
     assert_eq!(message_types(&client_of_second.ask(&load(5, 7))).matches('C').count(), 1);
 
-    let mut waiting_in_second = RawClient::connect(to);
-    waiting_in_second.send(&query(&sql(open_in_second, 9)));
+    let mut busy_in_second = RawClient::connect(to);
+    busy_in_second.send(&[query(&sql(open_in_second, 9)), query(&sql(waiting_in_second, 9))].concat());
     engine.wait_for("do", 6);
     thread::sleep(EXCHANGE_TIME);
     assert_eq!(code(&mut client_of_first, open_in_second, 1), "42710");
+    assert_eq!(code(&mut client_of_first, waiting_in_second, 1), "42710");
 
     drop(waiting);
     first.terminate();
@@ -396,7 +400,7 @@
     let third = start_healthy(&listener, &folder, &engines);
     wait_until_accepting_alone(&third, to, &client_of_second);
     let mut client_of_third = RawClient::connect(to);
-    for id in [open_in_first, recent_in_first, open_in_second] {
+    for id in [open_in_first, waiting_in_first, recent_in_first, open_in_second, waiting_in_second] {
         assert_eq!(code(&mut client_of_third, id, 4), "42710", "request {id}");
     }
     assert_eq!(code(&mut client_of_third, 6, 1), "");
