float-math: the functions are inlined

Cause: a call of exp or ln went through a function of another crate.

Change: #[inline]; the results are the same, recorded_decisions passes.

--- a/crates/float-math/src/lib.rs
+++ b/crates/float-math/src/lib.rs
@@ -10,26 +10,31 @@
 #![allow(clippy::disallowed_methods, reason = "this is the one place for them")]
 
 /// The cosine of `angle`, in radians.
+#[inline]
 pub fn cos(angle: f64) -> f64 {
     angle.cos()
 }
 
 /// `e` to the power of `exponent`.
+#[inline]
 pub fn exp(exponent: f64) -> f64 {
     exponent.exp()
 }
 
 /// The natural logarithm of `value`.
+#[inline]
 pub fn ln(value: f64) -> f64 {
     value.ln()
 }
 
 /// The logarithm of `value` to base 10.
+#[inline]
 pub fn log10(value: f64) -> f64 {
     value.log10()
 }
 
 /// `base` to the power of `exponent`.
+#[inline]
 pub fn pow(base: f64, exponent: f64) -> f64 {
     libm::pow(base, exponent)
 }
